--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -22,7 +22,7 @@
 
 
 class FakeNetwork:
-    """Connect the fake transports of one test; cut links and lost answers are pairs of addresses."""
+    """Connect the transports of one test; `cut` and `answers_lost` hold address pairs."""
 
     def __init__(self, *, delay_s: float = 0.001) -> None:
         self.delay_s = delay_s
