Add routing, gateway, transactions and the HTTP entry

Cause: the path from a caller's request to a backend server. Ruled out: deficit round robin weighted by configured rate. Before: no request path.

--- a/lentilring/configuration/models.py
+++ b/lentilring/configuration/models.py
@@ -47,7 +47,7 @@
 
 @dataclass(frozen=True, kw_only=True, config=STRICT)
 class Route:
-    """Describe one route of a service; staleness in seconds, None for no limit."""
+    """Describe one route of a service; staleness in seconds, None accepts no staleness."""
 
     name: Name
     kind: RouteKind
--- /dev/null
+++ b/lentilring/http/bridge.py
@@ -0,0 +1,129 @@
+"""The WSGI callable between the HTTP server's threads and the loop."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+from concurrent.futures import CancelledError
+from http import HTTPStatus
+from typing import Any, Protocol
+
+from ..outcomes import NotRun, OutcomeUnknown, RefusalReason, UncertaintyReason
+from .messages import HttpRequest, HttpResponse
+from .problems import render_outcome
+
+READ_CHUNK_BYTES = 64 * 1024
+STATUS_LINES = {status.value: f"{status.value} {status.phrase}" for status in HTTPStatus}
+
+
+class _Input(Protocol):
+    def read(self, size: int) -> bytes: ...
+
+
+class Bridge:
+    """Hand requests to the loop and wait for the response on the server's thread."""
+
+    def __init__(
+        self,
+        *,
+        loop: asyncio.AbstractEventLoop,
+        handle: Callable[[HttpRequest], Awaitable[HttpResponse]],
+        max_body_bytes: int,
+        body_timeout_s: float,
+        answer_timeout_s: float,
+    ) -> None:
+        self._loop = loop
+        self._handle = handle
+        self._max_body_bytes = max_body_bytes
+        self._body_timeout_s = body_timeout_s
+        self._answer_timeout_s = answer_timeout_s
+
+    def __call__(
+        self, environ: Mapping[str, Any], start_response: Callable[..., object]
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        body = self._read_body(environ)
+        if isinstance(body, NotRun):
+            response = render_outcome(body, "")
+            # The rest of the body is unread, so the connection cannot carry another request.
+            return _respond(response, start_response, closes=True)
+        response = self._answer(_build_request(environ, body))
+        return _respond(response, start_response, closes=response.closes_connection)
+
+    def _answer(self, request: HttpRequest) -> HttpResponse:
+        future = asyncio.run_coroutine_threadsafe(self._run(request), self._loop)
+        try:
+            return future.result(self._answer_timeout_s)
+        except (TimeoutError, CancelledError):
+            future.cancel()
+            reason = UncertaintyReason.DEADLINE_EXCEEDED
+        except Exception:
+            # The failure is logged where it happened; a caller never sees a stack trace.
+            reason = UncertaintyReason.INTERNAL
+        return render_outcome(OutcomeUnknown(reason=reason), "")
+
+    async def _run(self, request: HttpRequest) -> HttpResponse:
+        return await self._handle(request)
+
+    def _read_body(self, environ: Mapping[str, Any]) -> bytes | NotRun:
+        length = environ.get("CONTENT_LENGTH") or ""
+        if not length:
+            if environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked":
+                return self._read_stream(environ["wsgi.input"], self._max_body_bytes + 1, None)
+            return b""
+        if not str(length).isdigit():
+            return NotRun(reason=RefusalReason.REQUEST_MALFORMED, detail="Content-Length")
+        if int(length) > self._max_body_bytes:
+            return NotRun(reason=RefusalReason.BODY_TOO_LARGE, detail=f"{length} bytes")
+        return self._read_stream(environ["wsgi.input"], int(length), int(length))
+
+    def _read_stream(self, source: _Input, limit: int, expected: int | None) -> bytes | NotRun:
+        end = time.monotonic() + self._body_timeout_s
+        parts: list[bytes] = []
+        size = 0
+        try:
+            while size < limit:
+                if time.monotonic() > end:
+                    return NotRun(reason=RefusalReason.BODY_TIMEOUT)
+                part = source.read(min(READ_CHUNK_BYTES, limit - size))
+                if not part:
+                    break
+                parts.append(part)
+                size += len(part)
+        except OSError:
+            return NotRun(reason=RefusalReason.BODY_TIMEOUT)
+        except ValueError as error:
+            return NotRun(reason=RefusalReason.REQUEST_MALFORMED, detail=str(error))
+        if size > self._max_body_bytes:
+            return NotRun(reason=RefusalReason.BODY_TOO_LARGE)
+        if expected is not None and size < expected:
+            return NotRun(reason=RefusalReason.REQUEST_MALFORMED, detail="body ended early")
+        return b"".join(parts)
+
+
+def _build_request(environ: Mapping[str, Any], body: bytes) -> HttpRequest:
+    headers = {
+        name[5:].replace("_", "-").lower(): str(value)
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    return HttpRequest(
+        method=environ["REQUEST_METHOD"],
+        path=environ.get("SCRIPT_NAME", "") + environ.get("PATH_INFO", ""),
+        query=environ.get("QUERY_STRING", ""),
+        headers=headers,
+        body=body,
+    )
+
+
+def _respond(
+    response: HttpResponse, start_response: Callable[..., object], *, closes: bool
+) -> list[bytes]:
+    headers = [
+        ("Content-Type", response.content_type),
+        ("Content-Length", str(len(response.body))),
+        *response.headers,
+    ]
+    if closes:
+        headers.append(("Connection", "close"))
+    start_response(STATUS_LINES[int(response.status)], headers)
+    return [response.body]
--- /dev/null
+++ b/lentilring/http/readiness.py
@@ -0,0 +1,68 @@
+"""Whether this proxy should get new work, and why not."""
+
+from collections.abc import Callable
+
+from ..clock import Clock
+from ..outcomes import NotRun, RefusalReason
+
+# The balancer needs time to notice that a proxy is not ready; requests that still arrive on open
+# connections meanwhile are served, and their connections are closed.
+LEAVING_GRACE_S = 2.0
+
+
+class Readiness:
+    """Combine the obstacles to new work that services report."""
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._obstacles: dict[str, Callable[[], bool]] = {}
+        self._leaving_since: float | None = None
+        self._shutting_down_since: float | None = None
+        self._is_drained: Callable[[], bool] = lambda: False
+
+    def add_obstacle(self, name: str, exists: Callable[[], bool]) -> None:
+        """Register a named condition under which the proxy is not ready."""
+        self._obstacles[name] = exists
+
+    def watch_drain(self, is_drained: Callable[[], bool]) -> None:
+        """Register how to tell that operators drained this VM's failure domain."""
+        self._is_drained = is_drained
+
+    def begin_shutdown(self) -> None:
+        """Turn readiness off for good."""
+        self._shutting_down_since = self._clock.monotonic()
+
+    @property
+    def leaving(self) -> bool:
+        """Tell whether connections should be closed after their next response."""
+        self._update_drain()
+        return self._shutting_down_since is not None or self._leaving_since is not None
+
+    def list_obstacles(self) -> list[str]:
+        """Return the names of the conditions that keep the proxy from being ready."""
+        found = [name for name, exists in self._obstacles.items() if exists()]
+        if self._shutting_down_since is not None:
+            found.append("shutting_down")
+        self._update_drain()
+        if self._leaving_since is not None:
+            found.append("failure_domain_drained")
+        return found
+
+    def refuse_work(self) -> NotRun | None:
+        """Return the refusal of new work, once the grace after readiness turned false is over."""
+        self._update_drain()
+        now = self._clock.monotonic()
+        if self._is_over(self._shutting_down_since, now):
+            return NotRun(reason=RefusalReason.SHUTTING_DOWN, retry_after_s=1.0)
+        if self._is_over(self._leaving_since, now):
+            return NotRun(reason=RefusalReason.DRAINING, retry_after_s=1.0)
+        return None
+
+    def _update_drain(self) -> None:
+        if not self._is_drained():
+            self._leaving_since = None
+        elif self._leaving_since is None:
+            self._leaving_since = self._clock.monotonic()
+
+    def _is_over(self, since: float | None, now: float) -> bool:
+        return since is not None and now - since > LEAVING_GRACE_S
--- /dev/null
+++ b/lentilring/http/server.py
@@ -0,0 +1,89 @@
+"""The HTTP server: CherryPy's threads parse, the loop decides."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import cherrypy
+from cheroot import wsgi
+from cherrypy.process.servers import ServerAdapter
+
+from ..clock import Clock
+from ..kernel import Kernel, Service
+from ..telemetry.log import Log
+from .bridge import Bridge
+from .messages import HttpRequest, HttpResponse
+
+REQUEST_QUEUE_SIZE = 1024
+MAX_HEADER_BYTES = 16 * 1024
+SOCKET_TIMEOUT_S = 10.0
+ANSWER_MARGIN_S = 5.0
+MAX_DEADLINE_S = 60.0
+
+log = Log(source="http")
+
+
+class HttpServer(Service):
+    """Serve one WSGI callable, grafted onto a CherryPy tree, on one address."""
+
+    def __init__(
+        self,
+        *,
+        kernel: Kernel,
+        host: str,
+        port: int,
+        handle: Callable[[HttpRequest], Awaitable[HttpResponse]],
+        threads: int,
+        max_body_bytes: int,
+        body_timeout_s: float,
+        clock: Clock,
+        is_idle: Callable[[], bool] = lambda: True,
+    ) -> None:
+        self._kernel = kernel
+        self._host = host
+        self._port = port
+        self._handle = handle
+        self._threads = threads
+        self._max_body_bytes = max_body_bytes
+        self._body_timeout_s = body_timeout_s
+        self._clock = clock
+        self._is_idle = is_idle
+        self._server: wsgi.Server | None = None
+        self._adapter: ServerAdapter | None = None
+
+    async def start(self) -> None:
+        """Bind the address and serve on CherryPy's threads."""
+        bridge = Bridge(
+            loop=asyncio.get_running_loop(),
+            handle=self._handle,
+            max_body_bytes=self._max_body_bytes,
+            body_timeout_s=self._body_timeout_s,
+            answer_timeout_s=MAX_DEADLINE_S + ANSWER_MARGIN_S,
+        )
+        tree = cherrypy._cptree.Tree()
+        tree.graft(bridge, "")
+        server = wsgi.Server(
+            (self._host, self._port),
+            tree,
+            numthreads=self._threads,
+            max=self._threads,
+            request_queue_size=REQUEST_QUEUE_SIZE,
+            timeout=SOCKET_TIMEOUT_S,
+            shutdown_timeout=5,
+        )
+        server.max_request_header_size = MAX_HEADER_BYTES
+        self._server = server
+        self._adapter = ServerAdapter(self._kernel.bus, server, (self._host, self._port))
+        await asyncio.to_thread(self._adapter.start)
+        log.info("http_listening", address=f"{self._host}:{self._port}", threads=self._threads)
+
+    async def drain(self, *, deadline_s: float) -> None:
+        """Wait until no request is in flight."""
+        end = self._clock.monotonic() + deadline_s
+        while not self._is_idle() and self._clock.monotonic() < end:
+            await self._clock.sleep(0.02)
+
+    async def stop(self) -> None:
+        """Close the listening socket and end the threads."""
+        if self._adapter is not None:
+            await asyncio.to_thread(self._adapter.stop)
+            self._adapter = None
--- /dev/null
+++ b/lentilring/pool/fairness.py
@@ -0,0 +1,97 @@
+"""Start-time fair queueing over the queues of client accounts.
+
+Source: Goyal, Vin and Cheng, "Start-time fair queueing: a scheduling algorithm for integrated
+services packet switching networks", 1996. The cost of a statement is the time that earlier
+statements of its account held a slot.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+
+INITIAL_COST_S = 0.005
+MIN_COST_S = 0.0005
+COST_SMOOTHING = 0.2
+
+
+@dataclass
+class _Queue(Generic[T]):
+    start_tag: float = 0.0
+    finish_tag: float = 0.0
+    cost_s: float = INITIAL_COST_S
+    entries: deque[T] = field(default_factory=deque)
+
+
+class FairQueue(Generic[T]):
+    """Hold waiting work by client account and choose the next by start tag.
+
+    All accounts have equal weight, which gives max-min fairness: an account that asks for less than
+    an equal part is served in full, and large accounts share what the others leave idle. Weights by
+    configured rate made a small account wait seconds beside a large one (docs/measurements.md).
+    An account that was idle starts at the current virtual time, ahead of the backlog of others,
+    and without credit for the time it was idle.
+    """
+
+    def __init__(self, *, capacity_per_account: int) -> None:
+        self.capacity_per_account = capacity_per_account
+        self._queues: dict[str, _Queue[T]] = {}
+        self._virtual_time = 0.0
+
+    def __len__(self) -> int:
+        return sum(len(queue.entries) for queue in self._queues.values())
+
+    def push(self, account: str, entry: T) -> bool:
+        """Add work of an account; return False if the account's queue is full."""
+        queue = self._queues.setdefault(account, _Queue())
+        if len(queue.entries) >= self.capacity_per_account:
+            return False
+        if not queue.entries:
+            queue.start_tag = max(self._virtual_time, queue.finish_tag)
+        queue.entries.append(entry)
+        return True
+
+    def pop(self) -> T | None:
+        """Take the next work, or None if nothing waits."""
+        waiting = [(q.start_tag, name) for name, q in self._queues.items() if q.entries]
+        if not waiting:
+            return None
+        _, account = min(waiting)
+        queue = self._queues[account]
+        self.charge(account)
+        return queue.entries.popleft()
+
+    def charge(self, account: str) -> None:
+        """Account for one statement that takes a slot."""
+        queue = self._queues.setdefault(account, _Queue())
+        start = queue.start_tag if queue.entries else max(self._virtual_time, queue.finish_tag)
+        self._virtual_time = max(self._virtual_time, start)
+        queue.finish_tag = start + queue.cost_s
+        queue.start_tag = queue.finish_tag
+
+    def discard(self, account: str, entry: T) -> None:
+        """Remove work that no longer waits."""
+        queue = self._queues.get(account)
+        if queue is not None and entry in queue.entries:
+            queue.entries.remove(entry)
+
+    def record_cost(self, account: str, seconds: float) -> None:
+        """Update the expected cost of an account's statements with a measured one."""
+        queue = self._queues.setdefault(account, _Queue())
+        measured = max(MIN_COST_S, seconds)
+        queue.cost_s += COST_SMOOTHING * (measured - queue.cost_s)
+
+    def expected_wait_s(self, account: str, slots: int) -> float:
+        """Estimate how long new work of an account waits for a slot, in seconds.
+
+        Waiting accounts share the slots equally, and no account waits longer than all waiting work
+        takes in order of arrival.
+        """
+        own = self._queues.get(account)
+        if own is None:
+            return 0.0
+        waiting = [q for name, q in self._queues.items() if q.entries or name == account]
+        total_work_s = sum(len(q.entries) * q.cost_s for q in waiting)
+        by_share_s = len(own.entries) * own.cost_s * len(waiting)
+        return min(by_share_s, total_work_s) / slots
--- /dev/null
+++ b/lentilring/pool/replies.py
@@ -0,0 +1,101 @@
+"""Conversions between outcomes, statement replies and gateway replies."""
+
+from functools import singledispatch
+
+import msgspec
+
+from ..database.messages import Role, StatementReply, StatementStatus
+from ..outcomes import (
+    Completed,
+    JsonValue,
+    NotRun,
+    Outcome,
+    OutcomeUnknown,
+    RefusalReason,
+    SessionPosition,
+    UncertaintyReason,
+)
+from .messages import GatewayReply, OutcomeTag
+
+REFUSALS = {
+    StatementStatus.STALE_TERM: RefusalReason.PRIMARY_CHANGED,
+    StatementStatus.NOT_PRIMARY: RefusalReason.PRIMARY_CHANGED,
+    StatementStatus.REJECTED: RefusalReason.STATEMENT_REJECTED,
+    StatementStatus.KEY_REUSED: RefusalReason.IDEMPOTENCY_KEY_REUSED,
+}
+
+
+def refuse(
+    reason: RefusalReason, detail: str = "", retry_after_s: float | None = None
+) -> GatewayReply:
+    """Return the reply for a statement of which nothing was sent."""
+    return GatewayReply(
+        tag=OutcomeTag.NOT_RUN, reason=reason, detail=detail, retry_after_s=retry_after_s
+    )
+
+
+def report_unknown(reason: UncertaintyReason, detail: str = "") -> GatewayReply:
+    """Return the reply for a statement that may have run."""
+    return GatewayReply(tag=OutcomeTag.OUTCOME_UNKNOWN, reason=reason, detail=detail)
+
+
+def convert_statement_reply(
+    reply: StatementReply, *, server: str, role: Role, is_write: bool
+) -> GatewayReply:
+    """Return a gateway's reply for a backend server's."""
+    if reply.status is not StatementStatus.OK:
+        return refuse(REFUSALS[reply.status], reply.detail)
+    return GatewayReply(
+        tag=OutcomeTag.COMPLETED,
+        result=reply.result,
+        term=reply.term if is_write else 0,
+        position=reply.position if is_write else 0,
+        server=server,
+        from_replica=role is Role.REPLICA,
+        replayed=reply.replayed,
+        server_position=reply.position,
+    )
+
+
+def build_outcome(reply: GatewayReply, *, database: str) -> Outcome:
+    """Return the outcome that a gateway's reply stands for."""
+    if reply.tag is OutcomeTag.NOT_RUN:
+        return NotRun(
+            reason=RefusalReason(reply.reason),
+            detail=reply.detail,
+            retry_after_s=reply.retry_after_s,
+        )
+    if reply.tag is OutcomeTag.OUTCOME_UNKNOWN:
+        return OutcomeUnknown(reason=UncertaintyReason(reply.reason), detail=reply.detail)
+    position = None
+    if reply.position:
+        position = SessionPosition(database=database, term=reply.term, position=reply.position)
+    result: JsonValue = msgspec.json.decode(reply.result) if reply.result else None
+    return Completed(
+        result=result,
+        position=position,
+        served_by=reply.server,
+        from_replica=reply.from_replica,
+        replayed=reply.replayed,
+    )
+
+
+@singledispatch
+def describe(outcome: object) -> str:
+    """Return the reason of an outcome for counters and logs."""
+    raise TypeError(type(outcome).__name__)
+
+
+@describe.register
+def _(outcome: Completed) -> str:
+    return "completed"
+
+
+@describe.register
+def _(outcome: NotRun) -> str:
+    return outcome.reason.value
+
+
+@describe.register
+def _(outcome: OutcomeUnknown) -> str:
+    return outcome.reason.value
--- /dev/null
+++ b/lentilring/pool/sampling.py
@@ -0,0 +1,168 @@
+"""Sampling of primaries' positions, from which the age of replicas is bounded.
+
+A sample at time t says that every write acknowledged before t is at or before its position. It is
+valid only if the sampled server was in charge at t, which a majority confirms after t.
+"""
+
+import asyncio
+import contextlib
+import random
+from typing import TYPE_CHECKING
+
+from ..clock import Clock
+from ..failover.record import GroupState
+from ..peers.transport import PeerAnswerLost, PeerRejected, PeerTransport, PeerUnreachable
+from ..routing.topology import find_database, find_server, rank_gateways, select_placeable
+from .coverage import PositionSample, find_entry_term
+from .messages import PrimarySample, SamplePrimary
+from .server import GatewayServer
+
+if TYPE_CHECKING:
+    from .service import GatewayService
+
+SAMPLE_INTERVAL_S = 0.15
+SHARED_SAMPLE_AGE_S = 0.05
+SAMPLE_TIMEOUT_S = 1.0
+UNKNOWN_SAMPLE = PrimarySample(known=False)
+
+
+class PrimarySampler:
+    """Sample the primaries of the servers that recent reads needed an age for."""
+
+    def __init__(
+        self,
+        *,
+        gateway: "GatewayService",
+        transport: PeerTransport,
+        clock: Clock,
+        random_source: random.Random,
+    ) -> None:
+        self._gateway = gateway
+        self._transport = transport
+        self._clock = clock
+        self._random = random_source
+        self._task: asyncio.Task[None] | None = None
+        self._refreshing: dict[tuple[str, str], asyncio.Task[None]] = {}
+        self._measuring: dict[str, asyncio.Task[PrimarySample]] = {}
+        self._measured: dict[str, tuple[float, PrimarySample]] = {}
+
+    def start(self) -> None:
+        """Begin to refresh samples in the background."""
+        self._task = asyncio.ensure_future(self._run())
+
+    async def stop(self) -> None:
+        """End the background work."""
+        tasks = [self._task, *self._refreshing.values(), *self._measuring.values()]
+        for task in tasks:
+            if task is not None:
+                task.cancel()
+                with contextlib.suppress(asyncio.CancelledError, Exception):
+                    await task
+
+    async def sample_once(self, server: GatewayServer, *, timeout_s: float) -> None:
+        """Refresh a server's status and its primary's sample; users at one time share the work."""
+        key = (server.group, server.name)
+        task = self._refreshing.get(key)
+        if task is None or task.done():
+            task = asyncio.ensure_future(self._refresh(server))
+            self._refreshing[key] = task
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(asyncio.shield(task), max(0.0, timeout_s))
+
+    async def answer(self, group: str) -> PrimarySample:
+        """Return a confirmed sample of a group's primary, whose gateway this proxy is."""
+        measured = self._measured.get(group)
+        now = self._clock.monotonic()
+        if measured is not None and now - measured[0] <= SHARED_SAMPLE_AGE_S:
+            return self._with_age(measured)
+        task = self._measuring.get(group)
+        if task is None or task.done():
+            task = asyncio.ensure_future(self._measure(group))
+            self._measuring[group] = task
+        await asyncio.shield(task)
+        measured = self._measured.get(group)
+        return self._with_age(measured) if measured is not None else UNKNOWN_SAMPLE
+
+    def _with_age(self, measured: tuple[float, PrimarySample]) -> PrimarySample:
+        time, sample = measured
+        return PrimarySample(
+            known=True,
+            term=sample.term,
+            entry_term=sample.entry_term,
+            position=sample.position,
+            age_s=self._clock.monotonic() - time,
+        )
+
+    async def _run(self) -> None:
+        while True:
+            await self._clock.sleep(SAMPLE_INTERVAL_S * self._random.uniform(0.8, 1.2))
+            for server in list(self._gateway.servers.values()):
+                if server.in_demand:
+                    await self.sample_once(server, timeout_s=0.0)
+
+    async def _refresh(self, server: GatewayServer) -> None:
+        sample_task = asyncio.ensure_future(self._fetch_sample(server))
+        await server.refresh_status()
+        await sample_task
+
+    async def _fetch_sample(self, server: GatewayServer) -> None:
+        asked = self._clock.monotonic()
+        sample = await self._ask_primary_gateway(server.group)
+        if sample.known:
+            server.history.add(
+                PositionSample(
+                    time=asked - sample.age_s,
+                    entry_term=sample.entry_term,
+                    position=sample.position,
+                )
+            )
+
+    async def _ask_primary_gateway(self, group: str) -> PrimarySample:
+        gateway = self._gateway
+        record = gateway.groups.record(group)
+        database = find_database(gateway.configuration, group)
+        if record is None or database is None or record.primary is None:
+            return UNKNOWN_SAMPLE
+        primary = find_server(database, record.primary)
+        if primary is None:
+            return UNKNOWN_SAMPLE
+        members = select_placeable(gateway.configuration, gateway.membership.members())
+        for member in rank_gateways(group, primary, members).ranked[:2]:
+            if member.vm == gateway.membership.local.vm:
+                return await self.answer(group)
+            try:
+                answer = await self._transport.call(
+                    member.address, SamplePrimary(group=group), timeout_s=SAMPLE_TIMEOUT_S
+                )
+            except (PeerUnreachable, PeerAnswerLost, PeerRejected):
+                continue
+            if isinstance(answer, PrimarySample) and answer.known:
+                return answer
+        return UNKNOWN_SAMPLE
+
+    async def _measure(self, group: str) -> PrimarySample:
+        """Read the primary's position, then confirm that it was in charge."""
+        gateway = self._gateway
+        record = gateway.groups.record(group)
+        if record is None or record.state is not GroupState.OPEN or record.primary is None:
+            return UNKNOWN_SAMPLE
+        server = gateway.locate(group, record.primary)
+        if server is None:
+            return UNKNOWN_SAMPLE
+        status = await server.refresh_status()
+        if status is None or status.term != record.term or status is not server.status:
+            return UNKNOWN_SAMPLE
+        asked = server.status_time
+        doubt = await gateway.groups.confirm_write(
+            group, term=record.term, position=0, needs_replica=False, timeout_s=SAMPLE_TIMEOUT_S
+        )
+        if doubt is not None:
+            return UNKNOWN_SAMPLE
+        sample = PrimarySample(
+            known=True,
+            term=record.term,
+            entry_term=find_entry_term(status.log_terms, status.position),
+            position=status.position,
+        )
+        self._measured[group] = (asked, sample)
+        return sample
--- /dev/null
+++ b/lentilring/routing/topology.py
@@ -0,0 +1,97 @@
+"""Where databases, their backend servers and their gateways are."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from ..configuration.models import BackendServer, Database, DrainState, Service
+from ..membership.member import Member
+from ..placement import rank_members
+
+
+class ConfigurationView(Protocol):
+    """Name what routing reads of the configuration."""
+
+    def service(self, name: str) -> Service | None:
+        """Return a service."""
+        ...
+
+    def failure_domain_state(self, name: str) -> DrainState:
+        """Return whether a failure domain takes new work."""
+        ...
+
+
+@dataclass(frozen=True, kw_only=True)
+class Gateways:
+    """Hold the proxies to try for a backend server, in order: gateway, standby, others."""
+
+    ranked: tuple[Member, ...]
+
+    @property
+    def first(self) -> Member | None:
+        """Return the gateway."""
+        return self.ranked[0] if self.ranked else None
+
+
+def name_group(service: str, database: str) -> str:
+    """Return the name of a database's group."""
+    return f"{service}.{database}"
+
+
+def split_group(group: str) -> tuple[str, str]:
+    """Return the service and the database of a group."""
+    service, _, database = group.partition(".")
+    return service, database
+
+
+def find_database(configuration: ConfigurationView, group: str) -> Database | None:
+    """Return the database of a group."""
+    service_name, database_name = split_group(group)
+    service = configuration.service(service_name)
+    if service is None:
+        return None
+    return next((entry for entry in service.databases if entry.name == database_name), None)
+
+
+def find_server(database: Database, name: str) -> BackendServer | None:
+    """Return a backend server of a database."""
+    return next((entry for entry in database.backend_servers if entry.name == name), None)
+
+
+def takes_work(configuration: ConfigurationView, database: Database, server: BackendServer) -> bool:
+    """Tell whether the database, the server and its failure domain are all in service."""
+    states = (
+        database.state,
+        server.state,
+        configuration.failure_domain_state(server.failure_domain),
+    )
+    return all(state is DrainState.IN_SERVICE for state in states)
+
+
+def select_placeable(
+    configuration: ConfigurationView, members: Iterable[Member]
+) -> Sequence[Member]:
+    """Return the members outside drained failure domains, or all if none is."""
+    everyone = tuple(members)
+    usable = tuple(
+        member
+        for member in everyone
+        if configuration.failure_domain_state(member.failure_domain) is DrainState.IN_SERVICE
+    )
+    return usable or everyone
+
+
+def rank_gateways(group: str, server: BackendServer, members: Iterable[Member]) -> Gateways:
+    """Return the gateway of a backend server, then a standby in another failure domain."""
+    ranked = rank_members(
+        f"{group}/{server.name}", members, preferred_failure_domain=server.failure_domain
+    )
+    if not ranked:
+        return Gateways(ranked=())
+    first = ranked[0]
+    elsewhere = [member for member in ranked if member.failure_domain != first.failure_domain]
+    standby = elsewhere[0] if elsewhere else None
+    if standby is None:
+        return Gateways(ranked=tuple(ranked))
+    others = [member for member in ranked if member not in (first, standby)]
+    return Gateways(ranked=(first, standby, *others))
--- /dev/null
+++ b/lentilring/transactions/messages.py
@@ -0,0 +1,31 @@
+"""Messages between an entry proxy and the gateway that holds a transaction."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from ..peers.messages import message
+
+
+class Step(StrEnum):
+    """Name the steps of a transaction."""
+
+    BEGIN = "begin"
+    STATEMENT = "statement"
+    COMMIT = "commit"
+    ROLLBACK = "rollback"
+
+
+@message
+@dataclass(frozen=True, kw_only=True)
+class TransactionRequest:
+    """Ask a gateway to take one step of a transaction; the id is empty for BEGIN."""
+
+    request_id: str
+    group: str
+    client_account: str
+    step: Step
+    transaction_id: str = ""
+    statement: str = ""
+    idempotency_key: str = ""
+    needs_replica: bool = True
+    timeout_s: float = 0.0
--- /dev/null
+++ b/lentilring/transactions/service.py
@@ -0,0 +1,315 @@
+"""Transactions, each pinned to one connection of this gateway until its end is confirmed."""
+
+import asyncio
+import contextlib
+import random
+from collections import OrderedDict
+from dataclasses import dataclass, replace
+
+from ..clock import Clock
+from ..database.backend import BackendAnswerLost, BackendConnection, BackendUnreachable
+from ..database.messages import Action, Role, StatementReply, StatementRequest, StatementStatus
+from ..failover.record import GroupState
+from ..kernel import Service
+from ..outcomes import RefusalReason, UncertaintyReason
+from ..peers.transport import PeerTransport, Sender
+from ..pool.connections import SlotRefused
+from ..pool.messages import GatewayReply, OutcomeTag
+from ..pool.replies import convert_statement_reply, refuse, report_unknown
+from ..pool.server import GatewayServer
+from ..pool.service import STATEMENT_TIMEOUT_S, GatewayService
+from ..routing.topology import find_database
+from ..telemetry.log import Log, request_id
+from ..telemetry.metrics import Telemetry
+from .identity import create_id
+from .messages import Step, TransactionRequest
+
+IDLE_TIMEOUT_S = 10.0
+EXPIRY_INTERVAL_S = 1.0
+MAX_REMEMBERED_ENDS = 10_000
+
+log = Log(source="transactions")
+
+
+@dataclass(kw_only=True, eq=False)
+class OpenTransaction:
+    """Hold a transaction's connection; nothing else may use it until the transaction ended."""
+
+    id: str
+    group: str
+    client_account: str
+    term: int
+    server: GatewayServer
+    connection: BackendConnection
+    last_used: float
+    busy: bool = False
+
+
+class TransactionService(Service):
+    """Begin, run and end transactions on the primaries that this proxy is gateway for."""
+
+    def __init__(
+        self,
+        *,
+        gateway: GatewayService,
+        transport: PeerTransport,
+        clock: Clock,
+        random_source: random.Random,
+        incarnation: int,
+        telemetry: Telemetry,
+    ) -> None:
+        self.gateway = gateway
+        self.open: dict[str, OpenTransaction] = {}
+        self.draining = False
+        self._ends: OrderedDict[str, GatewayReply] = OrderedDict()
+        self._clock = clock
+        self._random = random_source
+        self._incarnation = incarnation
+        self._telemetry = telemetry
+        self._task: asyncio.Task[None] | None = None
+        transport.handle(TransactionRequest, self._handle_request)
+
+    async def start(self) -> None:
+        """Begin to expire idle transactions."""
+        self._task = asyncio.ensure_future(self._expire_forever())
+
+    async def drain(self, *, deadline_s: float) -> None:
+        """Refuse new transactions and wait for the open ones to end."""
+        self.draining = True
+        end = self._clock.monotonic() + deadline_s
+        while self.open and self._clock.monotonic() < end:
+            await self._clock.sleep(0.02)
+
+    async def stop(self) -> None:
+        """Close the connections of open transactions, which rolls them back."""
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+        for transaction in list(self.open.values()):
+            self._close(transaction)
+
+    async def execute(self, request: TransactionRequest, *, timeout_s: float) -> GatewayReply:
+        """Take one step of a transaction."""
+        deadline = self._clock.monotonic() + timeout_s
+        self.gateway.running += 1
+        try:
+            if request.step is Step.BEGIN:
+                return await self._begin(request, deadline)
+            return await self._continue(request, deadline)
+        except SlotRefused as error:
+            return refuse(error.reason, error.detail, error.retry_after_s)
+        finally:
+            self.gateway.running -= 1
+
+    async def _begin(self, request: TransactionRequest, deadline: float) -> GatewayReply:
+        if self.draining:
+            return refuse(RefusalReason.SHUTTING_DOWN)
+        record = self.gateway.groups.record(request.group)
+        if record is None or record.state is not GroupState.OPEN or record.primary is None:
+            return refuse(RefusalReason.NO_PRIMARY)
+        database = find_database(self.gateway.configuration, request.group)
+        refusal = self.gateway.refuse_drained(database, record.primary)
+        if refusal is not None:
+            return refusal
+        server = self.gateway.locate(request.group, record.primary)
+        if server is None:
+            return refuse(RefusalReason.CONFIGURATION_MISSING)
+        if server.pool.pinned >= max(1, server.pool.budget() - server.pool.slots):
+            # Single statements need connections too, or transactions would block them.
+            return refuse(RefusalReason.CONNECTIONS_EXHAUSTED, "open transactions")
+        return await self._open(request, server, record.term, deadline)
+
+    async def _open(
+        self, request: TransactionRequest, server: GatewayServer, term: int, deadline: float
+    ) -> GatewayReply:
+        server.pool.pinned += 1
+        transaction: OpenTransaction | None = None
+        try:
+            async with server.pool.take_slot(request.client_account, deadline):
+                connection = await server.pool.take_connection(deadline)
+                transaction = OpenTransaction(
+                    id=create_id(
+                        vm=self.gateway.membership.local.vm,
+                        incarnation=self._incarnation,
+                        client_account=request.client_account,
+                        source=self._random,
+                    ),
+                    group=request.group,
+                    client_account=request.client_account,
+                    term=term,
+                    server=server,
+                    connection=connection,
+                    last_used=self._clock.monotonic(),
+                )
+                reply = await self._send(transaction, request, Action.BEGIN, deadline)
+            return self._finish_begin(transaction, reply)
+        except BaseException:
+            if transaction is not None:
+                server.pool.discard(transaction.connection)
+            server.pool.pinned -= 1
+            raise
+
+    def _finish_begin(
+        self, transaction: OpenTransaction, reply: StatementReply | None
+    ) -> GatewayReply:
+        pool = transaction.server.pool
+        if reply is not None and reply.status is StatementStatus.OK:
+            self.open[transaction.id] = transaction
+            return GatewayReply(
+                tag=OutcomeTag.COMPLETED,
+                transaction_id=transaction.id,
+                server=transaction.server.name,
+            )
+        pool.discard(transaction.connection)
+        pool.pinned -= 1
+        if reply is None:
+            # A transaction that nobody can name can never commit, so it did not run.
+            return refuse(RefusalReason.BACKEND_UNREACHABLE, "begin was not answered")
+        return convert_statement_reply(
+            reply, server=transaction.server.name, role=Role.PRIMARY, is_write=True
+        )
+
+    async def _continue(self, request: TransactionRequest, deadline: float) -> GatewayReply:
+        transaction = self.open.get(request.transaction_id)
+        if transaction is None or transaction.client_account != request.client_account:
+            return self._answer_ended(request)
+        if transaction.group != request.group:
+            return refuse(RefusalReason.TRANSACTION_UNKNOWN, "it is of another database")
+        if transaction.busy:
+            return refuse(RefusalReason.TRANSACTION_BUSY)
+        transaction.busy = True
+        try:
+            return await self._step(transaction, request, deadline)
+        finally:
+            transaction.busy = False
+            transaction.last_used = self._clock.monotonic()
+
+    def _answer_ended(self, request: TransactionRequest) -> GatewayReply:
+        end = self._ends.get(request.transaction_id)
+        if end is None or f"~{request.client_account}~" not in request.transaction_id:
+            return refuse(RefusalReason.TRANSACTION_UNKNOWN)
+        if request.step is Step.COMMIT:
+            return replace(end, replayed=True) if end.tag is OutcomeTag.COMPLETED else end
+        return refuse(RefusalReason.TRANSACTION_LOST, "it has ended")
+
+    async def _step(
+        self, transaction: OpenTransaction, request: TransactionRequest, deadline: float
+    ) -> GatewayReply:
+        if request.step is Step.STATEMENT:
+            return await self._run_statement(transaction, request, deadline)
+        if request.step is Step.COMMIT:
+            reply = await self._commit(transaction, request, deadline)
+            self._remember(transaction.id, reply)
+            return reply
+        return await self._roll_back(transaction, request, deadline)
+
+    async def _run_statement(
+        self, transaction: OpenTransaction, request: TransactionRequest, deadline: float
+    ) -> GatewayReply:
+        pool = transaction.server.pool
+        async with pool.take_slot(transaction.client_account, deadline):
+            reply = await self._send(transaction, request, Action.WRITE, deadline)
+        if reply is None:
+            self._close(transaction)
+            # The connection is closed before commit, so the server rolls everything back.
+            return refuse(RefusalReason.TRANSACTION_LOST, "the connection was lost")
+        if reply.status in (StatementStatus.STALE_TERM, StatementStatus.NOT_PRIMARY):
+            self._close(transaction)
+            return refuse(RefusalReason.TRANSACTION_LOST, "the primary changed")
+        converted = convert_statement_reply(
+            reply, server=transaction.server.name, role=Role.PRIMARY, is_write=False
+        )
+        return replace(converted, transaction_id=transaction.id)
+
+    async def _commit(
+        self, transaction: OpenTransaction, request: TransactionRequest, deadline: float
+    ) -> GatewayReply:
+        pool = transaction.server.pool
+        async with pool.take_slot(transaction.client_account, deadline):
+            reply = await self._send(transaction, request, Action.COMMIT, deadline)
+        if reply is None:
+            self._close(transaction)
+            self.gateway.groups.suspect_primary(transaction.group)
+            return report_unknown(UncertaintyReason.COMMIT_UNANSWERED)
+        if reply.status is not StatementStatus.OK:
+            self._close(transaction)
+            return convert_statement_reply(
+                reply, server=transaction.server.name, role=Role.PRIMARY, is_write=True
+            )
+        self._release(transaction)
+        completed = convert_statement_reply(
+            reply, server=transaction.server.name, role=Role.PRIMARY, is_write=True
+        )
+        return await self.gateway.confirm(
+            transaction.group, completed, request.needs_replica, deadline
+        )
+
+    async def _roll_back(
+        self, transaction: OpenTransaction, request: TransactionRequest, deadline: float
+    ) -> GatewayReply:
+        reply = await self._send(transaction, request, Action.ROLLBACK, deadline)
+        if reply is not None and reply.status is StatementStatus.OK:
+            self._release(transaction)
+        else:
+            self._close(transaction)
+        self._remember(transaction.id, refuse(RefusalReason.TRANSACTION_LOST, "rolled back"))
+        return GatewayReply(tag=OutcomeTag.COMPLETED, server=transaction.server.name)
+
+    async def _send(
+        self,
+        transaction: OpenTransaction,
+        request: TransactionRequest,
+        action: Action,
+        deadline: float,
+    ) -> StatementReply | None:
+        """Return the server's answer, or None if there is none and the connection is unusable."""
+        statement = StatementRequest(
+            term=transaction.term,
+            client_account=transaction.client_account,
+            action=action,
+            statement=request.statement,
+            idempotency_key=request.idempotency_key if action is Action.COMMIT else "",
+            request_id=request.request_id,
+        )
+        timeout = min(STATEMENT_TIMEOUT_S, max(0.001, deadline - self._clock.monotonic()))
+        try:
+            return await transaction.connection.execute(statement, timeout_s=timeout)
+        except (BackendUnreachable, BackendAnswerLost) as error:
+            self._telemetry.count("lost_answers", server=transaction.server.name)
+            log.warning("transaction_connection_lost", id=transaction.id, error=error)
+            return None
+
+    def _release(self, transaction: OpenTransaction) -> None:
+        """Return the connection to the pool after a confirmed end."""
+        if self.open.pop(transaction.id, None) is not None:
+            transaction.server.pool.pinned -= 1
+            transaction.server.pool.give_back(transaction.connection)
+
+    def _close(self, transaction: OpenTransaction) -> None:
+        """Close the connection, because the state of its transaction is not certain."""
+        if self.open.pop(transaction.id, None) is not None:
+            transaction.server.pool.pinned -= 1
+            transaction.server.pool.discard(transaction.connection)
+
+    def _remember(self, transaction_id: str, reply: GatewayReply) -> None:
+        self._ends[transaction_id] = reply
+        while len(self._ends) > MAX_REMEMBERED_ENDS:
+            self._ends.popitem(last=False)
+
+    async def _expire_forever(self) -> None:
+        while True:
+            await self._clock.sleep(EXPIRY_INTERVAL_S)
+            now = self._clock.monotonic()
+            for transaction in list(self.open.values()):
+                if not transaction.busy and now - transaction.last_used > IDLE_TIMEOUT_S:
+                    log.info("transaction_expired", id=transaction.id)
+                    self._telemetry.count("transactions_expired")
+                    self._remember(
+                        transaction.id, refuse(RefusalReason.TRANSACTION_LOST, "idle for too long")
+                    )
+                    self._close(transaction)
+
+    async def _handle_request(self, sender: Sender, request: TransactionRequest) -> GatewayReply:
+        request_id.set(request.request_id)
+        return await self.execute(request, timeout_s=request.timeout_s)
