Add the state machine of the backend server stand-in

It keeps a log of entries with terms, key-value maps for each client account, idempotency records that replicate with their entries, transactions, slots, a connection limit, pull replication with a lag, and fault switches.

--- /dev/null
+++ b/lentilring/standin/database.py
@@ -0,0 +1,554 @@
+"""The backend server stand-in's state machine, without a network.
+
+Rules that the interface leaves open:
+
+- A statement, fence, lead, follow or pull with a greater term raises the server's term. A server
+  whose term was raised is no primary, discards open transactions and stops replicating until it is
+  told to lead or follow under its new term.
+- A read runs only with exactly the server's term, and only after the log was matched with the log
+  of that term's primary. A returning primary has discarded entries, so it must not serve reads
+  before it follows. Until then the answer is STALE_TERM.
+- A transaction reads committed values under its own writes; its writes are evaluated again at
+  commit, so that concurrent additions are not lost.
+- COMMIT ends the transaction whatever its answer is; any answer but OK means that no write of the
+  transaction was applied. After a term change a transaction refuses everything but its end.
+- A statement that was received runs even if its connection closes meanwhile.
+"""
+
+import asyncio
+from dataclasses import dataclass, replace
+from functools import singledispatch
+
+from ..clock import Clock, LoopClock
+from ..database.backend import ConnectionRefused
+from ..database.messages import (
+    Action,
+    AwaitPosition,
+    Fence,
+    Follow,
+    Lead,
+    ReportStatus,
+    Role,
+    ServerStatus,
+    StatementReply,
+    StatementRequest,
+    StatementStatus,
+)
+from ..telemetry.log import Log
+from ..telemetry.metrics import Telemetry
+from .entries import EntryLog
+from .journal import Journal
+from .messages import LogEntry, PulledEntries, PullEntries
+from .replication import Replication, ReplicationLink
+from .sessions import Faults, NoAnswer, Session, SessionKind, Silence, Transaction
+from .statements import (
+    Add,
+    Append,
+    Put,
+    Statement,
+    StatementInvalid,
+    WriteStatement,
+    encode_json,
+    encode_operations,
+    evaluate,
+    parse_statement,
+)
+
+# Rounding can make an entry appear old enough in one comparison and too young in another; waiting
+# at least this long keeps the pull from spinning.
+MIN_WAIT_S = 0.001
+
+log = Log(source="standin.database")
+
+
+@dataclass(kw_only=True)
+class ServerSettings:
+    """Hold a server's size and speed; all but `slots` may change at run time."""
+
+    slots: int = 2
+    connection_limit: int = 15
+    connect_delay_s: float = 0.0
+    statement_time_s: float = 0.0
+    replication_lag_s: float = 0.0
+
+
+class DatabaseServer:
+    """Run statements, replicate the log and obey terms."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        settings: ServerSettings | None = None,
+        link: ReplicationLink | None = None,
+        clock: Clock | None = None,
+        telemetry: Telemetry | None = None,
+        term: int = 1,
+        role: Role = Role.REPLICA,
+        primary_address: str = "",
+    ) -> None:
+        self.name = name
+        self.settings = settings or ServerSettings()
+        self.clock = clock or LoopClock()
+        self.telemetry = telemetry or Telemetry()
+        self.faults = Faults()
+        self.journal = Journal()
+        self.log = EntryLog()
+        self.sessions: set[Session] = set()
+        self.term = term
+        # The term whose primary this server is or was told to be.
+        self.led_term = term if role is Role.PRIMARY else 0
+        # The term whose primary's log this log is a prefix of.
+        self.matched_term = term
+        self.replication = Replication(server=self, link=link, primary_address=primary_address)
+        # Counts stops; a statement that was running at a stop is not applied after a restart.
+        self._stops = 0
+        self._slots = asyncio.Semaphore(self.settings.slots)
+        self._changed = asyncio.Event()
+        self.log.begin_term(term, 0)
+
+    @property
+    def is_primary(self) -> bool:
+        """Tell whether the server leads its current term."""
+        return self.led_term == self.term
+
+    @property
+    def open_connections(self) -> int:
+        """Return the number of connections that count towards the limit."""
+        return sum(session.kind is not SessionKind.REPLICATION for session in self.sessions)
+
+    async def start(self) -> None:
+        """Begin to replicate if a primary is known."""
+        self.replication.start()
+
+    async def stop(self) -> None:
+        """Stop replicating and close all connections; term and log stay."""
+        self._stops += 1
+        await self.replication.stop()
+        self.drop_connections()
+
+    # Connections
+
+    async def open_session(self, *, client: str, kind: SessionKind) -> Session:
+        """Accept a connection; raise ConnectionRefused, or NoAnswer while silent."""
+        if kind is not SessionKind.REPLICATION:
+            self._check_connection_limit()
+        session = Session(client=client, kind=kind)
+        self.sessions.add(session)
+        session.on_close(lambda: self.sessions.discard(session))
+        try:
+            if kind is not SessionKind.REPLICATION:
+                await self.clock.sleep(self.settings.connect_delay_s)
+            self._check_answering(session)
+        except BaseException:
+            session.close()
+            raise
+        return session
+
+    def drop_connections(self) -> None:
+        """Close all connections."""
+        for session in list(self.sessions):
+            session.close()
+
+    def silence(self, silence: Silence) -> None:
+        """Stop answering on the existing connections for good, or on all until reset."""
+        self.faults.silence_all = silence is Silence.ALL
+        if silence is Silence.EXISTING:
+            for session in self.sessions:
+                session.silent = True
+
+    async def handle(self, session: Session, request: object) -> object:
+        """Answer a request of a connection; raise NoAnswer where none must be sent."""
+        self._check_answering(session)
+        if self.faults.delay_s > 0:
+            await self.clock.sleep(self.faults.delay_s)
+        reply = await answer_request(request, self, session)
+        self._check_answering(session)
+        if self.faults.lose_next_answers > 0:
+            self.faults.lose_next_answers -= 1
+            session.close()
+            raise NoAnswer(server=self.name)
+        return reply
+
+    # Terms
+
+    def observe_term(self, term: int) -> None:
+        """Raise the server's term; everything of lower terms ends."""
+        if term <= self.term:
+            return
+        log.info("term_raised", server=self.name, old=self.term, new=term)
+        if self.is_primary:
+            self.replication.note_contact()
+        self.term = term
+        self.replication.forget_primary()
+        for session in self.sessions:
+            if session.transaction is not None:
+                session.transaction.aborted = True
+        self.notify()
+
+    def fence(self, request: Fence) -> ServerStatus:
+        """Raise the term; refuse a lower one."""
+        self.observe_term(request.term)
+        return self.report_status(accepted=request.term == self.term)
+
+    def lead(self, request: Lead) -> ServerStatus:
+        """Become primary of a term; refuse a lower term, an incomplete log or a second primary."""
+        self.observe_term(request.term)
+        if request.term < self.term or self.replication.primary_address:
+            return self._refuse_command("lead")
+        if self.is_primary:
+            return self.report_status()
+        if self.log.position < request.start_position:
+            return self._refuse_command("lead")
+        self._cut(self.log.find_divergence(request.term, request.start_position))
+        self.led_term = self.matched_term = request.term
+        self.log.begin_term(request.term, request.start_position)
+        log.info("leads", server=self.name, term=self.term, position=self.log.position)
+        self.notify()
+        return self.report_status()
+
+    def follow(self, request: Follow) -> ServerStatus:
+        """Replicate from a term's primary; cut entries of older terms past the term's start."""
+        self.observe_term(request.term)
+        if request.term < self.term or self.is_primary:
+            return self._refuse_command("follow")
+        self._cut(self.log.find_divergence(request.term, request.start_position))
+        self.replication.follow(request.primary_address, request.start_position)
+        self.notify()
+        return self.report_status()
+
+    def report_status(self, *, accepted: bool = True) -> ServerStatus:
+        """Return the server's status."""
+        return ServerStatus(
+            server=self.name,
+            term=self.term,
+            role=Role.PRIMARY if self.is_primary else Role.REPLICA,
+            position=self.log.position,
+            log_terms=tuple(self.log.term_starts),
+            primary_silence_s=0.0 if self.is_primary else self.replication.silence_s,
+            open_connections=self.open_connections,
+            accepted=accepted,
+        )
+
+    async def await_position(self, request: AwaitPosition) -> ServerStatus:
+        """Wait for a position under a term.
+
+        The answer's `position` is 0 while the log is not matched with that term's primary: a
+        returning primary may have discarded entries at the position.
+        """
+        deadline = self.clock.monotonic() + request.wait_s
+        while self.term <= request.term and not self._has_position(request):
+            remaining = deadline - self.clock.monotonic()
+            if remaining <= 0:
+                break
+            await self.wait_for_change(remaining)
+        status = self.report_status(accepted=self.term <= request.term)
+        if self.matched_term == request.term:
+            return status
+        return replace(status, position=0)
+
+    # Replication
+
+    async def answer_pull(self, request: PullEntries) -> PulledEntries:
+        """Send entries to a replica of the same term, at once or when there are some."""
+        self.observe_term(request.term)
+        deadline = self.clock.monotonic() + request.wait_s
+        while request.term == self.term and self.is_primary:
+            if self.log.position < request.position or (
+                self.log.term_at(request.position) != request.last_term
+            ):
+                return self._answer_diverged_pull()
+            entries = self.log.read_after(
+                request.position,
+                limit=request.limit,
+                appended_by=self.clock.monotonic() - request.min_age_s,
+            )
+            remaining = deadline - self.clock.monotonic()
+            if entries or remaining <= 0:
+                return PulledEntries(
+                    term=self.term,
+                    accepted=True,
+                    matched=True,
+                    position=self.log.position,
+                    entries=entries,
+                )
+            await self.wait_for_change(self._limit_wait(request, remaining))
+        return PulledEntries(
+            term=self.term, accepted=False, matched=False, position=self.log.position
+        )
+
+    def append(self, entry: LogEntry) -> int:
+        """Add an entry to the log and return its position."""
+        position = self.log.append(entry, now=self.clock.monotonic())
+        self.notify()
+        return position
+
+    def notify(self) -> None:
+        """Wake everything that waits for a change of term or position."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def wait_for_change(self, timeout_s: float) -> None:
+        """Wait until the term or position changes, or for a time."""
+        changed = self._changed
+        try:
+            async with asyncio.timeout(timeout_s):
+                await changed.wait()
+        except TimeoutError:
+            return
+
+    # Statements
+
+    async def execute(self, session: Session, request: StatementRequest) -> StatementReply:
+        """Run a statement of a connection."""
+        self.journal.received.append(request)
+        self.observe_term(request.term)
+        if request.action is Action.ROLLBACK:
+            return self._roll_back(session, request)
+        if request.action is Action.BEGIN:
+            return self._begin(session, request)
+        transaction = session.transaction
+        if request.action is Action.COMMIT:
+            session.transaction = None
+        return await self._run(request, transaction)
+
+    async def _run(
+        self, request: StatementRequest, transaction: Transaction | None
+    ) -> StatementReply:
+        needs_primary = request.action is not Action.READ or transaction is not None
+        refusal = self._find_refusal(request, transaction, needs_primary)
+        if refusal is not None:
+            return refusal
+        stops = self._stops
+        async with self._slots:
+            await self.clock.sleep(self.settings.statement_time_s)
+            if stops != self._stops:
+                raise NoAnswer(server=self.name)
+            # The term may have been raised while the statement waited or ran.
+            refusal = self._find_refusal(request, transaction, needs_primary)
+            if refusal is not None:
+                return refusal
+            try:
+                if request.action is Action.COMMIT:
+                    return self._commit(request, transaction)
+                return self._run_statement(request, transaction)
+            except StatementInvalid as error:
+                return self._refuse(StatementStatus.REJECTED, error.detail)
+
+    def _find_refusal(
+        self, request: StatementRequest, transaction: Transaction | None, needs_primary: bool
+    ) -> StatementReply | None:
+        if request.term < self.term:
+            return self._refuse(StatementStatus.STALE_TERM)
+        if transaction is not None:
+            if transaction.aborted or transaction.term != request.term:
+                return self._refuse(StatementStatus.STALE_TERM, "transaction ended by a new term")
+            if transaction.client_account != request.client_account:
+                return self._refuse(StatementStatus.REJECTED, "transaction of another account")
+        if needs_primary and not self.is_primary:
+            return self._refuse(StatementStatus.NOT_PRIMARY)
+        if self.matched_term != request.term:
+            return self._refuse(StatementStatus.STALE_TERM, "log is not matched with the term")
+        return None
+
+    def _begin(self, session: Session, request: StatementRequest) -> StatementReply:
+        refusal = self._find_refusal(request, None, True)
+        if refusal is not None:
+            return refusal
+        if session.transaction is not None:
+            return self._refuse(StatementStatus.REJECTED, "a transaction is open")
+        session.transaction = Transaction(term=self.term, client_account=request.client_account)
+        self.journal.note_execution(request, statement="", position=self.log.position)
+        return self._complete(None)
+
+    def _roll_back(self, session: Session, request: StatementRequest) -> StatementReply:
+        """End the transaction under any term, because nothing of it was applied."""
+        transaction = session.transaction
+        if transaction is not None and transaction.client_account != request.client_account:
+            return self._refuse(StatementStatus.REJECTED, "transaction of another account")
+        session.transaction = None
+        self.journal.note_execution(request, statement="", position=self.log.position)
+        return self._complete(None)
+
+    def _run_statement(
+        self, request: StatementRequest, transaction: Transaction | None
+    ) -> StatementReply:
+        statement = parse_statement(request.statement)
+        writes = isinstance(statement, Put | Add | Append)
+        if writes and request.action is Action.READ:
+            raise StatementInvalid(detail="a read request must not write")
+        if transaction is not None:
+            return self._run_in_transaction(request, transaction, statement)
+        if isinstance(statement, Put | Add | Append):
+            return self._write(request, [statement])
+        table = self.log.maps[request.client_account]
+        result = evaluate([statement], table).results[0]
+        self._note(request, request.statement)
+        return self._complete(result)
+
+    def _run_in_transaction(
+        self, request: StatementRequest, transaction: Transaction, statement: Statement
+    ) -> StatementReply:
+        if request.idempotency_key:
+            raise StatementInvalid(detail="in a transaction only commit takes an idempotency key")
+        table = self.log.maps[request.client_account]
+        evaluation = evaluate([*transaction.operations, statement], table)
+        if isinstance(statement, Put | Add | Append):
+            transaction.operations.append(statement)
+        self._note(request, request.statement)
+        return self._complete(evaluation.results[-1])
+
+    def _commit(self, request: StatementRequest, transaction: Transaction | None) -> StatementReply:
+        if transaction is None:
+            # The connection of an earlier attempt is gone; its key still identifies the commit.
+            record = self.log.find_record(request.client_account, request.idempotency_key)
+            if record is None or record.entry.action is not Action.COMMIT:
+                raise StatementInvalid(detail="no transaction is open")
+            return self._complete_recorded(record.entry, record.position)
+        if not transaction.operations and not request.idempotency_key:
+            self._note(request, "[]")
+            return self._complete([])
+        return self._write(request, transaction.operations)
+
+    def _write(self, request: StatementRequest, statements: list[WriteStatement]) -> StatementReply:
+        operations = encode_operations(statements)
+        record = self.log.find_record(request.client_account, request.idempotency_key)
+        if record is not None and record.matches(request.action, operations):
+            return self._complete_recorded(record.entry, record.position)
+        if record is not None:
+            return self._refuse(StatementStatus.KEY_REUSED)
+        results = evaluate(statements, self.log.maps[request.client_account]).results
+        result = encode_json(results if request.action is Action.COMMIT else results[0])
+        entry = LogEntry(
+            term=self.term,
+            client_account=request.client_account,
+            action=request.action,
+            operations=operations,
+            idempotency_key=request.idempotency_key,
+            result=result,
+        )
+        position = self.append(entry)
+        self._note(request, operations if request.action is Action.COMMIT else request.statement)
+        return StatementReply(
+            status=StatementStatus.OK, term=self.term, position=position, result=result
+        )
+
+    def _note(self, request: StatementRequest, statement: str) -> None:
+        self.journal.note_execution(request, statement=statement, position=self.log.position)
+
+    def _complete(self, result: object) -> StatementReply:
+        return StatementReply(
+            status=StatementStatus.OK,
+            term=self.term,
+            position=self.log.position,
+            result=encode_json(result),
+        )
+
+    def _complete_recorded(self, entry: LogEntry, position: int) -> StatementReply:
+        self.telemetry.count("standin_replays")
+        return StatementReply(
+            status=StatementStatus.OK,
+            term=self.term,
+            position=position,
+            result=entry.result,
+            replayed=True,
+        )
+
+    def _refuse(self, status: StatementStatus, detail: str = "") -> StatementReply:
+        self.telemetry.count("standin_statement_refusals", reason=status.value)
+        return StatementReply(
+            status=status, term=self.term, position=self.log.position, detail=detail
+        )
+
+    # Checks
+
+    def _check_connection_limit(self) -> None:
+        if self.faults.refuse_connections:
+            self.telemetry.count("standin_connections_refused", reason="fault")
+            raise ConnectionRefused(address=self.name, detail="refused by a fault switch")
+        if self.open_connections >= self.settings.connection_limit:
+            self.telemetry.count("standin_connections_refused", reason="limit")
+            raise ConnectionRefused(address=self.name, detail="connection limit")
+
+    def _check_answering(self, session: Session) -> None:
+        if session.silent or self.faults.silence_all or session.closed.is_set():
+            raise NoAnswer(server=self.name)
+
+    def _refuse_command(self, command: str) -> ServerStatus:
+        self.telemetry.count("standin_commands_refused", command=command)
+        log.warning("command_refused", server=self.name, command=command, term=self.term)
+        return self.report_status(accepted=False)
+
+    def _has_position(self, request: AwaitPosition) -> bool:
+        if self.term != request.term:
+            return False
+        matched = self.matched_term == request.term
+        return request.position == 0 or (matched and self.log.position >= request.position)
+
+    def _cut(self, position: int) -> None:
+        dropped = self.log.truncate(position)
+        if dropped:
+            self.telemetry.count("standin_entries_dropped", dropped)
+            log.warning("log_cut", server=self.name, position=position, dropped=dropped)
+
+    def cut_at_divergence(self, pulled: PulledEntries) -> None:
+        """Drop the entries that the primary's log does not have."""
+        self._cut(self.log.find_common_position(pulled.log_terms, pulled.position))
+
+    def _answer_diverged_pull(self) -> PulledEntries:
+        return PulledEntries(
+            term=self.term,
+            accepted=True,
+            matched=False,
+            position=self.log.position,
+            log_terms=tuple(self.log.term_starts),
+        )
+
+    def _limit_wait(self, request: PullEntries, remaining: float) -> float:
+        """Return the time until the next held-back entry is old enough, if that is sooner."""
+        appended_at = self.log.appended_at(request.position + 1)
+        if appended_at is None or request.limit == 0:
+            return remaining
+        age_left = appended_at + request.min_age_s - self.clock.monotonic()
+        return min(remaining, max(MIN_WAIT_S, age_left))
+
+
+@singledispatch
+async def answer_request(request: object, server: DatabaseServer, session: Session) -> object:
+    """Answer one request; a type without a handler gets none."""
+    raise NoAnswer(server=server.name)
+
+
+@answer_request.register
+async def _(request: StatementRequest, server: DatabaseServer, session: Session) -> object:
+    return await server.execute(session, request)
+
+
+@answer_request.register
+async def _(request: ReportStatus, server: DatabaseServer, session: Session) -> object:
+    return server.report_status()
+
+
+@answer_request.register
+async def _(request: Fence, server: DatabaseServer, session: Session) -> object:
+    return server.fence(request)
+
+
+@answer_request.register
+async def _(request: Lead, server: DatabaseServer, session: Session) -> object:
+    return server.lead(request)
+
+
+@answer_request.register
+async def _(request: Follow, server: DatabaseServer, session: Session) -> object:
+    return server.follow(request)
+
+
+@answer_request.register
+async def _(request: AwaitPosition, server: DatabaseServer, session: Session) -> object:
+    return await server.await_position(request)
+
+
+@answer_request.register
+async def _(request: PullEntries, server: DatabaseServer, session: Session) -> object:
+    return await server.answer_pull(request)
