--- /dev/null
+++ b/lentilring/membership/gossip.py
@@ -0,0 +1,391 @@
+"""SWIM-style failure detection and dissemination.
+
+Source: Das, Gupta and Motivala, "SWIM: scalable weakly-consistent infection-style process group
+membership protocol", 2002.
+"""
+
+import asyncio
+import math
+from collections.abc import Coroutine
+from random import Random
+
+from ..clock import Clock
+from ..peers.transport import (
+    PeerAnswerLost,
+    PeerRejected,
+    PeerTransport,
+    PeerUnreachable,
+    Sender,
+)
+from ..telemetry.log import Log
+from ..telemetry.metrics import Telemetry
+from .member import Member, MemberState
+from .messages import Gossip, IndirectProbe, Probe, ProbeAnswer, SyncReply, SyncRequest
+from .sizes import MAX_PAYLOAD_BYTES, estimate_size
+from .status import StatusTable
+from .table import MemberTable
+
+PROBE_INTERVAL_S = 1.0
+PROBE_TIMEOUT_S = 0.3
+INDIRECT_TIMEOUT_S = 0.5
+INDIRECT_PROBES = 3
+# A suspicion lasts this long for each factor of ten in members, so that a denial can cross the
+# fleet before the suspect is declared dead.
+SUSPICION_S = 4.0
+# Changes go to one random member this often, which is three members each 250 ms.
+GOSSIP_INTERVAL_S = 0.25 / 3
+SYNC_INTERVAL_S = 10.0
+SYNC_TIMEOUT_S = 1.0
+# Many unknown senders at once, as after a partition, cause one exchange of tables, not one each.
+MIN_SYNC_SPACING_S = 1.0
+# Probes of dead members that the platform still lists, so that partitions heal.
+RECONNECT_INTERVAL_S = 5.0
+JITTER = 0.2
+# A step that is later than this shows that the process was paused; its time-outs prove nothing.
+STALL_S = 0.5
+LEAVE_FANOUT = 8
+
+log = Log(source="membership")
+
+
+class GossipProtocol:
+    """Probe members, declare them suspect and dead, and spread what changes."""
+
+    def __init__(
+        self,
+        *,
+        table: MemberTable,
+        statuses: StatusTable,
+        clock: Clock,
+        random: Random,
+        transport: PeerTransport,
+        telemetry: Telemetry,
+    ) -> None:
+        self.table = table
+        self.statuses = statuses
+        self._clock = clock
+        self._random = random
+        self._transport = transport
+        self._telemetry = telemetry
+        self._sequence = 0
+        self._answers: dict[int, tuple[set[str], asyncio.Event]] = {}
+        self._suspected_at: dict[str, tuple[int, float]] = {}
+        self._probe_order: list[str] = []
+        self._syncing: set[str] = set()
+        self._prompted_sync_at = -math.inf
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._peers: tuple[Member, ...] | None = None
+        table.subscribe(self._note_change)
+        transport.handle_datagram(Probe, self._handle_probe)
+        transport.handle_datagram(IndirectProbe, self._handle_indirect_probe)
+        transport.handle_datagram(ProbeAnswer, self._handle_answer)
+        transport.handle_datagram(Gossip, self._handle_gossip)
+        transport.handle(SyncRequest, self._handle_sync)
+
+    def start(self) -> None:
+        """Begin probing and spreading."""
+        for loop in (
+            self._run_probes(),
+            self._run_gossip(),
+            self._run_syncs(),
+            self._run_reconnects(),
+        ):
+            self._spawn(loop)
+
+    def stop(self) -> None:
+        """End all background work."""
+        for task in self._tasks:
+            task.cancel()
+
+    def peers(self) -> tuple[Member, ...]:
+        """Return the other members that are running."""
+        if self._peers is None:
+            records = self.table.records.values()
+            local = self.table.local.vm
+            self._peers = tuple(
+                entry for entry in records if entry.is_running and entry.vm != local
+            )
+        return self._peers
+
+    def choose_peers(self, count: int) -> list[Member]:
+        """Return up to `count` random members that are running."""
+        peers = self.peers()
+        return self._random.sample(peers, min(count, len(peers)))
+
+    def announce_leaving(self) -> None:
+        """Tell several members at once that the local one leaves."""
+        self.table.announce_leaving()
+        for peer in self.choose_peers(LEAVE_FANOUT):
+            self._transport.send_datagram(peer.address, Gossip(updates=(self.table.local,)))
+
+    async def sync(self, address: str) -> bool:
+        """Exchange tables with the process at an address; tell whether it answered."""
+        if address in self._syncing:
+            return False
+        self._syncing.add(address)
+        try:
+            reply = await self._exchange(address, members=())
+            if reply.members_differ:
+                await self._exchange(address, members=tuple(self.table.records.values()))
+        except (PeerUnreachable, PeerAnswerLost, PeerRejected) as error:
+            self._telemetry.count("membership_sync_failures", reason=type(error).__name__)
+            return False
+        finally:
+            self._syncing.discard(address)
+        return True
+
+    async def _exchange(self, address: str, *, members: tuple[Member, ...]) -> SyncReply:
+        request = SyncRequest(
+            members_digest=self.table.digest(),
+            statuses_digest=self.statuses.digest(),
+            members=members,
+        )
+        reply = await self._transport.call(address, request, timeout_s=SYNC_TIMEOUT_S)
+        if not isinstance(reply, SyncReply):
+            raise PeerRejected(address=address, detail=type(reply).__name__)
+        self._merge(reply.members)
+        self.statuses.merge_groups(reply.statuses)
+        return reply
+
+    async def _handle_sync(self, sender: Sender, request: SyncRequest) -> SyncReply:
+        self._merge(request.members)
+        differ = request.members_digest != self.table.digest()
+        send_members = differ and request.members
+        statuses_differ = request.statuses_digest != self.statuses.digest()
+        return SyncReply(
+            members_differ=differ,
+            members=tuple(self.table.records.values()) if send_members else (),
+            statuses=self.statuses.groups() if statuses_differ else (),
+        )
+
+    def _merge(self, claims: tuple[Member, ...]) -> None:
+        for claim in claims:
+            self.table.merge(claim)
+
+    def _note_change(self, previous: Member | None, record: Member) -> None:
+        self._peers = None
+        if record.state is MemberState.SUSPECT:
+            self._start_suspicion(record)
+        elif record.vm in self._suspected_at and record.state is not MemberState.LEAVING:
+            del self._suspected_at[record.vm]
+        if previous is None or previous.state is not record.state:
+            log.info(
+                "member_changed",
+                vm=record.vm,
+                incarnation=record.incarnation,
+                refutation=record.refutation,
+                state=record.state,
+                previous=previous.state if previous else "unknown",
+            )
+            self._telemetry.count("membership_changes", state=record.state)
+        if (
+            record.vm == self.table.local.vm
+            and previous
+            and record.refutation > previous.refutation
+        ):
+            self._telemetry.count("membership_refutations")
+
+    def _start_suspicion(self, record: Member) -> None:
+        known = self._suspected_at.get(record.vm)
+        if known is None or known[0] != record.refutation:
+            self._suspected_at[record.vm] = (record.refutation, self._clock.monotonic())
+
+    async def _run_probes(self) -> None:
+        while True:
+            started = self._clock.monotonic()
+            self._probe_next()
+            await self._clock.sleep(PROBE_INTERVAL_S)
+            elapsed = self._clock.monotonic() - started
+            if elapsed > PROBE_INTERVAL_S + STALL_S:
+                self._forgive_stall(elapsed - PROBE_INTERVAL_S)
+            self._end_suspicions()
+
+    def _forgive_stall(self, stalled_s: float) -> None:
+        """Extend all suspicions by the time in which denials could not be received."""
+        self._telemetry.count("membership_stalls")
+        log.warning("process_was_paused", stalled_s=round(stalled_s, 3))
+        self._suspected_at = {
+            vm: (refutation, since + stalled_s)
+            for vm, (refutation, since) in self._suspected_at.items()
+        }
+
+    def _end_suspicions(self) -> None:
+        limit_s = SUSPICION_S * max(1.0, math.log10(len(self.table.records)))
+        now = self._clock.monotonic()
+        for vm, (refutation, since) in list(self._suspected_at.items()):
+            record = self.table.records.get(vm)
+            if record is None or record.refutation != refutation:
+                del self._suspected_at[vm]
+            elif now - since >= limit_s:
+                del self._suspected_at[vm]
+                self.table.claim_state(record, MemberState.DEAD)
+
+    def _probe_next(self) -> None:
+        while self._probe_order:
+            record = self.table.records.get(self._probe_order.pop())
+            if record is not None and record.is_running:
+                self._spawn(self._probe(record))
+                return
+        self._probe_order = [peer.vm for peer in self.peers()]
+        self._random.shuffle(self._probe_order)
+        if self._probe_order:
+            self._probe_next()
+
+    async def _probe(self, target: Member) -> None:
+        started = self._clock.monotonic()
+        if await self._ping(target.vm, target.address):
+            self._clear_leaving(target)
+            return
+        if await self._ping_indirectly(target):
+            self._telemetry.count("membership_indirect_answers")
+            self._clear_leaving(target)
+            return
+        allowed = PROBE_TIMEOUT_S + INDIRECT_TIMEOUT_S + STALL_S
+        if self._clock.monotonic() - started > allowed:
+            self._telemetry.count("membership_probes_discarded")
+            return
+        self._telemetry.count("membership_probes_failed")
+        current = self.table.records.get(target.vm)
+        if current is None or current.precedence != target.precedence:
+            return
+        if current.state is MemberState.LIVE:
+            self.table.claim_state(current, MemberState.SUSPECT)
+        elif current.state is MemberState.LEAVING:
+            # A suspect is usable for placement, so a leaving member never becomes one.
+            self._start_suspicion(current)
+
+    def _clear_leaving(self, target: Member) -> None:
+        """End the unpublished suspicion of a leaving member that answered."""
+        if target.state is MemberState.LEAVING:
+            self._suspected_at.pop(target.vm, None)
+
+    async def _ping(self, vm: str, address: str) -> bool:
+        sequence = self._next_sequence()
+        probe = Probe(sequence=sequence, target_vm=vm, updates=self._updates())
+        self._transport.send_datagram(address, probe)
+        return await self._await_answer(sequence, {vm}, PROBE_TIMEOUT_S)
+
+    async def _ping_indirectly(self, target: Member) -> bool:
+        helpers = [peer for peer in self.choose_peers(INDIRECT_PROBES + 1) if peer.vm != target.vm]
+        sequence = self._next_sequence()
+        request = IndirectProbe(
+            sequence=sequence, target_vm=target.vm, target_address=target.address
+        )
+        for helper in helpers[:INDIRECT_PROBES]:
+            self._transport.send_datagram(helper.address, request)
+        return await self._await_answer(
+            sequence, {helper.vm for helper in helpers}, INDIRECT_TIMEOUT_S
+        )
+
+    async def _await_answer(self, sequence: int, vms: set[str], timeout_s: float) -> bool:
+        answered = asyncio.Event()
+        self._answers[sequence] = (vms, answered)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await answered.wait()
+        except TimeoutError:
+            return False
+        finally:
+            del self._answers[sequence]
+        return True
+
+    def _handle_probe(self, sender: Sender, probe: Probe) -> None:
+        self._note_sender(sender, probe.updates)
+        if probe.target_vm != self.table.local.vm:
+            self._telemetry.count("membership_probes_misdirected")
+            return
+        answer = ProbeAnswer(sequence=probe.sequence, updates=self._updates())
+        self._transport.send_datagram(sender.address, answer)
+
+    def _handle_indirect_probe(self, sender: Sender, request: IndirectProbe) -> None:
+        self._note_sender(sender, request.updates)
+        self._spawn(self._probe_for(sender, request))
+
+    async def _probe_for(self, sender: Sender, request: IndirectProbe) -> None:
+        if await self._ping(request.target_vm, request.target_address):
+            answer = ProbeAnswer(sequence=request.sequence, updates=self._updates())
+            self._transport.send_datagram(sender.address, answer)
+
+    def _handle_answer(self, sender: Sender, answer: ProbeAnswer) -> None:
+        self._note_sender(sender, answer.updates)
+        vms, answered = self._answers.get(answer.sequence, (set(), None))
+        if answered is None or sender.vm not in vms:
+            self._telemetry.count("membership_answers_late")
+            return
+        answered.set()
+
+    def _handle_gossip(self, sender: Sender, gossip: Gossip) -> None:
+        self._note_sender(sender, gossip.updates)
+        self.statuses.merge_groups(gossip.statuses)
+
+    def _note_sender(self, sender: Sender, updates: tuple[Member, ...]) -> None:
+        """Merge updates; exchange tables with a sender whose process is unknown or dead here."""
+        self._merge(updates)
+        if sender.vm == self.table.local.vm:
+            return
+        record = self.table.records.get(sender.vm)
+        unknown = record is None or record.incarnation < sender.incarnation
+        if unknown or (record is not None and _is_wrongly_dead(record, sender)):
+            self._prompt_sync(sender.address)
+
+    def _prompt_sync(self, address: str) -> None:
+        now = self._clock.monotonic()
+        if now - self._prompted_sync_at >= MIN_SYNC_SPACING_S:
+            self._prompted_sync_at = now
+            self._spawn(self._sync_quietly(address))
+
+    async def _sync_quietly(self, address: str) -> None:
+        await self.sync(address)
+
+    async def _run_gossip(self) -> None:
+        while True:
+            await self._clock.sleep(self._jitter(GOSSIP_INTERVAL_S))
+            if self.table or self.statuses:
+                self._gossip_once()
+
+    def _gossip_once(self) -> None:
+        for peer in self.choose_peers(1):
+            share = 2 if self.statuses else 1
+            updates = self.table.take(budget=MAX_PAYLOAD_BYTES // share)
+            used = sum(estimate_size(entry) for entry in updates)
+            statuses = self.statuses.take(
+                budget=MAX_PAYLOAD_BYTES - used, members=len(self.table.records)
+            )
+            self._transport.send_datagram(peer.address, Gossip(updates=updates, statuses=statuses))
+
+    async def _run_syncs(self) -> None:
+        while True:
+            await self._clock.sleep(self._jitter(SYNC_INTERVAL_S))
+            for peer in self.choose_peers(1):
+                await self.sync(peer.address)
+
+    async def _run_reconnects(self) -> None:
+        while True:
+            await self._clock.sleep(self._jitter(RECONNECT_INTERVAL_S))
+            lost = self.lost_members()
+            if lost:
+                await self.sync(self._random.choice(lost).address)
+
+    def lost_members(self) -> list[Member]:
+        """Return dead members that the platform is not known to have removed."""
+        records = self.table.records.values()
+        return [entry for entry in records if not entry.is_running and not entry.is_removed]
+
+    def _updates(self) -> tuple[Member, ...]:
+        return self.table.take(budget=MAX_PAYLOAD_BYTES // 2)
+
+    def _next_sequence(self) -> int:
+        self._sequence += 1
+        return self._sequence
+
+    def _jitter(self, seconds: float) -> float:
+        return seconds * self._random.uniform(1 - JITTER, 1 + JITTER)
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _is_wrongly_dead(record: Member, sender: Sender) -> bool:
+    return not record.is_running and record.incarnation == sender.incarnation
--- /dev/null
+++ b/lentilring/membership/service.py
@@ -0,0 +1,293 @@
+"""The membership service: the platform's list of VMs joined with gossip."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+from random import Random
+
+from ..clock import Clock
+from ..kernel import Service
+from ..peers.transport import PeerTransport
+from ..placement import rank_members
+from ..platform.store import Store, StoreUnavailable, VmEntry, VmState
+from ..telemetry.log import Log
+from ..telemetry.metrics import Telemetry
+from .gossip import JITTER, GossipProtocol
+from .member import UNKNOWN_INCARNATION, Listing, Member, MemberState
+from .status import Status, StatusTable
+from .table import MemberTable, relist
+
+POLL_INTERVAL_S = 5.0
+POLLERS_PER_REGION = 2
+LIST_TIMEOUT_S = 1.0
+JOIN_PEERS = 3
+# Dead members stay known this long, so that a late message cannot bring them back.
+RETENTION_S = 3600.0
+HOUSEKEEPING_INTERVAL_S = 60.0
+# `members()` shows revisions that are at most this old; `revision_of` is always current.
+MEMBERS_CACHE_S = 1.0
+
+log = Log(source="membership")
+
+
+class MembershipService(Service):
+    """Tell which members there are and what each one reports."""
+
+    def __init__(
+        self,
+        *,
+        local: Member,
+        clock: Clock,
+        random: Random,
+        transport: PeerTransport,
+        store: Store,
+        telemetry: Telemetry,
+        seeds: Sequence[str] = (),
+    ) -> None:
+        self._clock = clock
+        self._random = random
+        self._store = store
+        self._telemetry = telemetry
+        self._seeds = tuple(seeds)
+        self._table = MemberTable(local=local)
+        self._statuses = StatusTable()
+        self._gossip = GossipProtocol(
+            table=self._table,
+            statuses=self._statuses,
+            clock=clock,
+            random=random,
+            transport=transport,
+            telemetry=telemetry,
+        )
+        self._callbacks: list[Callable[[], None]] = []
+        self._members: tuple[Member, ...] | None = None
+        self._members_changes = 0
+        self._members_built_at = 0.0
+        self._store_down: tuple[int, bool] | None = None
+        self._listed_at: dict[str, float] = {}
+        self._dead_since: dict[str, float] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        self._table.subscribe(self._note_change)
+
+    @property
+    def local(self) -> Member:
+        """Return the local member."""
+        return self._describe(self._table.local)
+
+    async def start(self) -> None:
+        """Read the platform's list once, join through a few peers and begin gossip."""
+        addresses = await self._find_addresses()
+        self._gossip.start()
+        await self._join(addresses)
+        self._tasks = [
+            asyncio.ensure_future(self._run_polls()),
+            asyncio.ensure_future(self._run_housekeeping()),
+        ]
+
+    async def drain(self, *, deadline_s: float) -> None:
+        """Announce that the local member leaves."""
+        self.leave()
+
+    async def stop(self) -> None:
+        """End gossip and polling."""
+        self._gossip.stop()
+        for task in self._tasks:
+            task.cancel()
+
+    def members(self) -> tuple[Member, ...]:
+        """Return the members that may be chosen for new work."""
+        if self._members is None or self._revisions_are_old():
+            records = self._table.records.values()
+            usable = (self._describe(entry) for entry in records if entry.is_usable)
+            self._members = tuple(sorted(usable, key=lambda entry: entry.vm))
+            self._members_changes = self._statuses.changes
+            self._members_built_at = self._clock.monotonic()
+        return self._members
+
+    def find(self, vm: str) -> Member | None:
+        """Return what is known of a VM, also when it is dead or leaving."""
+        record = self._table.records.get(vm)
+        return None if record is None else self._describe(record)
+
+    def peers(self) -> tuple[Member, ...]:
+        """Return the other members that answer messages, leaving ones among them."""
+        return self._gossip.peers()
+
+    def choose_peers(self, count: int) -> list[Member]:
+        """Return up to `count` random other members that answer messages."""
+        return self._gossip.choose_peers(count)
+
+    def known(self) -> tuple[Member, ...]:
+        """Return all members that are not proven gone, dead ones and the local one among them.
+
+        Dead members count: a node that is cut off sees all others dead and must not take itself
+        for the majority.
+        """
+        records = self._table.records.values()
+        return tuple(entry for entry in records if entry.is_running or not entry.is_removed)
+
+    def store_is_down(self) -> bool:
+        """Tell whether a majority of the known members reports the store as down."""
+        if self._store_down is None or self._store_down[0] != self._statuses.changes:
+            self._store_down = (self._statuses.changes, self._count_store_down())
+        return self._store_down[1]
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call back after each change of a member's state, address or listing."""
+        self._callbacks.append(callback)
+
+    def leave(self) -> None:
+        """Announce the state leaving; repeated calls change nothing."""
+        if self._table.local.state is not MemberState.LEAVING:
+            self._gossip.announce_leaving()
+
+    def vm_is_gone(self, vm: str, incarnation: int) -> bool:
+        """Tell whether a process of a VM is proven to have ended.
+
+        A VM that the list no longer shows does not count as gone while gossip still reaches it,
+        because the list may be wrong for a while.
+        """
+        record = self._table.records.get(vm)
+        if record is None:
+            return False
+        if record.incarnation > incarnation:
+            return True
+        same_process = record.incarnation in (incarnation, UNKNOWN_INCARNATION)
+        return same_process and record.is_removed and not record.is_running
+
+    def report_revision(self, revision: int) -> None:
+        """Announce the configuration revision that is in force on the local node."""
+        status = self._statuses.get(self._table.local.key)
+        self._statuses.merge(self._table.local.key, status._replace(revision=revision))
+
+    def report_store(self, *, is_down: bool) -> None:
+        """Announce whether the local node takes the store as down."""
+        status = self._statuses.get(self._table.local.key)
+        if status.store_is_down != is_down:
+            flipped = Status(revision=status.revision, flips=status.flips + 1)
+            self._statuses.merge(self._table.local.key, flipped)
+
+    def revision_of(self, member: Member) -> int:
+        """Return the newest configuration revision that a member is known to have in force."""
+        return self._statuses.get(member.key).revision
+
+    def is_chosen(self, task: str, *, count: int) -> bool:
+        """Tell whether the local node is among the `count` that do a task for its region."""
+        local = self._table.local
+        candidates = [entry for entry in self.members() if entry.region == local.region]
+        ranked = rank_members(f"{task}.{local.region}", candidates)
+        return local.vm in {entry.vm for entry in ranked[:count]}
+
+    def _count_store_down(self) -> bool:
+        known = self.known()
+        if len(known) < 2:
+            # A node that knows no other member cannot tell an outage from its own isolation.
+            return False
+        down = sum(self._statuses.get(entry.key).store_is_down for entry in known)
+        return down * 2 > len(known)
+
+    def _revisions_are_old(self) -> bool:
+        return (
+            self._members_changes != self._statuses.changes
+            and self._clock.monotonic() - self._members_built_at >= MEMBERS_CACHE_S
+        )
+
+    def _describe(self, record: Member) -> Member:
+        state = record.state
+        if record.listing is Listing.LEAVING and record.is_running:
+            state = MemberState.LEAVING
+        return replace(record, state=state, revision=self.revision_of(record))
+
+    def _note_change(self, previous: Member | None, record: Member) -> None:
+        self._members = None
+        self._store_down = None
+        if previous is None or previous.listing_version != record.listing_version:
+            self._listed_at[record.vm] = self._clock.monotonic()
+        if record.is_running:
+            self._dead_since.pop(record.vm, None)
+        else:
+            self._dead_since.setdefault(record.vm, self._clock.monotonic())
+        for callback in self._callbacks:
+            callback()
+
+    async def _find_addresses(self) -> list[str]:
+        await self._poll()
+        listed = [entry.address for entry in self._gossip.lost_members()]
+        self._random.shuffle(listed)
+        return listed or [seed for seed in self._seeds if seed != self._table.local.address]
+
+    async def _join(self, addresses: list[str]) -> None:
+        """Exchange tables with a few peers at once; reconnection goes on when none answers."""
+        for start in range(0, len(addresses), JOIN_PEERS):
+            batch = addresses[start : start + JOIN_PEERS]
+            joined = await asyncio.gather(*(self._gossip.sync(address) for address in batch))
+            if any(joined):
+                return
+            if start >= 2 * JOIN_PEERS:
+                break
+        if addresses:
+            log.warning("join_unanswered", tried=len(addresses))
+
+    async def _run_polls(self) -> None:
+        while True:
+            await self._clock.sleep(POLL_INTERVAL_S * self._random.uniform(1 - JITTER, 1 + JITTER))
+            if not self._gossip.peers() and self._seeds:
+                await self._gossip.sync(self._random.choice(self._seeds))
+            if self.is_chosen("vm-list", count=POLLERS_PER_REGION):
+                await self._poll()
+
+    async def _poll(self) -> None:
+        sent_at = self._clock.monotonic()
+        try:
+            async with asyncio.timeout(LIST_TIMEOUT_S):
+                entries = await self._store.list_vms()
+        except (StoreUnavailable, TimeoutError):
+            self._telemetry.count("membership_list_failures")
+            return
+        for entry in entries:
+            self._apply_entry(entry)
+        self._apply_removals({entry.name for entry in entries}, sent_at)
+
+    def _apply_entry(self, entry: VmEntry) -> None:
+        listing = Listing.LEAVING if entry.state is VmState.LEAVING else Listing.LIVE
+        record = self._table.records.get(entry.name)
+        if record is None:
+            record = Member(
+                vm=entry.name,
+                address=entry.address,
+                failure_domain=entry.failure_domain,
+                region=entry.region,
+                incarnation=UNKNOWN_INCARNATION,
+                state=MemberState.DEAD,
+            )
+        if record.listing is not listing:
+            self._table.merge(relist(record, listing))
+
+    def _apply_removals(self, listed: set[str], sent_at: float) -> None:
+        for record in list(self._table.records.values()):
+            shown = record.listing in (Listing.LIVE, Listing.LEAVING)
+            # A listing learned after this read was sent may come from a later read.
+            learned_before = self._listed_at.get(record.vm, sent_at) < sent_at
+            if shown and learned_before and record.vm not in listed:
+                self._table.merge(relist(record, Listing.REMOVED))
+                log.info("vm_removed_from_list", vm=record.vm, incarnation=record.incarnation)
+
+    async def _run_housekeeping(self) -> None:
+        while True:
+            await self._clock.sleep(HOUSEKEEPING_INTERVAL_S)
+            self._forget_old()
+
+    def _forget_old(self) -> None:
+        oldest = self._clock.monotonic() - RETENTION_S
+        expired = [vm for vm, since in self._dead_since.items() if since < oldest]
+        records = self._table.records
+        forgotten = [vm for vm in expired if vm in records and self._may_forget(records[vm])]
+        self._table.forget(forgotten)
+        self._members = self._store_down = None
+        for vm in forgotten:
+            self._dead_since.pop(vm, None)
+            self._listed_at.pop(vm, None)
+        self._statuses.retain({record.key for record in records.values()})
+
+    def _may_forget(self, record: Member) -> bool:
+        return record.listing in (Listing.REMOVED, Listing.NEVER)
--- /dev/null
+++ b/lentilring/membership/table.py
@@ -0,0 +1,117 @@
+"""The table of members and the rules by which claims about them are merged."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+
+import xxhash
+
+from .dissemination import DisseminationQueue, transmission_limit
+from .member import Listing, Member, MemberState
+from .sizes import estimate_size
+
+TRANSMISSION_MULTIPLIER = 2.0
+
+
+class MemberTable:
+    """Keep the strongest claim about each VM; the local process denies false ones."""
+
+    def __init__(self, *, local: Member) -> None:
+        self.local = local
+        self.records: dict[str, Member] = {local.vm: local}
+        self.superseded = False
+        self._queue: DisseminationQueue[str] = DisseminationQueue()
+        self._queue.add(local.vm)
+        self._callbacks: list[Callable[[Member | None, Member], None]] = []
+
+    def __bool__(self) -> bool:
+        return bool(self._queue)
+
+    def subscribe(self, callback: Callable[[Member | None, Member], None]) -> None:
+        """Call back with the old and the new record of a VM after each change."""
+        self._callbacks.append(callback)
+
+    def merge(self, claim: Member) -> bool:
+        """Apply a claim as far as it is stronger; tell whether anything changed."""
+        if claim.vm == self.local.vm:
+            return self._merge_local(claim)
+        current = self.records.get(claim.vm)
+        if current is None:
+            return self._put(replace(claim, revision=0))
+        merged = current
+        if claim.precedence > current.precedence:
+            blank = replace(claim, revision=0, listing=Listing.NEVER, listing_version=0)
+            merged = _merge_listing(blank, current)
+        return self._put(_merge_listing(merged, claim))
+
+    def claim_state(self, member: Member, state: MemberState) -> bool:
+        """Apply the local node's own verdict on a member."""
+        return self.merge(replace(member, state=state))
+
+    def announce_leaving(self) -> None:
+        """Change the local state to leaving."""
+        refutation = self.local.refutation + 1
+        self._put(replace(self.local, state=MemberState.LEAVING, refutation=refutation))
+
+    def take(self, *, budget: int) -> tuple[Member, ...]:
+        """Return queued records that fit in `budget` bytes."""
+        limit = transmission_limit(len(self.records), multiplier=TRANSMISSION_MULTIPLIER)
+
+        def measure(vm: str) -> int:
+            return estimate_size(self.records[vm])
+
+        taken = self._queue.take(limit=limit, budget=budget, measure=measure)
+        return tuple(self.records[vm] for vm in taken)
+
+    def forget(self, vms: Iterable[str]) -> None:
+        """Remove records of VMs that are gone."""
+        for vm in vms:
+            self.records.pop(vm, None)
+            self._queue.discard(vm)
+
+    def digest(self) -> int:
+        """Return a hash that is equal for equal tables."""
+        rows = sorted(
+            (entry.vm, *entry.precedence, *entry.listing_precedence)
+            for entry in self.records.values()
+        )
+        return int(xxhash.xxh64_intdigest(repr(rows).encode())) - 2**63
+
+    def _merge_local(self, claim: Member) -> bool:
+        local = self.local
+        if claim.incarnation > local.incarnation:
+            # A newer process runs under this VM's name; denying its claims would never end.
+            self.superseded = True
+            return False
+        merged = _merge_listing(local, claim)
+        if claim.incarnation == local.incarnation and claim.precedence > local.precedence:
+            merged = replace(merged, refutation=claim.refutation + 1)
+        return self._put(merged)
+
+    def _put(self, record: Member) -> bool:
+        current = self.records.get(record.vm)
+        if record == current:
+            return False
+        self.records[record.vm] = record
+        if record.vm == self.local.vm:
+            self.local = record
+        self._queue.add(record.vm)
+        for callback in self._callbacks:
+            callback(current, record)
+        return True
+
+
+def _merge_listing(record: Member, other: Member) -> Member:
+    """Take the other's reading of the list if it is newer.
+
+    The removal of an earlier process says nothing about a process that started after it.
+    """
+    outdated = other.listing is Listing.REMOVED and other.incarnation < record.incarnation
+    reading = relist(other, Listing.NEVER) if outdated else other
+    if reading.listing_precedence <= record.listing_precedence:
+        return record
+    return replace(record, listing=reading.listing, listing_version=reading.listing_version)
+
+
+def relist(record: Member, listing: Listing) -> Member:
+    """Return a record with a new reading of the platform's list."""
+    return replace(record, listing=listing, listing_version=record.listing_version + 1)
