--- /dev/null
+++ b/lentilring/failover/controls.py
@@ -0,0 +1,96 @@
+"""Control connections to backend servers, kept open and replaced when they go silent."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TypeAlias
+
+from ..clock import Clock
+from ..database.backend import (
+    BackendAnswerLost,
+    BackendConnector,
+    BackendControl,
+    BackendUnreachable,
+    ConnectionRefused,
+)
+from ..database.messages import ServerStatus
+from ..telemetry.metrics import Telemetry
+
+ControlCall: TypeAlias = Callable[[BackendControl, float], Awaitable[ServerStatus]]
+BACKEND_FAILURES = (BackendUnreachable, BackendAnswerLost, ConnectionRefused)
+
+# A server reserves 5 control connections for all proxies, so unused ones are given back.
+IDLE_CLOSE_S = 30.0
+
+
+class ControlConnections:
+    """Share one control connection to each backend server among all uses of this process."""
+
+    def __init__(self, *, backends: BackendConnector, clock: Clock, telemetry: Telemetry) -> None:
+        self._backends = backends
+        self._clock = clock
+        self._telemetry = telemetry
+        self._open: dict[str, BackendControl] = {}
+        self._used: dict[str, float] = {}
+        self._locks: dict[str, asyncio.Lock] = {}
+
+    async def call(self, address: str, request: ControlCall, *, timeout_s: float) -> ServerStatus:
+        """Send a request; raise BackendUnreachable, BackendAnswerLost or ConnectionRefused.
+
+        A connection that misses the deadline is closed: it may be silent while the server is well,
+        and the next call opens a new one.
+        """
+        control: BackendControl | None = None
+        end = self._clock.monotonic() + timeout_s
+        try:
+            async with asyncio.timeout(timeout_s):
+                control = await self._connect(address, timeout_s)
+                return await request(control, end - self._clock.monotonic())
+        except TimeoutError as error:
+            self._discard(address, control)
+            raise BackendAnswerLost(address=address, detail="deadline missed") from error
+        except (BackendUnreachable, BackendAnswerLost):
+            self._discard(address, control)
+            raise
+
+    def close_idle(self) -> None:
+        """Close the connections that were not used for IDLE_CLOSE_S."""
+        now = self._clock.monotonic()
+        for address in [a for a, used in self._used.items() if now - used >= IDLE_CLOSE_S]:
+            self._discard(address, self._open.get(address))
+
+    def close(self) -> None:
+        """Close all connections."""
+        for address in list(self._open):
+            self._discard(address, self._open[address])
+
+    async def _connect(self, address: str, timeout_s: float) -> BackendControl:
+        self._used[address] = self._clock.monotonic()
+        async with self._locks.setdefault(address, asyncio.Lock()):
+            if address not in self._open:
+                self._open[address] = await self._backends.control(address, timeout_s=timeout_s)
+            return self._open[address]
+
+    def _discard(self, address: str, control: BackendControl | None) -> None:
+        if control is None or self._open.get(address) is not control:
+            return
+        del self._open[address]
+        self._used.pop(address, None)
+        control.close()
+        self._telemetry.count("control_connections_closed")
+
+
+async def probe_backend(backends: BackendConnector, address: str, *, timeout_s: float) -> bool:
+    """Tell whether a backend server answers over a new connection."""
+    control: BackendControl | None = None
+    try:
+        async with asyncio.timeout(timeout_s):
+            control = await backends.control(address, timeout_s=timeout_s)
+            await control.report_status(timeout_s=timeout_s)
+    except ConnectionRefused:
+        return True  # Only a server that runs can say that its connections are used up.
+    except (BackendUnreachable, BackendAnswerLost, TimeoutError):
+        return False
+    finally:
+        if control is not None:
+            control.close()
+    return True
