--- /dev/null
+++ b/lentilring/assembly.py
@@ -0,0 +1,142 @@
+"""Creates a proxy's decision services and joins them; used by the process and by tests."""
+
+import random
+from dataclasses import dataclass
+
+from .clock import Clock
+from .configuration.service import ConfigurationService
+from .database.backend import BackendConnector
+from .failover.service import GroupService
+from .kernel import Kernel
+from .limits.service import LimitService
+from .membership.member import Member
+from .membership.service import MembershipService
+from .peers.transport import PeerTransport
+from .platform.store import Store
+from .pool.service import GatewayService
+from .routing.dispatch import Dispatcher
+from .routing.service import RoutingService
+from .telemetry.metrics import Telemetry
+from .transactions.service import TransactionService
+
+
+@dataclass(frozen=True, kw_only=True)
+class Surroundings:
+    """Hold what a proxy's services reach the outside through."""
+
+    clock: Clock
+    random: random.Random
+    telemetry: Telemetry
+    store: Store
+    transport: PeerTransport
+    backends: BackendConnector
+
+
+@dataclass(frozen=True, kw_only=True)
+class ProxyIdentity:
+    """Hold what distinguishes a proxy process; `incarnation` grows with each start of its VM."""
+
+    local: Member
+    seeds: tuple[str, ...] = ()
+    withdrawal_bound_s: float = 3.0
+    lease_duration_s: float = 1800.0
+
+
+def register_services(
+    kernel: Kernel, *, surroundings: Surroundings, identity: ProxyIdentity
+) -> None:
+    """Register all decision services under their names, in the order of their start."""
+    outside = surroundings
+    for name in ("clock", "random", "telemetry", "store", "transport", "backends"):
+        kernel.register(name, getattr(outside, name))
+    membership = MembershipService(
+        local=identity.local,
+        clock=outside.clock,
+        random=outside.random,
+        transport=outside.transport,
+        store=outside.store,
+        telemetry=outside.telemetry,
+        seeds=identity.seeds,
+    )
+    kernel.register("membership", membership)
+    configuration = ConfigurationService(
+        membership=membership,
+        clock=outside.clock,
+        random=outside.random,
+        transport=outside.transport,
+        store=outside.store,
+        telemetry=outside.telemetry,
+        withdrawal_bound_s=identity.withdrawal_bound_s,
+    )
+    kernel.register("configuration", configuration)
+    groups = GroupService(
+        configuration=configuration,
+        membership=membership,
+        store=outside.store,
+        backends=outside.backends,
+        transport=outside.transport,
+        clock=outside.clock,
+        random=outside.random,
+        telemetry=outside.telemetry,
+    )
+    kernel.register("groups", groups)
+    limits = LimitService(
+        clock=outside.clock,
+        random=outside.random,
+        store=outside.store,
+        transport=outside.transport,
+        telemetry=outside.telemetry,
+        membership=membership,
+        find_account=configuration.account,
+        limit_settings=configuration.limit_settings,
+        list_accounts=configuration.accounts,
+        lease_duration_s=identity.lease_duration_s,
+    )
+    kernel.register("limits", limits)
+    _register_request_path(kernel, outside, identity)
+
+
+def _register_request_path(kernel: Kernel, outside: Surroundings, identity: ProxyIdentity) -> None:
+    configuration = kernel.find("configuration", ConfigurationService)
+    membership = kernel.find("membership", MembershipService)
+    groups = kernel.find("groups", GroupService)
+    gateway = GatewayService(
+        configuration=configuration,
+        membership=membership,
+        groups=groups,
+        transport=outside.transport,
+        connector=outside.backends,
+        clock=outside.clock,
+        random_source=outside.random,
+        telemetry=outside.telemetry,
+    )
+    kernel.register("gateway", gateway)
+    transactions = TransactionService(
+        gateway=gateway,
+        transport=outside.transport,
+        clock=outside.clock,
+        random_source=outside.random,
+        incarnation=identity.local.incarnation,
+        telemetry=outside.telemetry,
+    )
+    kernel.register("transactions", transactions)
+    dispatcher = Dispatcher(
+        configuration=configuration,
+        membership=membership,
+        gateway=gateway,
+        transactions=transactions,
+        transport=outside.transport,
+        clock=outside.clock,
+        telemetry=outside.telemetry,
+    )
+    routing = RoutingService(
+        configuration=configuration,
+        membership=membership,
+        limits=kernel.find("limits", LimitService),
+        groups=groups,
+        dispatcher=dispatcher,
+        clock=outside.clock,
+        random_source=outside.random,
+        telemetry=outside.telemetry,
+    )
+    kernel.register("routing", routing)
--- a/lentilring/process.py
+++ b/lentilring/process.py
@@ -1,7 +1,165 @@
-"""The proxy process: creates the services, joins them and drives their life cycle."""
+"""The proxy process: settings to services, and their life cycle from start to SIGTERM."""
 
+import asyncio
+import random
+import signal
+import time
+
+from .assembly import ProxyIdentity, Surroundings, register_services
+from .clock import SystemClock
+from .configuration.models import DrainState
+from .configuration.service import ConfigurationService
+from .database.client import TcpBackendConnector
+from .http.admin import AdminInterface
+from .http.callers import CallerInterface
+from .http.readiness import LEAVING_GRACE_S, Readiness
+from .http.server import HttpServer
+from .kernel import Kernel
+from .membership.member import Member
+from .membership.service import MembershipService
+from .peers.tcp import TcpTransport
+from .platform.client import HttpStore
+from .pool.service import GatewayService
+from .routing.service import RoutingService
+from .settings import ProxySettings
+from .status import add_status_views
 from .telemetry.log import Log
+from .telemetry.metrics import Telemetry
+from .transactions.service import TransactionService
 
 ADMIN_THREADS = 4
 
 log = Log(source="process")
+
+
+async def run_proxy(settings: ProxySettings) -> None:
+    """Serve until SIGTERM or SIGINT, then stop gracefully."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    kernel = Kernel()
+    # Later starts of a VM get greater incarnations as long as its clock does not run backwards.
+    incarnation = time.time_ns() // 1_000_000
+    readiness = build_proxy(kernel, settings, incarnation)
+    await kernel.start()
+    log.info("proxy_started", vm=settings.vm, incarnation=incarnation, http=settings.http_address)
+    await stopping.wait()
+    await _shut_down(kernel, readiness, settings)
+
+
+def build_proxy(kernel: Kernel, settings: ProxySettings, incarnation: int) -> Readiness:
+    """Register all services of a proxy; return its readiness."""
+    clock = SystemClock()
+    telemetry = Telemetry(exported=True)
+    register_services(
+        kernel,
+        surroundings=Surroundings(
+            clock=clock,
+            random=random.Random(),
+            telemetry=telemetry,
+            store=HttpStore(base_url=settings.platform_url),
+            transport=TcpTransport(
+                vm=settings.vm,
+                incarnation=incarnation,
+                address=settings.peer_address,
+                deployment=settings.deployment,
+                secret=settings.secret.encode(),
+                telemetry=telemetry,
+            ),
+            backends=TcpBackendConnector(client=settings.vm),
+        ),
+        identity=_identify(settings, incarnation),
+    )
+    readiness = _watch_readiness(kernel, settings)
+    _register_http(kernel, settings, readiness)
+    return readiness
+
+
+def _identify(settings: ProxySettings, incarnation: int) -> ProxyIdentity:
+    return ProxyIdentity(
+        local=Member(
+            vm=settings.vm,
+            address=settings.peer_address,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            incarnation=incarnation,
+        ),
+        seeds=tuple(seed for seed in settings.seeds.split(",") if seed),
+        withdrawal_bound_s=settings.withdrawal_bound_s,
+        lease_duration_s=settings.lease_duration_s,
+    )
+
+
+def _watch_readiness(kernel: Kernel, settings: ProxySettings) -> Readiness:
+    configuration = kernel.find("configuration", ConfigurationService)
+    readiness = Readiness(clock=SystemClock())
+    readiness.add_obstacle("no_configuration", lambda: not configuration.services())
+    readiness.add_obstacle("configuration_stale", lambda: not configuration.is_fresh())
+    readiness.watch_drain(
+        lambda: configuration.failure_domain_state(settings.failure_domain) is DrainState.DRAINED
+    )
+    return readiness
+
+
+def _register_http(kernel: Kernel, settings: ProxySettings, readiness: Readiness) -> None:
+    telemetry = kernel.find("telemetry", Telemetry)
+    callers = CallerInterface(
+        routing=kernel.find("routing", RoutingService),
+        readiness=readiness,
+        telemetry=telemetry,
+        default_deadline_s=settings.default_deadline_s,
+    )
+    admin = AdminInterface(token=settings.admin_token)
+    add_status_views(admin, kernel)
+    admin_host, admin_port = _split(settings.admin_address)
+    kernel.register(
+        "admin",
+        HttpServer(
+            kernel=kernel,
+            host=admin_host,
+            port=admin_port,
+            handle=admin.handle,
+            threads=ADMIN_THREADS,
+            max_body_bytes=settings.max_body_bytes,
+            body_timeout_s=settings.body_timeout_s,
+            clock=SystemClock(),
+        ),
+    )
+    host, port = _split(settings.http_address)
+    kernel.register(
+        "http",
+        HttpServer(
+            kernel=kernel,
+            host=host,
+            port=port,
+            handle=callers.handle,
+            threads=settings.http_threads,
+            max_body_bytes=settings.max_body_bytes,
+            body_timeout_s=settings.body_timeout_s,
+            clock=SystemClock(),
+            is_idle=lambda: callers.in_flight == 0,
+        ),
+    )
+
+
+async def _shut_down(kernel: Kernel, readiness: Readiness, settings: ProxySettings) -> None:
+    """Turn readiness off, let peers choose other gateways, finish what runs, then stop."""
+    log.info("shutdown_started", vm=settings.vm)
+    readiness.begin_shutdown()
+    kernel.find("membership", MembershipService).leave()
+    # Requests on open connections are still served while the balancer notices.
+    await asyncio.sleep(min(LEAVING_GRACE_S, settings.drain_timeout_s))
+    await kernel.drain(deadline_s=settings.drain_timeout_s)
+    left = kernel.find("routing", RoutingService).in_flight
+    running = kernel.find("gateway", GatewayService).running
+    transactions = len(kernel.find("transactions", TransactionService).open)
+    await kernel.stop()
+    log.info(
+        "shutdown_finished", vm=settings.vm, unfinished=left + running, transactions=transactions
+    )
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/lentilring/status.py
@@ -0,0 +1,96 @@
+"""Status views for operators."""
+
+from collections.abc import Mapping
+
+import msgspec
+
+from .configuration.service import ConfigurationService
+from .failover.service import GroupService
+from .http.admin import AdminInterface
+from .kernel import Kernel
+from .limits.service import LimitService
+from .membership.service import MembershipService
+from .outcomes import JsonValue
+from .pool.service import GatewayService
+from .telemetry.metrics import Telemetry
+from .transactions.service import TransactionService
+
+
+def add_status_views(admin: AdminInterface, kernel: Kernel) -> None:
+    """Register the views that read the services' state."""
+    admin.add_view("status", lambda _: show_status(kernel))
+    admin.add_view("members", lambda _: show_members(kernel))
+    admin.add_view("groups", lambda _: show_groups(kernel))
+    admin.add_view("shares", lambda _: show_shares(kernel))
+    admin.add_view("pools", lambda _: show_pools(kernel))
+    admin.add_view("counters", lambda _: show_counters(kernel))
+    admin.add_view("in-force", lambda query: show_in_force(kernel, query))
+
+
+def show_status(kernel: Kernel) -> JsonValue:
+    """Return a summary of this proxy."""
+    membership = kernel.find("membership", MembershipService)
+    configuration = kernel.find("configuration", ConfigurationService)
+    return {
+        "vm": membership.local.vm,
+        "incarnation": membership.local.incarnation,
+        "failure_domain": membership.local.failure_domain,
+        "region": membership.local.region,
+        "members": len(membership.members()),
+        "revision": configuration.revision,
+        "configuration_fresh": configuration.is_fresh(),
+        "store_down": membership.store_is_down(),
+        "open_transactions": len(kernel.find("transactions", TransactionService).open),
+        "supervised_groups": list(kernel.find("groups", GroupService).supervised()),
+    }
+
+
+def show_members(kernel: Kernel) -> JsonValue:
+    """Return all known members."""
+    membership = kernel.find("membership", MembershipService)
+    known = {member.vm: member for member in membership.known()}
+    return {"members": [msgspec.to_builtins(known[vm]) for vm in sorted(known)]}
+
+
+def show_groups(kernel: Kernel) -> JsonValue:
+    """Return the records of all database groups."""
+    groups = kernel.find("groups", GroupService)
+    records = {name: groups.record(name) for name in sorted(groups.groups())}
+    return {"groups": {name: msgspec.to_builtins(entry) for name, entry in records.items()}}
+
+
+def show_shares(kernel: Kernel) -> JsonValue:
+    """Return the holders of the rate-limit shares that this proxy knows."""
+    limits = kernel.find("limits", LimitService)
+    return {"shares": msgspec.to_builtins(limits.directory.list_holders())}
+
+
+def show_pools(kernel: Kernel) -> JsonValue:
+    """Return the connections and queues of the servers that this proxy is gateway for."""
+    gateway = kernel.find("gateway", GatewayService)
+    return {
+        f"{group}/{name}": {
+            "connections": server.pool.open_connections,
+            "running": server.pool.running,
+            "queued": len(server.pool.queue),
+            "transactions": server.pool.pinned,
+            "position": server.status.position if server.status is not None else None,
+        }
+        for (group, name), server in sorted(gateway.servers.items())
+    }
+
+
+def show_counters(kernel: Kernel) -> JsonValue:
+    """Return all counters."""
+    counts = kernel.find("telemetry", Telemetry).counts
+    return {
+        ",".join([name, *(f"{key}={value}" for key, value in attributes)]): amount
+        for (name, attributes), amount in sorted(counts.items())
+    }
+
+
+def show_in_force(kernel: Kernel, query: Mapping[str, str]) -> JsonValue:
+    """Return which VMs have a configuration revision in force."""
+    configuration = kernel.find("configuration", ConfigurationService)
+    confirmed, missing = configuration.in_force(int(query["revision"]))
+    return {"confirmed": list(confirmed), "missing": list(missing)}
