--- a/lentilring/limits/__init__.py
+++ b/lentilring/limits/__init__.py
@@ -1,1 +1,1 @@
-"""Fleet-wide rate limits: leased shares, token buckets and borrowing."""
+"""Fleet-wide rate limits: leases, token buckets, shares and the service that uses them."""
--- /dev/null
+++ b/lentilring/limits/keeper.py
@@ -0,0 +1,293 @@
+"""Contending for shares, renewing and releasing their leases, and changes of their number."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from ..clock import Clock
+from ..outcomes import JsonValue
+from ..peers.transport import PeerTransport
+from ..placement import rank_members
+from ..platform.store import Kind, Snapshot, Store, StoredObject, StoreUnavailable
+from ..telemetry.log import Log
+from ..telemetry.metrics import Telemetry
+from .bucket import GRANT_LIFETIME_S, GRANT_MARGIN_S
+from .directory import LimitMember, LimitMembership, ShareDirectory
+from .lease import AcquireResult, Lease, read_holder
+from .lender import Lender, Tenure
+from .messages import ShareAnnouncement, ShareHolder
+
+TICK_S = 1.0
+CONTEND_INTERVAL_S = 5.0  # between reads of a record whose holder is missing but not proven gone
+CONTENDERS = 3  # members that contend for a share without a holder
+CONTENDER_PATIENCE_S = 5.0  # for each rank, before the next contender begins
+COUNT_CHECK_INTERVAL_S = 5.0
+RELEASE_POLL_S = 0.05
+SETTLE_S = GRANT_LIFETIME_S + GRANT_MARGIN_S
+
+
+@dataclass(frozen=True, kw_only=True)
+class SeenRecord:
+    """Remember since when a share's record has had a version."""
+
+    version: int
+    since: float
+
+
+class ShareKeeper:
+    """Hold this node's fair part of the shares."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        random: Random,
+        store: Store,
+        transport: PeerTransport,
+        telemetry: Telemetry,
+        membership: LimitMembership,
+        directory: ShareDirectory,
+        lender: Lender,
+        count_shares: Callable[[], int],
+        duration_s: float,
+        margin_s: float,
+    ) -> None:
+        self._clock, self._random, self._store = clock, random, store
+        self._transport, self._telemetry = transport, telemetry
+        self._membership, self._directory, self._lender = membership, directory, lender
+        self._count_shares = count_shares
+        self._duration_s, self._margin_s = duration_s, margin_s
+        self._log = Log(source="limits")
+        self._leases: dict[int, Lease] = {}
+        self._ranks: dict[int, int] = {}
+        self._ranked_for: tuple[object, ...] = ()
+        self._missing_since: dict[int, float] = {}
+        self._attempt_at: dict[int, float] = {}
+        self._busy: dict[int, asyncio.Task[None]] = {}
+        self._announced_count = 0
+        self._counts: frozenset[int] = frozenset()
+        self._counts_known = False
+        self._check_at = 0.0
+        self._seen: dict[str, SeenRecord] = {}
+        self.stopping = False
+
+    def share_counts(self) -> frozenset[int]:
+        """Return the numbers of shares that holders may divide by now; none before it is known."""
+        if not self._counts_known:
+            return frozenset()
+        return self._counts | {self._count_shares()}
+
+    async def tick(self) -> None:
+        """Start what is due: attempts, renewals, releases and checks of the number of shares."""
+        count = self._count_shares()
+        if count != self._announced_count:
+            # From now on until all holders have taken it, the least of both divisions applies.
+            self._counts |= {self._announced_count or count, count}
+            self._announced_count, self._check_at = count, 0.0
+            for tenure in self._lender.tenures.values():
+                tenure.lease.renew_at = 0.0
+        self._rank(count)
+        for share in sorted(self._lender.tenures):
+            self._keep(share, count)
+        if not self.stopping:
+            for share in range(count):
+                self._contend(share)
+        if self._lender.tenures and self._clock.monotonic() >= self._check_at:
+            await self._check_counts()
+
+    async def release_all(self, *, deadline_s: float) -> None:
+        """Stop granting, wait until no grant is outstanding, and release all leases."""
+        self.stopping = True
+        end = self._clock.monotonic() + min(deadline_s, SETTLE_S)
+        shares = list(self._lender.tenures)
+        for share in shares:
+            self._lender.tenures[share].closing = True
+        await asyncio.gather(*(self._release(share, end) for share in shares))
+
+    def stop(self) -> None:
+        """End running store calls."""
+        for task in self._busy.values():
+            task.cancel()
+
+    def _keep(self, share: int, count: int) -> None:
+        tenure = self._lender.tenures[share]
+        if not tenure.closing and share >= count and self.share_counts() == {count}:
+            tenure.closing = True
+            self._begin(share, self._release(share, self._clock.monotonic() + SETTLE_S))
+        elif not tenure.closing and self._clock.monotonic() >= tenure.lease.renew_at:
+            self._begin(share, self._renew(share, tenure))
+
+    def _contend(self, share: int) -> None:
+        now = self._clock.monotonic()
+        if share in self._lender.tenures or share in self._busy:
+            return
+        if self._directory.find_member(share) is not None:
+            self._missing_since.pop(share, None)
+            return
+        missing_since = self._missing_since.setdefault(share, now)
+        rank = self._ranks.get(share)
+        if rank is None or now - missing_since < rank * CONTENDER_PATIENCE_S:
+            return
+        entry = self._directory.find(share)
+        gone = entry is None or self._membership.vm_is_gone(entry.vm, entry.incarnation)
+        if gone or now >= self._attempt_at.get(share, 0.0):
+            self._begin(share, self._attempt(share))
+
+    def _begin(self, share: int, work: "asyncio._CoroutineLike[None]") -> None:
+        if share in self._busy:
+            work.close()  # type: ignore[union-attr]
+            return
+        task = asyncio.ensure_future(work)
+        self._busy[share] = task
+        task.add_done_callback(lambda _: self._busy.pop(share, None))
+
+    async def _attempt(self, share: int) -> None:
+        lease = self._leases.get(share)
+        if lease is None:
+            lease = self._leases[share] = self._make_lease(share)
+        interval = CONTEND_INTERVAL_S * self._random.uniform(0.8, 1.2)
+        self._attempt_at[share] = self._clock.monotonic() + interval
+        result = await lease.acquire()
+        self._telemetry.count("limit_lease_attempts", result=result.value)
+        if result is AcquireResult.HELD_BY_OTHER:
+            self._learn(lease.seen)
+        if result is not AcquireResult.ACQUIRED:
+            return
+        # Other holders may divide by another number: no grants before the records were read.
+        self._counts_known, self._check_at = False, 0.0
+        self._lender.tenures[share] = Tenure(lease=lease, closing=self.stopping)
+        self._announce(share, lease, vm=self._membership.local.vm)
+        self._log.info("share_acquired", share=share, usable_from=lease.usable_from)
+        await self._check_counts()
+
+    async def _renew(self, share: int, tenure: Tenure) -> None:
+        renewed = await tenure.lease.renew()
+        self._telemetry.count("limit_renewals", result="renewed" if renewed else "failed")
+        if not tenure.lease.is_held(for_s=SETTLE_S):
+            self._drop(share)
+        elif renewed and tenure.lease.record is not None:
+            self._directory.merge([self._describe(share, tenure.lease, self._membership.local.vm)])
+
+    def _drop(self, share: int) -> None:
+        lease = self._lender.tenures.pop(share).lease
+        self._log.warning("share_lost", share=share)
+        if lease.record is not None:
+            self._announce(share, lease, vm="")
+
+    async def _release(self, share: int, end: float) -> None:
+        while self._clock.monotonic() < end and self._lender.count_outstanding(share) > 0:
+            await self._clock.sleep(RELEASE_POLL_S)
+        tenure = self._lender.tenures.pop(share, None)
+        if tenure is None or tenure.lease.record is None:
+            return
+        record = tenure.lease.record
+        # A record that is not released ends by itself; grants that may be in use need that time.
+        released = self._clock.monotonic() >= end or True
+        if released and await tenure.lease.release():
+            holder = self._describe_record(share, record, vm="")
+            self._directory.merge([holder])
+            self._send(holder)
+            self._log.info("share_released", share=share)
+
+    async def _check_counts(self) -> None:
+        """Read all records to see by which numbers of shares their holders divide."""
+        self._check_at = self._clock.monotonic() + COUNT_CHECK_INTERVAL_S
+        count = self._count_shares()
+        try:
+            snapshot = await self._store.list([Kind.SHARE])
+        except StoreUnavailable:
+            return
+        own_taken = all(
+            _read_count(tenure.lease.record) == count for tenure in self._lender.tenures.values()
+        )
+        self._counts = self._find_counts(snapshot) | {count}
+        self._counts_known = True
+        if self._counts == {count} and own_taken:
+            # Nothing changes from here on before the settings do or another share is acquired.
+            self._check_at = float("inf")
+
+    def _find_counts(self, snapshot: Snapshot) -> frozenset[int]:
+        now = self._clock.monotonic()
+        counts = set()
+        for record in snapshot.objects:
+            holder = read_holder(record)
+            seen = self._seen.get(record.name)
+            if seen is None or seen.version != record.version:
+                seen = self._seen[record.name] = SeenRecord(version=record.version, since=now)
+            ended = not holder.vm or now - seen.since >= self._duration_s + self._margin_s
+            if not ended:
+                counts.add(_read_count(record))
+            self._learn(record)
+        return frozenset(counts - {0})
+
+    def _learn(self, record: StoredObject | None) -> None:
+        if record is None:
+            return
+        self._directory.merge(
+            [self._describe_record(int(record.name), record, vm=read_holder(record).vm)]
+        )
+
+    def _make_lease(self, share: int) -> Lease:
+        local = self._membership.local
+        return Lease(
+            store=self._store,
+            clock=self._clock,
+            random=self._random,
+            kind=Kind.SHARE,
+            name=str(share),
+            vm=local.vm,
+            incarnation=local.incarnation,
+            is_gone=self._membership.vm_is_gone,
+            duration_s=self._duration_s,
+            margin_s=self._margin_s,
+            settle_s=SETTLE_S,
+            describe=self._describe_self,
+        )
+
+    def _describe_self(self) -> dict[str, JsonValue]:
+        return {"address": self._membership.local.address, "shares": self._count_shares()}
+
+    def _announce(self, share: int, lease: Lease, *, vm: str) -> None:
+        holder = self._describe(share, lease, vm)
+        self._directory.merge([holder])
+        self._send(holder)
+
+    def _send(self, holder: ShareHolder) -> None:
+        local = self._membership.local
+        for member in self._membership.members():
+            if member.vm != local.vm:
+                self._transport.send_datagram(member.address, ShareAnnouncement(holder=holder))
+
+    def _describe(self, share: int, lease: Lease, vm: str) -> ShareHolder:
+        assert lease.record is not None
+        return self._describe_record(share, lease.record, vm=vm)
+
+    def _describe_record(self, share: int, record: StoredObject, *, vm: str) -> ShareHolder:
+        address = (record.value or {}).get("address", "")
+        return ShareHolder(
+            share=share,
+            vm=vm,
+            incarnation=read_holder(record).incarnation,
+            address=address if isinstance(address, str) else "",
+            version=record.version,
+        )
+
+    def _rank(self, count: int) -> None:
+        members = self._membership.members()
+        key = (count, *((member.vm, member.incarnation, member.weight) for member in members))
+        if key == self._ranked_for:
+            return
+        self._ranked_for = key
+        local = self._membership.local.vm
+        self._ranks = {}
+        for share in range(count):
+            ranked: list[LimitMember] = rank_members(f"share-{share}", members)
+            for rank, member in enumerate(ranked[:CONTENDERS]):
+                if member.vm == local:
+                    self._ranks[share] = rank
+
+
+def _read_count(record: StoredObject | None) -> int:
+    count = ((record.value if record is not None else None) or {}).get("shares", 0)
+    return count if isinstance(count, int) else 0
