--- /dev/null
+++ b/lentilring/failover/supervision.py
@@ -0,0 +1,382 @@
+"""Watch one group: detect a failed primary, promote another, repair what follows wrongly."""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import StrEnum
+from random import Random
+from typing import Protocol
+
+from ..clock import Clock
+from ..database.backend import BackendConnector
+from ..database.messages import Role, ServerStatus
+from ..platform.store import Kind, Store, StoredObject, StoreUnavailable
+from ..telemetry.log import Log
+from ..telemetry.metrics import Telemetry
+from .controls import BACKEND_FAILURES, ControlConnections, probe_backend
+from .group import Group, GroupServer
+from .promotion import PROMOTION_FAILURES, Promoter, send_follow
+from .record import GroupRecord, parse_record
+from .vantage import Peer, VantagePoints
+
+POLL_INTERVAL_S = 0.25
+# Shortest time between two polls when hints arrive all the time.
+MIN_POLL_PAUSE_S = 0.05
+# All instances are polled at every fourth poll, only the primary at the others.
+POLLS_PER_ROUND = 4
+POLL_TIMEOUT_S = 0.3
+JITTER = 0.2
+# Time without an answer after which the primary is suspected: three polls and a slow answer.
+SUSPECT_AFTER_S = 1.0
+# Time for which a proposer may be between two steps before its term is taken over. Its steps take
+# a few milliseconds, so it has stopped, or lost the store.
+TAKE_OVER_AFTER_S = 1.5
+# Replication that is silent for longer than this is repaired first; if a majority stays silent,
+# the primary is cut off from its replicas.
+FOLLOW_AFTER_SILENCE_S = 1.5
+PROMOTE_AFTER_SILENCE_S = 3.0
+# Replicas that cannot replicate from any primary must not cause one promotion after another.
+SILENT_PROMOTION_INTERVAL_S = 30.0
+# Pause after a planned change that left the primary in place, and after a failed promotion.
+HAND_OVER_INTERVAL_S = 10.0
+RETRY_INTERVAL_S = 0.5
+# Largest number of entries that a replica may lack when a planned change begins.
+HAND_OVER_MAX_LAG = 200
+
+log = Log(source="failover")
+
+
+class PromotionCause(StrEnum):
+    """Name why a supervisor promotes."""
+
+    NO_RECORD = "no_record"
+    OPENING_STUCK = "opening_stuck"
+    PRIMARY_REMOVED = "primary_removed"
+    PRIMARY_NOT_LEADING = "primary_not_leading"
+    PRIMARY_UNREACHABLE = "primary_unreachable"
+    REPLICATION_SILENT = "replication_silent"
+    PRIMARY_DRAINED = "primary_drained"
+
+
+class RecordSource(Protocol):
+    """Name what a supervisor needs to know of its service."""
+
+    def group(self, name: str) -> Group | None:
+        """Return a group as configured."""
+        ...
+
+    def stored(self, group: str) -> StoredObject | None:
+        """Return the newest known version of a group's record."""
+        ...
+
+    def accept(self, stored: StoredObject) -> None:
+        """Take a newer version of a record."""
+        ...
+
+    def vantage_points(self, group: str) -> Sequence[Peer]:
+        """Return the members to ask about a group's primary."""
+        ...
+
+
+@dataclass(kw_only=True)
+class GroupHealth:
+    """Hold what polls have shown of a group's instances; times are of the local clock."""
+
+    answered_at: dict[str, float] = field(default_factory=dict)
+    # Only the answers of the last poll of all instances, without those that did not answer.
+    statuses: dict[str, ServerStatus] = field(default_factory=dict)
+    record_version: int = -1
+    record_seen_at: float = 0.0
+    not_leading_since: float | None = None
+    ahead_since: float | None = None
+
+
+class GroupSupervisor:
+    """Run the polls and decisions of one group until cancelled."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        records: RecordSource,
+        promoter: Promoter,
+        controls: ControlConnections,
+        backends: BackendConnector,
+        vantage: VantagePoints,
+        store: Store,
+        clock: Clock,
+        random: Random,
+        telemetry: Telemetry,
+    ) -> None:
+        self._name = name
+        self._records = records
+        self._promoter = promoter
+        self._controls = controls
+        self._backends = backends
+        self._vantage = vantage
+        self._store = store
+        self._clock = clock
+        self._random = random
+        self._telemetry = telemetry
+        self._health = GroupHealth()
+        self._hint = asyncio.Event()
+        self._started_at = clock.monotonic()
+        self._not_before: dict[PromotionCause, float] = {}
+
+    def hint(self) -> None:
+        """Check the primary at once."""
+        self._hint.set()
+
+    async def run(self) -> None:
+        """Poll and decide."""
+        polls = 0
+        while True:
+            group = self._records.group(self._name)
+            if group is not None:
+                await self._check_safely(group, everyone=polls % POLLS_PER_ROUND == 0)
+            polls += 1
+            await self._rest()
+
+    async def _check_safely(self, group: Group, *, everyone: bool) -> None:
+        try:
+            await self._check(group, everyone=everyone)
+        except Exception as error:
+            # An unexpected failure must not leave the group without supervision.
+            self._telemetry.count("supervision_errors")
+            log.error("supervision_failed", group=group.name, error=repr(error))
+
+    async def _rest(self) -> None:
+        await self._clock.sleep(MIN_POLL_PAUSE_S)
+        pause_s = (POLL_INTERVAL_S - MIN_POLL_PAUSE_S) * (1 + JITTER * self._random.uniform(-1, 1))
+        try:
+            async with asyncio.timeout(pause_s):
+                await self._hint.wait()
+        except TimeoutError:
+            return
+
+    async def _check(self, group: Group, *, everyone: bool) -> None:
+        stored = self._records.stored(group.name)
+        record = parse_record(stored)
+        self._note_record(stored)
+        primary = group.find(record.primary) if record and record.is_open else None
+        hinted = self._hint.is_set()
+        self._hint.clear()
+        if primary is None or everyone:
+            await self._poll(group, group.servers)
+        else:
+            await self._poll(group, (primary,))
+        if primary is not None and primary.name not in self._health.statuses and not everyone:
+            await self._poll(group, group.others(primary.name))
+        await self._refresh_stale_record(group, record)
+        cause = await self._find_cause(group, stored, record, primary, hinted=hinted)
+        if cause is not None:
+            await self._act(group, stored, cause)
+        elif record is not None and primary is not None:
+            await self._repair(group, record, primary)
+
+    def _note_record(self, stored: StoredObject | None) -> None:
+        version = stored.version if stored else 0
+        if version == self._health.record_version:
+            return
+        self._health.record_version = version
+        self._health.record_seen_at = self._clock.monotonic()
+        self._health.not_leading_since = None
+
+    async def _poll(self, group: Group, servers: Sequence[GroupServer]) -> None:
+        async def ask(server: GroupServer) -> None:
+            try:
+                status = await self._controls.call(
+                    server.address,
+                    lambda control, left_s: control.report_status(timeout_s=left_s),
+                    timeout_s=POLL_TIMEOUT_S,
+                )
+            except BACKEND_FAILURES:
+                self._health.statuses.pop(server.name, None)
+                return
+            self._health.statuses[server.name] = status
+            self._health.answered_at[server.name] = self._clock.monotonic()
+
+        await asyncio.gather(*(ask(server) for server in servers))
+
+    async def _find_cause(
+        self,
+        group: Group,
+        stored: StoredObject | None,
+        record: GroupRecord | None,
+        primary: GroupServer | None,
+        *,
+        hinted: bool,
+    ) -> PromotionCause | None:
+        now = self._clock.monotonic()
+        age_s = now - self._health.record_seen_at
+        if record is None:
+            return PromotionCause.NO_RECORD if age_s >= RETRY_INTERVAL_S else None
+        if not record.is_open:
+            return PromotionCause.OPENING_STUCK if age_s >= TAKE_OVER_AFTER_S else None
+        if primary is None:
+            return PromotionCause.PRIMARY_REMOVED
+        status = self._health.statuses.get(primary.name)
+        if status is None:
+            return await self._check_unreachable(group, primary, hinted=hinted)
+        if self._stays_not_leading(record, status, now):
+            return PromotionCause.PRIMARY_NOT_LEADING
+        if self._is_replication_silent(group, record, primary):
+            return PromotionCause.REPLICATION_SILENT
+        return PromotionCause.PRIMARY_DRAINED if self._can_hand_over(group, primary) else None
+
+    async def _check_unreachable(
+        self, group: Group, primary: GroupServer, *, hinted: bool
+    ) -> PromotionCause | None:
+        last = self._health.answered_at.get(primary.name, self._started_at)
+        if not hinted and self._clock.monotonic() - last < SUSPECT_AFTER_S:
+            return None
+        log.warning("primary_suspected", group=group.name, primary=primary.name)
+        self._telemetry.count("primaries_suspected")
+        if await probe_backend(self._backends, primary.address, timeout_s=POLL_TIMEOUT_S):
+            return None
+        points = self._records.vantage_points(group.name)
+        if await self._vantage.confirm_unreachable(group.name, primary, points):
+            return PromotionCause.PRIMARY_UNREACHABLE
+        silent = self._count_silent(group, SUSPECT_AFTER_S, excluded=primary)
+        if silent >= group.majority:
+            return PromotionCause.REPLICATION_SILENT
+        self._telemetry.count("suspicions_rejected")
+        return None
+
+    def _stays_not_leading(self, record: GroupRecord, status: ServerStatus, now: float) -> bool:
+        """Tell whether the primary has answered for a while without leading the record's term.
+
+        It was never told to lead, or was fenced for a greater term. It is not told to lead now: it
+        may have led this term before, and its log may differ from the replicas'.
+        """
+        if status.term == record.term and status.role is Role.PRIMARY:
+            self._health.not_leading_since = None
+            return False
+        if self._health.not_leading_since is None:
+            self._health.not_leading_since = now
+        return now - self._health.not_leading_since >= SUSPECT_AFTER_S
+
+    def _is_replication_silent(
+        self, group: Group, record: GroupRecord, primary: GroupServer
+    ) -> bool:
+        if self._clock.monotonic() - self._health.record_seen_at < PROMOTE_AFTER_SILENCE_S:
+            return False
+        return self._count_silent(group, PROMOTE_AFTER_SILENCE_S, excluded=primary) >= (
+            group.majority
+        )
+
+    def _count_silent(self, group: Group, silence_s: float, *, excluded: GroupServer) -> int:
+        statuses = (
+            self._health.statuses.get(server.name) for server in group.others(excluded.name)
+        )
+        return sum(
+            status is not None and status.primary_silence_s >= silence_s for status in statuses
+        )
+
+    def _can_hand_over(self, group: Group, primary: GroupServer) -> bool:
+        if not primary.drained:
+            return False
+        position = self._health.statuses[primary.name].position
+        return any(
+            not server.drained
+            and server.name in self._health.statuses
+            and position - self._health.statuses[server.name].position <= HAND_OVER_MAX_LAG
+            for server in group.others(primary.name)
+        )
+
+    async def _act(self, group: Group, stored: StoredObject | None, cause: PromotionCause) -> None:
+        now = self._clock.monotonic()
+        if now < self._not_before.get(cause, 0.0):
+            return
+        record = parse_record(stored)
+        silent = cause is PromotionCause.REPLICATION_SILENT and record is not None
+        # A primary that only its replicas cannot reach has the longest log and would win again.
+        excluded = frozenset({record.primary}) if silent and record else frozenset()
+        await self._poll(group, group.servers)
+        answering = [name for name in self._health.statuses if name not in excluded]
+        if len(answering) < group.majority:
+            self._telemetry.count("promotions_stopped", reason="majority_unreachable")
+            return
+        self._not_before[cause] = now + _pause_after(cause)
+        log.warning("promotion_started", group=group.name, cause=cause)
+        try:
+            if cause is PromotionCause.PRIMARY_DRAINED and stored is not None:
+                await self._promoter.hand_over(group, stored)
+            else:
+                await self._promoter.promote(
+                    group, stored, least_term=self._greatest_term(), excluded=excluded
+                )
+        except PROMOTION_FAILURES as error:
+            log.warning("promotion_failed", group=group.name, cause=cause, error=error)
+
+    def _greatest_term(self) -> int:
+        """Return the greatest term of an instance that has been in use.
+
+        A new instance may report a first term without ever having had a primary.
+        """
+        used = (
+            status.term
+            for status in self._health.statuses.values()
+            if status.position > 0 or status.role is Role.PRIMARY
+        )
+        return max(used, default=0)
+
+    async def _refresh_stale_record(self, group: Group, record: GroupRecord | None) -> None:
+        """Read the record from the store if an instance stays at a greater term than it."""
+        term = record.term if record else 0
+        now = self._clock.monotonic()
+        if record is None or self._greatest_term() <= term:
+            self._health.ahead_since = None
+            return
+        if self._health.ahead_since is None:
+            self._health.ahead_since = now
+        if now - self._health.ahead_since < SUSPECT_AFTER_S:
+            return
+        self._health.ahead_since = now
+        self._telemetry.count("group_records_refreshed")
+        try:
+            stored = await self._store.get(Kind.GROUP, group.name)
+        except StoreUnavailable:
+            return
+        if stored is not None:
+            self._records.accept(stored)
+
+    async def _repair(self, group: Group, record: GroupRecord, primary: GroupServer) -> None:
+        leading = self._health.statuses.get(primary.name)
+        if leading is None or leading.term != record.term or leading.role is not Role.PRIMARY:
+            return
+        strayed = [
+            server
+            for server in group.others(primary.name)
+            if _has_strayed(self._health.statuses.get(server.name), record)
+        ]
+        await asyncio.gather(*(self._restore(server, record, primary) for server in strayed))
+
+    async def _restore(
+        self, server: GroupServer, record: GroupRecord, primary: GroupServer
+    ) -> None:
+        self._telemetry.count("instances_told_to_follow")
+        log.info("told_to_follow", group=record.group, server=server.name, term=record.term)
+        try:
+            status = await send_follow(
+                self._controls, server, record.term, primary.address, record.start_position
+            )
+        except BACKEND_FAILURES:
+            return
+        self._health.statuses[server.name] = status
+
+
+def _has_strayed(status: ServerStatus | None, record: GroupRecord) -> bool:
+    if status is None or status.term > record.term:
+        return False
+    if status.term < record.term or status.role is Role.PRIMARY:
+        return True
+    return status.primary_silence_s >= FOLLOW_AFTER_SILENCE_S
+
+
+def _pause_after(cause: PromotionCause) -> float:
+    if cause is PromotionCause.REPLICATION_SILENT:
+        return SILENT_PROMOTION_INTERVAL_S
+    if cause is PromotionCause.PRIMARY_DRAINED:
+        return HAND_OVER_INTERVAL_S
+    return RETRY_INTERVAL_S
--- /dev/null
+++ b/lentilring/failover/vantage.py
@@ -0,0 +1,96 @@
+"""Second opinions on whether a primary is reachable."""
+
+import asyncio
+from collections.abc import Sequence
+from typing import Protocol, TypeVar
+
+from ..database.backend import BackendConnector
+from ..peers.transport import (
+    PeerAnswerLost,
+    PeerRejected,
+    PeerTransport,
+    PeerUnreachable,
+    Sender,
+)
+from ..placement import Placeable, rank_members
+from .controls import probe_backend
+from .group import GroupServer
+from .messages import ProbePrimary, ProbeResult
+
+PROBE_TIMEOUT_S = 0.4
+PEER_MARGIN_S = 0.1
+VANTAGE_POINTS_PER_FAILURE_DOMAIN = 2
+
+
+class Peer(Placeable, Protocol):
+    """Name what failover needs to know of a member."""
+
+    @property
+    def address(self) -> str:
+        """Return `ip:port` of the peer transport."""
+        ...
+
+    @property
+    def state(self) -> str:
+        """Return `live`, `suspect`, `leaving` or `dead`."""
+        ...
+
+
+P = TypeVar("P", bound=Peer)
+
+
+def choose_vantage_points(group: str, members: Sequence[P], local: Peer) -> list[P]:
+    """Return up to two members in each failure domain other than the local one."""
+    domains = sorted({member.failure_domain for member in members} - {local.failure_domain})
+    chosen: list[P] = []
+    for domain in domains:
+        candidates = [member for member in members if member.failure_domain == domain]
+        ranked = rank_members(f"vantage/{group}", candidates)
+        chosen += ranked[:VANTAGE_POINTS_PER_FAILURE_DOMAIN]
+    return chosen
+
+
+class VantagePoints:
+    """Ask other members to probe a primary, and probe for them."""
+
+    def __init__(self, *, transport: PeerTransport, backends: BackendConnector) -> None:
+        self._transport = transport
+        self._backends = backends
+        transport.handle(ProbePrimary, self._answer)
+
+    async def confirm_unreachable(
+        self, group: str, primary: GroupServer, points: Sequence[Peer]
+    ) -> bool:
+        """Tell whether a majority of those that answer cannot reach the primary.
+
+        The local failure counts as one answer; at least one other is needed.
+        """
+        request = ProbePrimary(group=group, address=primary.address, timeout_s=PROBE_TIMEOUT_S)
+        tasks = [asyncio.ensure_future(self._ask(point.address, request)) for point in points]
+        unreachable, reachable = 1, 0
+        try:
+            for answer in asyncio.as_completed(tasks):
+                result = await answer
+                unreachable += result is False
+                reachable += result is True
+                # No outstanding answer can change these.
+                if 2 * unreachable > len(points) + 1 or 2 * reachable >= len(points) + 1:
+                    break
+        finally:
+            for task in tasks:
+                task.cancel()
+        return unreachable >= 2 and unreachable > reachable
+
+    async def _ask(self, address: str, request: ProbePrimary) -> bool | None:
+        try:
+            answer = await self._transport.call(
+                address, request, timeout_s=PROBE_TIMEOUT_S + PEER_MARGIN_S
+            )
+        except (PeerUnreachable, PeerAnswerLost, PeerRejected):
+            return None
+        return answer.reachable if isinstance(answer, ProbeResult) else None
+
+    async def _answer(self, sender: Sender, request: ProbePrimary) -> ProbeResult:
+        timeout_s = min(request.timeout_s, PROBE_TIMEOUT_S)
+        reachable = await probe_backend(self._backends, request.address, timeout_s=timeout_s)
+        return ProbeResult(reachable=reachable)
