--- a/lentilring/database/database.thrift
+++ b/lentilring/database/database.thrift
@@ -56,3 +56,16 @@
   2: i64 position
   3: double wait_s
 }
+
+struct BackendHello {
+  1: string client
+  2: string kind
+}
+
+struct BackendWelcome {
+  1: string server
+}
+
+struct BackendRefusal {
+  1: string detail
+}
--- a/lentilring/standin/database.py
+++ b/lentilring/standin/database.py
@@ -22,7 +22,6 @@
 from ..clock import Clock, LoopClock
 from ..database.backend import ConnectionRefused
 from ..database.messages import (
-    Action,
     AwaitPosition,
     Fence,
     Follow,
@@ -32,27 +31,16 @@
     ServerStatus,
     StatementReply,
     StatementRequest,
-    StatementStatus,
 )
+from ..database.wire import SessionKind
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .entries import EntryLog
+from .execution import StatementExecutor
 from .journal import Journal
 from .messages import LogEntry, PulledEntries, PullEntries
 from .replication import Replication, ReplicationLink
-from .sessions import Faults, NoAnswer, Session, SessionKind, Silence, Transaction
-from .statements import (
-    Add,
-    Append,
-    Put,
-    Statement,
-    StatementInvalid,
-    WriteStatement,
-    encode_json,
-    encode_operations,
-    evaluate,
-    parse_statement,
-)
+from .sessions import Faults, NoAnswer, Session, Silence
 
 # Rounding can make an entry appear old enough in one comparison and too young in another; waiting
 # at least this long keeps the pull from spinning.
@@ -102,8 +90,8 @@
         self.matched_term = term
         self.replication = Replication(server=self, link=link, primary_address=primary_address)
         # Counts stops; a statement that was running at a stop is not applied after a restart.
-        self._stops = 0
-        self._slots = asyncio.Semaphore(self.settings.slots)
+        self.stops = 0
+        self._executor = StatementExecutor(server=self)
         self._changed = asyncio.Event()
         self.log.begin_term(term, 0)
 
@@ -123,7 +111,7 @@
 
     async def stop(self) -> None:
         """Stop replicating and close all connections; term and log stay."""
-        self._stops += 1
+        self.stops += 1
         await self.replication.stop()
         self.drop_connections()
 
@@ -297,168 +285,9 @@
         except TimeoutError:
             return
 
-    # Statements
-
     async def execute(self, session: Session, request: StatementRequest) -> StatementReply:
         """Run a statement of a connection."""
-        self.journal.received.append(request)
-        self.observe_term(request.term)
-        if request.action is Action.ROLLBACK:
-            return self._roll_back(session, request)
-        if request.action is Action.BEGIN:
-            return self._begin(session, request)
-        transaction = session.transaction
-        if request.action is Action.COMMIT:
-            session.transaction = None
-        return await self._run(request, transaction)
-
-    async def _run(
-        self, request: StatementRequest, transaction: Transaction | None
-    ) -> StatementReply:
-        needs_primary = request.action is not Action.READ or transaction is not None
-        refusal = self._find_refusal(request, transaction, needs_primary)
-        if refusal is not None:
-            return refusal
-        stops = self._stops
-        async with self._slots:
-            await self.clock.sleep(self.settings.statement_time_s)
-            if stops != self._stops:
-                raise NoAnswer(server=self.name)
-            # The term may have been raised while the statement waited or ran.
-            refusal = self._find_refusal(request, transaction, needs_primary)
-            if refusal is not None:
-                return refusal
-            try:
-                if request.action is Action.COMMIT:
-                    return self._commit(request, transaction)
-                return self._run_statement(request, transaction)
-            except StatementInvalid as error:
-                return self._refuse(StatementStatus.REJECTED, error.detail)
-
-    def _find_refusal(
-        self, request: StatementRequest, transaction: Transaction | None, needs_primary: bool
-    ) -> StatementReply | None:
-        if request.term < self.term:
-            return self._refuse(StatementStatus.STALE_TERM)
-        if transaction is not None:
-            if transaction.aborted or transaction.term != request.term:
-                return self._refuse(StatementStatus.STALE_TERM, "transaction ended by a new term")
-            if transaction.client_account != request.client_account:
-                return self._refuse(StatementStatus.REJECTED, "transaction of another account")
-        if needs_primary and not self.is_primary:
-            return self._refuse(StatementStatus.NOT_PRIMARY)
-        if self.matched_term != request.term:
-            return self._refuse(StatementStatus.STALE_TERM, "log is not matched with the term")
-        return None
-
-    def _begin(self, session: Session, request: StatementRequest) -> StatementReply:
-        refusal = self._find_refusal(request, None, True)
-        if refusal is not None:
-            return refusal
-        if session.transaction is not None:
-            return self._refuse(StatementStatus.REJECTED, "a transaction is open")
-        session.transaction = Transaction(term=self.term, client_account=request.client_account)
-        self.journal.note_execution(request, statement="", position=self.log.position)
-        return self._complete(None)
-
-    def _roll_back(self, session: Session, request: StatementRequest) -> StatementReply:
-        """End the transaction under any term, because nothing of it was applied."""
-        transaction = session.transaction
-        if transaction is not None and transaction.client_account != request.client_account:
-            return self._refuse(StatementStatus.REJECTED, "transaction of another account")
-        session.transaction = None
-        self.journal.note_execution(request, statement="", position=self.log.position)
-        return self._complete(None)
-
-    def _run_statement(
-        self, request: StatementRequest, transaction: Transaction | None
-    ) -> StatementReply:
-        statement = parse_statement(request.statement)
-        writes = isinstance(statement, Put | Add | Append)
-        if writes and request.action is Action.READ:
-            raise StatementInvalid(detail="a read request must not write")
-        if transaction is not None:
-            return self._run_in_transaction(request, transaction, statement)
-        if isinstance(statement, Put | Add | Append):
-            return self._write(request, [statement])
-        table = self.log.maps[request.client_account]
-        result = evaluate([statement], table).results[0]
-        self._note(request, request.statement)
-        return self._complete(result)
-
-    def _run_in_transaction(
-        self, request: StatementRequest, transaction: Transaction, statement: Statement
-    ) -> StatementReply:
-        if request.idempotency_key:
-            raise StatementInvalid(detail="in a transaction only commit takes an idempotency key")
-        table = self.log.maps[request.client_account]
-        evaluation = evaluate([*transaction.operations, statement], table)
-        if isinstance(statement, Put | Add | Append):
-            transaction.operations.append(statement)
-        self._note(request, request.statement)
-        return self._complete(evaluation.results[-1])
-
-    def _commit(self, request: StatementRequest, transaction: Transaction | None) -> StatementReply:
-        if transaction is None:
-            # The connection of an earlier attempt is gone; its key still identifies the commit.
-            record = self.log.find_record(request.client_account, request.idempotency_key)
-            if record is None or record.entry.action is not Action.COMMIT:
-                raise StatementInvalid(detail="no transaction is open")
-            return self._complete_recorded(record.entry, record.position)
-        if not transaction.operations and not request.idempotency_key:
-            self._note(request, "[]")
-            return self._complete([])
-        return self._write(request, transaction.operations)
-
-    def _write(self, request: StatementRequest, statements: list[WriteStatement]) -> StatementReply:
-        operations = encode_operations(statements)
-        record = self.log.find_record(request.client_account, request.idempotency_key)
-        if record is not None and record.matches(request.action, operations):
-            return self._complete_recorded(record.entry, record.position)
-        if record is not None:
-            return self._refuse(StatementStatus.KEY_REUSED)
-        results = evaluate(statements, self.log.maps[request.client_account]).results
-        result = encode_json(results if request.action is Action.COMMIT else results[0])
-        entry = LogEntry(
-            term=self.term,
-            client_account=request.client_account,
-            action=request.action,
-            operations=operations,
-            idempotency_key=request.idempotency_key,
-            result=result,
-        )
-        position = self.append(entry)
-        self._note(request, operations if request.action is Action.COMMIT else request.statement)
-        return StatementReply(
-            status=StatementStatus.OK, term=self.term, position=position, result=result
-        )
-
-    def _note(self, request: StatementRequest, statement: str) -> None:
-        self.journal.note_execution(request, statement=statement, position=self.log.position)
-
-    def _complete(self, result: object) -> StatementReply:
-        return StatementReply(
-            status=StatementStatus.OK,
-            term=self.term,
-            position=self.log.position,
-            result=encode_json(result),
-        )
-
-    def _complete_recorded(self, entry: LogEntry, position: int) -> StatementReply:
-        self.telemetry.count("standin_replays")
-        return StatementReply(
-            status=StatementStatus.OK,
-            term=self.term,
-            position=position,
-            result=entry.result,
-            replayed=True,
-        )
-
-    def _refuse(self, status: StatementStatus, detail: str = "") -> StatementReply:
-        self.telemetry.count("standin_statement_refusals", reason=status.value)
-        return StatementReply(
-            status=status, term=self.term, position=self.log.position, detail=detail
-        )
+        return await self._executor.execute(session, request)
 
     # Checks
 
--- a/lentilring/standin/sessions.py
+++ b/lentilring/standin/sessions.py
@@ -5,18 +5,11 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from ..database.wire import SessionKind
 from ..errors import LentilringError
 from .statements import WriteStatement
 
 
-class SessionKind(StrEnum):
-    """Say what a connection is for; replication does not count towards the limit."""
-
-    STATEMENT = "statement"
-    CONTROL = "control"
-    REPLICATION = "replication"
-
-
 class Silence(StrEnum):
     """Say which connections get no answers.
 
--- a/tests/fakes_database.py
+++ b/tests/fakes_database.py
@@ -15,9 +15,10 @@
     StatementReply,
     StatementRequest,
 )
+from lentilring.database.wire import SessionKind
 from lentilring.standin.database import DatabaseServer, ServerSettings
 from lentilring.standin.messages import PulledEntries, PullEntries
-from lentilring.standin.sessions import NoAnswer, Session, SessionKind
+from lentilring.standin.sessions import NoAnswer, Session
 
 
 @dataclass(kw_only=True)
--- a/tests/test_database_standin.py
+++ b/tests/test_database_standin.py
@@ -16,8 +16,9 @@
     StatementRequest,
     StatementStatus,
 )
+from lentilring.database.wire import SessionKind
 from lentilring.standin.database import DatabaseServer, ServerSettings
-from lentilring.standin.sessions import Session, SessionKind
+from lentilring.standin.sessions import Session
 
 from .fakes_database import BackendNetwork
 from .virtual_time import run_virtual
