--- a/lentilring/peers/connection.py
+++ b/lentilring/peers/connection.py
@@ -154,6 +154,8 @@
             self._receive_handshake(payload)
             return
         answer = decode_struct(Envelope, payload)
+        if answer.kind not in (EnvelopeKind.ANSWER, EnvelopeKind.REJECTION):
+            raise DecodeFailed(message="Envelope", detail=f"{answer.kind} is not an answer")
         self.silent = False
         waiting = self._pending.pop(answer.request_id, None)
         if waiting is None or waiting.done():
@@ -264,7 +266,7 @@
     def receive(self, payload: bytes) -> None:
         """Finish the handshake, then dispatch calls."""
         if self.authenticated:
-            self._dispatch(self, decode_struct(Envelope, payload))
+            self._receive_call(decode_struct(Envelope, payload))
             return
         message = decode(payload)
         if isinstance(message, ConnectionHello) and self._expected_proof is None:
@@ -286,6 +288,11 @@
         self._stop_timer()
         self._on_closed(self)
 
+    def _receive_call(self, envelope: Envelope) -> None:
+        if envelope.kind is not EnvelopeKind.CALL:
+            raise DecodeFailed(message="Envelope", detail=f"{envelope.kind} is not a call")
+        self._dispatch(self, envelope)
+
     def _receive_hello(self, hello: ConnectionHello) -> None:
         if hello.deployment != self.authenticator.deployment:
             self.reject(RejectionReason.DEPLOYMENT)
--- a/lentilring/peers/tcp.py
+++ b/lentilring/peers/tcp.py
@@ -259,8 +259,6 @@
             del self._callers[connection.address]
 
     def _dispatch(self, connection: ListenerConnection, envelope: Envelope) -> None:
-        if envelope.kind is not EnvelopeKind.CALL:
-            raise DecodeFailed(message="Envelope", detail=f"kind {envelope.kind} is not a call")
         task = asyncio.create_task(self._answer(connection, envelope))
         self._running.add(task)
         task.add_done_callback(self._running.discard)
