--- a/tests/test_peer_fuzz.py
+++ b/tests/test_peer_fuzz.py
@@ -31,6 +31,7 @@
 from lentilring.peers.transport import PeerAnswerLost, PeerUnreachable
 from lentilring.telemetry.metrics import Telemetry
 
+from .loops import LoopTestCase, on_virtual_time
 from .virtual_time import run_virtual
 
 FUZZ = settings(max_examples=400, derandomize=True, deadline=None, database=None)
@@ -178,7 +179,7 @@
     abort = close
 
 
-class ConnectionTest(testtools.TestCase):
+class ConnectionTest(LoopTestCase):
     def setUp(self) -> None:
         super().setUp()
         self.telemetry = Telemetry()
@@ -231,93 +232,69 @@
         run_virtual(case())
         self.assertEqual([], self.dispatched)
 
-    def test_a_caller_must_finish_the_handshake_in_time(self) -> None:
+    @on_virtual_time
+    async def test_a_caller_must_finish_the_handshake_in_time(self) -> None:
         """Guards against connections that take file descriptors and never authenticate."""
-
-        async def case() -> None:
-            listener = self.make_listener()
-            sock = FakeSocket(listener)
-            await asyncio.sleep(connections.HANDSHAKE_TIMEOUT_S + 1)
-            self.assertTrue(sock.closing)
-            _, near, kept, far = await self.connect()
-            await asyncio.sleep(connections.HANDSHAKE_TIMEOUT_S + 1)
-            self.assertFalse(far.closing)
-            for each in (near, far):
-                each.close()
-
-        run_virtual(case())
+        listener = self.make_listener()
+        sock = FakeSocket(listener)
+        await asyncio.sleep(connections.HANDSHAKE_TIMEOUT_S + 1)
+        self.assertTrue(sock.closing)
+        _, near, kept, far = await self.connect()
+        await asyncio.sleep(connections.HANDSHAKE_TIMEOUT_S + 1)
+        self.assertFalse(far.closing)
+        for each in (near, far):
+            each.close()
         count = self.telemetry.read("peer_connections_rejected", reason="handshake_timeout")
         self.assertEqual(1, count)
 
-    def test_a_listener_proof_is_no_caller_proof(self) -> None:
+    @on_virtual_time
+    async def test_a_listener_proof_is_no_caller_proof(self) -> None:
         """Guards against a caller that sends the listener's own proof back to it."""
-
-        async def case() -> None:
+        listener = self.make_listener()
+        sock = FakeSocket(listener)
+        hello = ConnectionHello(deployment="khaima", nonce=bytes(32))
+        listener.data_received(encode_frame(encode(hello)))
+        await asyncio.sleep(0)
+        challenge = decode(sock.written.next_frame() or b"")
+        assert isinstance(challenge, ConnectionChallenge)
+        listener.data_received(encode_frame(encode(ConnectionProof(proof=challenge.proof))))
+        self.assertTrue(sock.closing)
+
+    @on_virtual_time
+    async def test_short_challenges_are_refused(self) -> None:
+        """Guards against two pairs of challenges that join to the same bytes."""
+        sockets = []
+        for nonce in (b"", bytes(31), bytes(33)):
             listener = self.make_listener()
-            sock = FakeSocket(listener)
-            hello = ConnectionHello(deployment="khaima", nonce=bytes(32))
+            sockets.append(FakeSocket(listener))
+            hello = ConnectionHello(deployment="khaima", nonce=nonce)
             listener.data_received(encode_frame(encode(hello)))
-            await asyncio.sleep(0)
-            challenge = decode(sock.written.next_frame() or b"")
-            assert isinstance(challenge, ConnectionChallenge)
-            listener.data_received(encode_frame(encode(ConnectionProof(proof=challenge.proof))))
-            self.assertTrue(sock.closing)
-
-        run_virtual(case())
-
-    def test_short_challenges_are_refused(self) -> None:
-        """Guards against two pairs of challenges that join to the same bytes."""
-
-        async def case() -> None:
-            sockets = []
-            for nonce in (b"", bytes(31), bytes(33)):
-                listener = self.make_listener()
-                sockets.append(FakeSocket(listener))
-                hello = ConnectionHello(deployment="khaima", nonce=nonce)
-                listener.data_received(encode_frame(encode(hello)))
-            self.assertEqual([True] * 3, [sock.closing for sock in sockets])
+        self.assertEqual([True] * 3, [sock.closing for sock in sockets])
 
-        run_virtual(case())
-
-    def test_only_calls_reach_the_dispatcher(self) -> None:
+    @on_virtual_time
+    async def test_only_calls_reach_the_dispatcher(self) -> None:
         """Guards against an answer that is handled as a request."""
-
-        async def case() -> None:
-            caller, near, listener, far = await self.connect()
-            for kind in EnvelopeKind:
-                envelope = Envelope(request_id=1, kind=kind, vm="v", incarnation=1, address="a:1")
-                if not listener.closed:
-                    listener.data_received(encode_frame(encode_struct(envelope)))
-            self.assertTrue(far.closing)
-            call = Envelope(
-                request_id=1, kind=EnvelopeKind.CALL, vm="v", incarnation=1, address="a:1"
-            )
-            caller.data_received(encode_frame(encode_struct(call)))
-            self.assertTrue(near.closing)
-
-        run_virtual(case())
+        caller, near, listener, far = await self.connect()
+        for kind in EnvelopeKind:
+            envelope = Envelope(request_id=1, kind=kind, vm="v", incarnation=1, address="a:1")
+            if not listener.closed:
+                listener.data_received(encode_frame(encode_struct(envelope)))
+        self.assertTrue(far.closing)
+        call = Envelope(request_id=1, kind=EnvelopeKind.CALL, vm="v", incarnation=1, address="a:1")
+        caller.data_received(encode_frame(encode_struct(call)))
+        self.assertTrue(near.closing)
         self.assertEqual([EnvelopeKind.CALL], [envelope.kind for envelope in self.dispatched])
 
-    def test_what_was_sent_decides_the_failure(self) -> None:
+    @on_virtual_time
+    async def test_what_was_sent_decides_the_failure(self) -> None:
         """Guards against repeating a call that may have run, or giving up one that did not."""
-
-        async def case() -> None:
-            caller, near, _, far = await self.connect()
-            far.close()
-            near.unsent_bytes = connections.MAX_UNSENT_BYTES + 1
-            await self.expect(PeerUnreachable, caller.call(1, b"full", timeout_s=1))
-            near.unsent_bytes = 0
-            pending = asyncio.ensure_future(caller.call(2, b"sent", timeout_s=1))
-            await asyncio.sleep(0)
-            near.close()
-            await self.expect(PeerAnswerLost, pending)
-            await self.expect(PeerUnreachable, caller.call(3, b"closed", timeout_s=1))
-
-        run_virtual(case())
-
-    async def expect(self, error: type[Exception], call: Any) -> None:
-        try:
-            await call
-        except error:
-            return
-        raise AssertionError(f"no {error.__name__}")
+        caller, near, _, far = await self.connect()
+        far.close()
+        near.unsent_bytes = connections.MAX_UNSENT_BYTES + 1
+        await self.expect(PeerUnreachable, caller.call(1, b"full", timeout_s=1))
+        near.unsent_bytes = 0
+        pending = asyncio.ensure_future(caller.call(2, b"sent", timeout_s=1))
+        await asyncio.sleep(0)
+        near.close()
+        await self.expect(PeerAnswerLost, pending)
+        await self.expect(PeerUnreachable, caller.call(3, b"closed", timeout_s=1))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,12 +5,10 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Awaitable, Callable
 from typing import Any
 
 import aiohttp
 import pytest
-import testtools
 from aiohttp import web
 
 from lentilring.platform.client import HttpStore
@@ -19,6 +17,8 @@
 from lentilring.standin.platform import PlatformServer, VmList
 from lentilring.telemetry.metrics import Telemetry
 
+from .loops import LoopTestCase, on_loop
+
 LONG_S = 30.0
 ENTRY = VmEntry(name="vm-1", address="127.0.0.1:1", failure_domain="casa-a", region="morocco")
 ENTRY_JSON = {
@@ -35,212 +35,175 @@
         self.call_timeout_s = call_timeout_s
         self.telemetry = Telemetry()
 
-    async def start(self) -> None:
-        await self.server.start()
-        self.store = self.make_store()
-        await self.store.start()
-        self.session = aiohttp.ClientSession(f"http://{self.server.address}")
-
-    async def stop(self) -> None:
-        await self.store.stop()
-        await self.session.close()
-        await self.server.stop()
-
-    def make_store(self) -> HttpStore:
-        return HttpStore(
+    async def make_store(self) -> HttpStore:
+        store = HttpStore(
             address=self.server.address,
             call_timeout_s=self.call_timeout_s,
             telemetry=self.telemetry,
         )
+        await store.start()
+        return store
 
     async def send(self, method: str, path: str, body: Any = None) -> Any:
         async with self.session.request(method, path, json=body) as response:
             response.raise_for_status()
             return await response.json()
 
+    async def await_watch(self) -> None:
+        while not self.server.table.calls["watch"]:
+            await asyncio.sleep(0.001)
 
-class PlatformCase(testtools.TestCase):
-    def run_case(
-        self, case: Callable[[Fixture], Awaitable[None]], *, call_timeout_s: float = LONG_S
-    ) -> None:
-        async def run() -> None:
-            fixture = Fixture(call_timeout_s=call_timeout_s)
-            await fixture.start()
-            try:
-                async with asyncio.timeout(2 * LONG_S):
-                    await case(fixture)
-            finally:
-                await fixture.stop()
 
-        asyncio.run(run())
-
-    async def expect(self, error: type[Exception], call: Awaitable[object]) -> Any:
-        try:
-            answer = await call
-        except error as raised:
-            return raised
-        raise AssertionError(f"{answer} instead of {error.__name__}")
+class PlatformCase(LoopTestCase):
+    async def open(self, *, call_timeout_s: float = LONG_S) -> Fixture:
+        fixture = Fixture(call_timeout_s=call_timeout_s)
+        await fixture.server.start()
+        self.stack.push_async_callback(fixture.server.stop)
+        fixture.store = await fixture.make_store()
+        self.stack.push_async_callback(fixture.store.stop)
+        fixture.session = aiohttp.ClientSession(f"http://{fixture.server.address}")
+        self.stack.push_async_callback(fixture.session.close)
+        return fixture
 
 
 class ObjectTest(PlatformCase):
-    def test_versions_and_conflicts(self) -> None:
+    @on_loop
+    async def test_versions_and_conflicts(self) -> None:
         """Guards against an update that overwrites another operator's change."""
-
-        async def case(fixture: Fixture) -> None:
-            store = fixture.store
-            self.assertIsNone(await store.get("group", "a/b c.d"))
-            first = await store.put("group", "a/b c.d", {"x": [1, None]}, expected_version=0)
-            self.assertEqual(first, await store.get("group", "a/b c.d"))
-            for wrong in (0, 2):
-                conflict = await self.expect(
-                    VersionConflict, store.put("group", "a/b c.d", {}, expected_version=wrong)
-                )
-                self.assertEqual(first, conflict.current)
-            missing = await self.expect(
-                VersionConflict, store.put("group", "new", {}, expected_version=4)
+        fixture = await self.open()
+        store = fixture.store
+        self.assertIsNone(await store.get("group", "a/b c.d"))
+        first = await store.put("group", "a/b c.d", {"x": [1, None]}, expected_version=0)
+        self.assertEqual(first, await store.get("group", "a/b c.d"))
+        for wrong in (0, 2):
+            conflict = await self.expect(
+                VersionConflict, store.put("group", "a/b c.d", {}, expected_version=wrong)
             )
-            self.assertIsNone(missing.current)
-            deleted = await store.put("group", "a/b c.d", None, expected_version=1)
-            self.assertEqual((2, None), (deleted.version, deleted.value))
-
-        self.run_case(case)
+            self.assertEqual(first, conflict.current)
+        missing = await self.expect(
+            VersionConflict, store.put("group", "new", {}, expected_version=4)
+        )
+        self.assertIsNone(missing.current)
+        deleted = await store.put("group", "a/b c.d", None, expected_version=1)
+        self.assertEqual((2, None), (deleted.version, deleted.value))
 
-    def test_watch_returns_later_changes(self) -> None:
+    @on_loop
+    async def test_watch_returns_later_changes(self) -> None:
         """Guards against changes that a watch misses, or repeats."""
-
-        async def case(fixture: Fixture) -> None:
-            store = fixture.store
-            await store.put("template", "t", {"a": 1}, expected_version=0)
-            seen = await store.list(["template", "group"])
-            self.assertEqual(["t"], [entry.name for entry in seen.objects])
-            watch = asyncio.create_task(
-                store.watch(["group"], after_revision=seen.revision, wait_s=LONG_S)
-            )
-            while not fixture.server.table.calls["watch"]:
-                await asyncio.sleep(0.001)
-            await store.put("template", "t", {"a": 2}, expected_version=1)
-            await store.put("group", "g", {}, expected_version=0)
-            snapshot = await watch
-            self.assertEqual((3, ["g"]), (snapshot.revision, [o.name for o in snapshot.objects]))
-            empty = await store.watch(["group"], after_revision=3, wait_s=0.01)
-            self.assertEqual((3, ()), (empty.revision, empty.objects))
-
-        self.run_case(case)
+        fixture = await self.open()
+        store = fixture.store
+        await store.put("template", "t", {"a": 1}, expected_version=0)
+        seen = await store.list(["template", "group"])
+        self.assertEqual(["t"], [entry.name for entry in seen.objects])
+        watch = asyncio.create_task(
+            store.watch(["group"], after_revision=seen.revision, wait_s=LONG_S)
+        )
+        await fixture.await_watch()
+        await store.put("template", "t", {"a": 2}, expected_version=1)
+        await store.put("group", "g", {}, expected_version=0)
+        snapshot = await watch
+        self.assertEqual((3, ["g"]), (snapshot.revision, [o.name for o in snapshot.objects]))
+        empty = await store.watch(["group"], after_revision=3, wait_s=0.01)
+        self.assertEqual((3, ()), (empty.revision, empty.objects))
 
 
 class FaultTest(PlatformCase):
-    def test_stopping_the_client_ends_its_calls(self) -> None:
+    @on_loop
+    async def test_stopping_the_client_ends_its_calls(self) -> None:
         """Guards against a shutdown that waits for a long poll."""
-
-        async def case(fixture: Fixture) -> None:
-            store = fixture.make_store()
-            await store.start()
-            watch = asyncio.create_task(store.watch(["group"], after_revision=0, wait_s=LONG_S))
-            while not fixture.server.table.calls["watch"]:
-                await asyncio.sleep(0.001)
-            await store.stop()
-            await self.expect(StoreUnavailable, watch)
-
-        self.run_case(case)
-
-    def test_a_lost_answer_is_no_conflict(self) -> None:
+        fixture = await self.open()
+        store = await fixture.make_store()
+        watch = asyncio.create_task(store.watch(["group"], after_revision=0, wait_s=LONG_S))
+        await fixture.await_watch()
+        await store.stop()
+        await self.expect(StoreUnavailable, watch)
+
+    @on_loop
+    async def test_a_lost_answer_is_no_conflict(self) -> None:
         """Guards against an HTTP client that repeats a change and meets its own first attempt."""
-
-        async def case(fixture: Fixture) -> None:
-            store = fixture.store
-            await store.put("group", "g", {"change": "1"}, expected_version=0)
-            await fixture.send("POST", "/faults", {"lose_answers": 1})
-            await self.expect(
-                StoreUnavailable, store.put("group", "g", {"change": "2"}, expected_version=1)
-            )
-            current = await store.get("group", "g")
-            assert current is not None
-            self.assertEqual((2, {"change": "2"}), (current.version, current.value))
-            calls = await fixture.send("GET", "/calls")
-            self.assertEqual({"put": 2, "get": 1}, calls)
-            self.assertEqual(1, fixture.telemetry.read("store_calls_failed", operation="put"))
-
-        self.run_case(case)
-
-    def test_an_outage_ends_waiting_watches(self) -> None:
+        fixture = await self.open()
+        store = fixture.store
+        await store.put("group", "g", {"change": "1"}, expected_version=0)
+        await fixture.send("POST", "/faults", {"lose_answers": 1})
+        await self.expect(
+            StoreUnavailable, store.put("group", "g", {"change": "2"}, expected_version=1)
+        )
+        current = await store.get("group", "g")
+        assert current is not None
+        self.assertEqual((2, {"change": "2"}), (current.version, current.value))
+        calls = await fixture.send("GET", "/calls")
+        self.assertEqual({"put": 2, "get": 1}, calls)
+        self.assertEqual(1, fixture.telemetry.read("store_calls_failed", operation="put"))
+
+    @on_loop
+    async def test_an_outage_ends_waiting_watches(self) -> None:
         """Guards against a node that takes an interrupted watch for a confirmation."""
-
-        async def case(fixture: Fixture) -> None:
-            store = fixture.store
-            watch = asyncio.create_task(store.watch(["group"], after_revision=0, wait_s=LONG_S))
-            while not fixture.server.table.calls["watch"]:
-                await asyncio.sleep(0.001)
-            await fixture.send("POST", "/faults", {"outage": True})
-            await self.expect(StoreUnavailable, watch)
-            for call in (
-                store.get("group", "g"),
-                store.put("group", "g", {}, expected_version=0),
-                store.list(["group"]),
-                store.list_vms(),
-            ):
-                await self.expect(StoreUnavailable, call)
-            await fixture.send("POST", "/faults", {"outage": False})
-            self.assertIsNone(await store.get("group", "g"))
-
-        self.run_case(case)
-
-    def test_a_silent_store_times_out(self) -> None:
+        fixture = await self.open()
+        store = fixture.store
+        watch = asyncio.create_task(store.watch(["group"], after_revision=0, wait_s=LONG_S))
+        await fixture.await_watch()
+        await fixture.send("POST", "/faults", {"outage": True})
+        await self.expect(StoreUnavailable, watch)
+        for call in (
+            store.get("group", "g"),
+            store.put("group", "g", {}, expected_version=0),
+            store.list(["group"]),
+            store.list_vms(),
+        ):
+            await self.expect(StoreUnavailable, call)
+        await fixture.send("POST", "/faults", {"outage": False})
+        self.assertIsNone(await store.get("group", "g"))
+
+    @on_loop
+    async def test_a_silent_store_times_out(self) -> None:
         """Guards against calls that wait for ever for a store that does not answer."""
+        fixture = await self.open(call_timeout_s=0.05)
+        for fault in ({"silent": True}, {"silent": False, "delay_s": LONG_S}):
+            await fixture.send("POST", "/faults", fault)
+            await self.expect(StoreUnavailable, fixture.store.get("group", "g"))
 
-        async def case(fixture: Fixture) -> None:
-            for fault in ({"silent": True}, {"silent": False, "delay_s": LONG_S}):
-                await fixture.send("POST", "/faults", fault)
-                await self.expect(StoreUnavailable, fixture.store.get("group", "g"))
-
-        self.run_case(case, call_timeout_s=0.05)
-
-    def test_other_servers_are_no_store(self) -> None:
+    @on_loop
+    async def test_other_servers_are_no_store(self) -> None:
         """Guards against a 404 or body of some other server that passes for a missing object."""
+        for status, text in ((404, "not found"), (200, "{}"), (302, ""), (409, "[]")):
+            runner = web.AppRunner(web.Application())
+
+            async def handle(
+                request: web.Request, status: int = status, text: str = text
+            ) -> web.Response:
+                return web.Response(status=status, text=text)
+
+            runner.app.router.add_route("*", "/{path:.*}", handle)
+            await runner.setup()
+            site = web.TCPSite(runner, "127.0.0.1", 0)
+            await site.start()
+            store = HttpStore(
+                address=f"127.0.0.1:{runner.addresses[0][1]}",
+                call_timeout_s=LONG_S,
+                telemetry=Telemetry(),
+            )
+            await self.expect(StoreUnavailable, store.get("group", "g"))
+            await store.start()
+            await self.expect(StoreUnavailable, store.get("group", "g"))
+            await self.expect(StoreUnavailable, store.put("a", "g", {}, expected_version=0))
+            await store.stop()
+            await runner.cleanup()
+            await store.start()
+            await self.expect(StoreUnavailable, store.list_vms())
+            await store.stop()
 
-        async def case(fixture: Fixture) -> None:
-            for status, text in ((404, "not found"), (200, "{}"), (302, ""), (409, "[]")):
-                runner = web.AppRunner(web.Application())
-
-                async def handle(
-                    request: web.Request, status: int = status, text: str = text
-                ) -> web.Response:
-                    return web.Response(status=status, text=text)
-
-                runner.app.router.add_route("*", "/{path:.*}", handle)
-                await runner.setup()
-                site = web.TCPSite(runner, "127.0.0.1", 0)
-                await site.start()
-                store = HttpStore(
-                    address=f"127.0.0.1:{runner.addresses[0][1]}",
-                    call_timeout_s=LONG_S,
-                    telemetry=Telemetry(),
-                )
-                await self.expect(StoreUnavailable, store.get("group", "g"))
-                await store.start()
-                await self.expect(StoreUnavailable, store.get("group", "g"))
-                await self.expect(StoreUnavailable, store.put("a", "g", {}, expected_version=0))
-                await store.stop()
-                await runner.cleanup()
-                await store.start()
-                await self.expect(StoreUnavailable, store.list_vms())
-                await store.stop()
-
-        self.run_case(case)
-
-    def test_malformed_requests_are_refused(self) -> None:
+    @on_loop
+    async def test_malformed_requests_are_refused(self) -> None:
         """Guards against a stand-in that accepts what the platform would not."""
-
-        async def case(fixture: Fixture) -> None:
-            for path, headers, body, status in (
-                ("/objects/a/b", {}, '{"value": {}}', 428),
-                ("/objects/a/b", {"If-Match": "0"}, '{"value": 3}', 400),
-                ("/objects/a/b", {"If-Match": "0"}, '{"value": {"x": "%s"}}' % ("y" * 2**20), 413),
-                ("/vms/vm-2", {}, '{"name": "vm-1"}', 400),
-            ):
-                async with fixture.session.put(path, headers=headers, data=body) as response:
-                    self.assertEqual(status, response.status, path)
-
-        self.run_case(case)
+        fixture = await self.open()
+        for path, headers, body, status in (
+            ("/objects/a/b", {}, '{"value": {}}', 428),
+            ("/objects/a/b", {"If-Match": "0"}, '{"value": 3}', 400),
+            ("/objects/a/b", {"If-Match": "0"}, '{"value": {"x": "%s"}}' % ("y" * 2**20), 413),
+            ("/vms/vm-2", {}, '{"name": "vm-1"}', 400),
+        ):
+            async with fixture.session.put(path, headers=headers, data=body) as response:
+                self.assertEqual(status, response.status, path)
 
 
 class VmListTest(PlatformCase):
@@ -256,22 +219,20 @@
             shown[now] = vms.show()
         self.assertEqual({0.0: (), 4.9: (), 5.0: (), 8.9: (), 9.0: (ENTRY,)}, shown)
 
-    def test_vms_come_and_go_over_http(self) -> None:
+    @on_loop
+    async def test_vms_come_and_go_over_http(self) -> None:
         """Guards against entries that differ between the platform and its clients."""
-
-        async def case(fixture: Fixture) -> None:
-            await fixture.send("POST", "/vms", ENTRY_JSON)
-            self.assertEqual((ENTRY,), await fixture.store.list_vms())
-            await fixture.send("PUT", "/vms/vm-1", ENTRY_JSON | {"state": "leaving"})
-            (entry,) = await fixture.store.list_vms()
-            self.assertEqual("leaving", entry.state)
-            await fixture.send("DELETE", "/vms/vm-1")
-            self.assertEqual((), await fixture.store.list_vms())
-
-        self.run_case(case)
+        fixture = await self.open()
+        await fixture.send("POST", "/vms", ENTRY_JSON)
+        self.assertEqual((ENTRY,), await fixture.store.list_vms())
+        await fixture.send("PUT", "/vms/vm-1", ENTRY_JSON | {"state": "leaving"})
+        (entry,) = await fixture.store.list_vms()
+        self.assertEqual("leaving", entry.state)
+        await fixture.send("DELETE", "/vms/vm-1")
+        self.assertEqual((), await fixture.store.list_vms())
 
 
-class ProgramTest(PlatformCase):
+class ProgramTest(LoopTestCase):
     @pytest.mark.process
     def test_sigterm_ends_the_stand_in(self) -> None:
         """Guards against a program that ignores SIGTERM while a watch waits."""
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,12 +1,8 @@
 """Calls and datagrams between processes over loopback addresses."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from contextlib import AsyncExitStack
 from typing import Any
 
-import testtools
-
 from lentilring.database.messages import Fence, ReportStatus, StatementReply, StatementRequest
 from lentilring.peers.codec import decode, encode
 from lentilring.peers.connection import MAX_HANDSHAKE_BYTES
@@ -16,6 +12,8 @@
 from lentilring.peers.transport import PeerAnswerLost, PeerRejected, PeerUnreachable, Sender
 from lentilring.telemetry.metrics import Telemetry
 
+from .loops import LoopTestCase, on_loop
+
 LONG_S = 30.0
 SHORT_S = 0.05
 
@@ -79,266 +77,207 @@
     return StatementRequest(term=term, client_account="a", action="read", statement=statement)
 
 
-class TransportCase(testtools.TestCase):
-    def run_case(self, case: Callable[[AsyncExitStack], Awaitable[None]]) -> None:
-        async def run() -> None:
-            async with AsyncExitStack() as stack, asyncio.timeout(2 * LONG_S):
-                await case(stack)
-
-        asyncio.run(run())
-
-    async def make(self, stack: AsyncExitStack, vm: str = "vm-1", **options: Any) -> TcpTransport:
+class TransportCase(LoopTestCase):
+    async def make(self, vm: str = "vm-1", **options: Any) -> TcpTransport:
         values: dict[str, Any] = {"deployment": "khaima", "secret": b"one", "incarnation": 7}
         transport = TcpTransport(
             vm=vm, address="127.0.0.1:0", telemetry=Telemetry(), **(values | options)
         )
         transport.handle(StatementRequest, reply)
         await transport.start()
-        stack.push_async_callback(transport.stop)
+        self.stack.push_async_callback(transport.stop)
         return transport
 
-    async def make_relay(self, stack: AsyncExitStack, target: TcpTransport) -> Relay:
+    async def make_relay(self, target: TcpTransport) -> Relay:
         relay = Relay(target.address)
         await relay.start()
-        stack.push_async_callback(relay.stop)
+        self.stack.push_async_callback(relay.stop)
         return relay
 
-    async def expect(self, error: type[Exception], call: Awaitable[object]) -> Any:
-        try:
-            answer = await call
-        except error as raised:
-            return raised
-        raise AssertionError(f"{answer} instead of {error.__name__}")
-
 
 class CallTest(TransportCase):
-    def test_answers_return_to_their_calls(self) -> None:
+    @on_loop
+    async def test_answers_return_to_their_calls(self) -> None:
         """Guards against answers mixed up on the connection that calls share (I9)."""
-
-        async def case(stack: AsyncExitStack) -> None:
-            client, server = await self.make(stack), await self.make(stack, "vm-2")
-            calls = [
-                client.call(
-                    server.address,
-                    make_request(f"late{(i * 7 % 5) / 100}", term=i),
-                    timeout_s=LONG_S,
-                )
-                for i in range(50)
-            ]
-            answers = await asyncio.gather(*calls)
-            self.assertEqual(list(range(50)), [answer.term for answer in answers])
-            self.assertEqual({"vm-1 7"}, {answer.result for answer in answers})
-            self.assertEqual(1, len(server._listeners))
-
-        self.run_case(case)
-
-    def test_a_closed_port_is_unreachable(self) -> None:
-        """Guards against a call that is not repeated although nothing was sent."""
-
-        async def case(stack: AsyncExitStack) -> None:
-            client, server = await self.make(stack), await self.make(stack, "vm-2")
-            await server.stop()
-            await self.expect(
-                PeerUnreachable, client.call(server.address, make_request(), timeout_s=LONG_S)
+        client, server = await self.make(), await self.make("vm-2")
+        calls = [
+            client.call(
+                server.address,
+                make_request(f"late{(i * 7 % 5) / 100}", term=i),
+                timeout_s=LONG_S,
             )
+            for i in range(50)
+        ]
+        answers = await asyncio.gather(*calls)
+        self.assertEqual(list(range(50)), [answer.term for answer in answers])
+        self.assertEqual({"vm-1 7"}, {answer.result for answer in answers})
+        self.assertEqual(1, len(server._listeners))
+
+    @on_loop
+    async def test_a_closed_port_is_unreachable(self) -> None:
+        """Guards against a call that is not repeated although nothing was sent."""
+        client, server = await self.make(), await self.make("vm-2")
+        await server.stop()
+        await self.expect(
+            PeerUnreachable, client.call(server.address, make_request(), timeout_s=LONG_S)
+        )
 
-        self.run_case(case)
-
-    def test_a_peer_that_stops_loses_the_answer(self) -> None:
+    @on_loop
+    async def test_a_peer_that_stops_loses_the_answer(self) -> None:
         """Guards against a repeat of a call that may have run (I11)."""
+        client, server = await self.make(), await self.make("vm-2")
+        call = asyncio.create_task(
+            client.call(server.address, make_request("never"), timeout_s=LONG_S)
+        )
+        while not server._running:
+            await asyncio.sleep(0.001)
+        await server.stop()
+        await self.expect(PeerAnswerLost, call)
 
-        async def case(stack: AsyncExitStack) -> None:
-            client, server = await self.make(stack), await self.make(stack, "vm-2")
-            call = asyncio.create_task(
-                client.call(server.address, make_request("never"), timeout_s=LONG_S)
-            )
-            while not server._running:
-                await asyncio.sleep(0.001)
-            await server.stop()
-            await self.expect(PeerAnswerLost, call)
-
-        self.run_case(case)
-
-    def test_refusals_are_typed(self) -> None:
+    @on_loop
+    async def test_refusals_are_typed(self) -> None:
         """Guards against a failed handler that looks like a lost answer, or ends the connection."""
-
-        async def case(stack: AsyncExitStack) -> None:
-            client, server = await self.make(stack), await self.make(stack, "vm-2")
-            for request in (make_request("fail"), Fence(term=1)):
-                await self.expect(
-                    PeerRejected, client.call(server.address, request, timeout_s=LONG_S)
-                )
-            await client.call(server.address, make_request(), timeout_s=LONG_S)
-            self.assertEqual(
-                1, server.telemetry.read("peer_requests_rejected", reason="no_handler")
-            )
-
-        self.run_case(case)
-
-    def test_a_late_answer_is_dropped(self) -> None:
+        client, server = await self.make(), await self.make("vm-2")
+        for request in (make_request("fail"), Fence(term=1)):
+            await self.expect(PeerRejected, client.call(server.address, request, timeout_s=LONG_S))
+        await client.call(server.address, make_request(), timeout_s=LONG_S)
+        self.assertEqual(1, server.telemetry.read("peer_requests_rejected", reason="no_handler"))
+
+    @on_loop
+    async def test_a_late_answer_is_dropped(self) -> None:
         """Guards against a late answer that is taken for the next call's (I9)."""
-
-        async def case(stack: AsyncExitStack) -> None:
-            client, server = await self.make(stack), await self.make(stack, "vm-2")
-            await client.call(server.address, make_request(), timeout_s=LONG_S)
-            # Another pending call keeps the connection open until the late answer arrives.
-            other = asyncio.create_task(
-                client.call(server.address, make_request("late0.4", term=4), timeout_s=LONG_S)
-            )
-            late = client.call(server.address, make_request("late0.2", term=2), timeout_s=SHORT_S)
-            await self.expect(PeerAnswerLost, late)
-            answer = await client.call(server.address, make_request(term=3), timeout_s=LONG_S)
-            self.assertEqual(3, answer.term)
-            self.assertEqual(4, (await other).term)
-            self.assertEqual(1, client.telemetry.read("peer_answers_dropped"))
-
-        self.run_case(case)
-
-    def test_frames_over_the_limit(self) -> None:
+        client, server = await self.make(), await self.make("vm-2")
+        await client.call(server.address, make_request(), timeout_s=LONG_S)
+        # Another pending call keeps the connection open until the late answer arrives.
+        other = asyncio.create_task(
+            client.call(server.address, make_request("late0.4", term=4), timeout_s=LONG_S)
+        )
+        late = client.call(server.address, make_request("late0.2", term=2), timeout_s=SHORT_S)
+        await self.expect(PeerAnswerLost, late)
+        answer = await client.call(server.address, make_request(term=3), timeout_s=LONG_S)
+        self.assertEqual(3, answer.term)
+        self.assertEqual(4, (await other).term)
+        self.assertEqual(1, client.telemetry.read("peer_answers_dropped"))
+
+    @on_loop
+    async def test_frames_over_the_limit(self) -> None:
         """Guards against memory use that a peer decides."""
-
-        async def case(stack: AsyncExitStack) -> None:
-            client = await self.make(stack)
-            small = await self.make(stack, "vm-2", max_frame_bytes=5000)
-            large = make_request("x" * 6000)
-            await self.expect(PeerAnswerLost, client.call(small.address, large, timeout_s=LONG_S))
-            await self.expect(PeerUnreachable, small.call(client.address, large, timeout_s=LONG_S))
-            self.assertEqual(
-                1, small.telemetry.read("peer_connections_rejected", reason="malformed")
-            )
-
-        self.run_case(case)
+        client = await self.make()
+        small = await self.make("vm-2", max_frame_bytes=5000)
+        large = make_request("x" * 6000)
+        await self.expect(PeerAnswerLost, client.call(small.address, large, timeout_s=LONG_S))
+        await self.expect(PeerUnreachable, small.call(client.address, large, timeout_s=LONG_S))
+        self.assertEqual(1, small.telemetry.read("peer_connections_rejected", reason="malformed"))
 
 
 class SilentConnectionTest(TransportCase):
-    def test_the_next_call_uses_a_new_connection(self) -> None:
+    @on_loop
+    async def test_the_next_call_uses_a_new_connection(self) -> None:
         """Guards against calls that wait for ever on a connection that went silent."""
+        client, server = await self.make(), await self.make("vm-2")
+        relay = await self.make_relay(server)
+        await client.call(relay.address, make_request(), timeout_s=LONG_S)
+        relay.silence()
+        await self.expect(
+            PeerAnswerLost, client.call(relay.address, make_request(), timeout_s=SHORT_S)
+        )
+        await client.call(relay.address, make_request(), timeout_s=LONG_S)
+        self.assertEqual(2, relay.connections)
+        self.assertEqual(1, client.telemetry.read("peer_connections_replaced"))
 
-        async def case(stack: AsyncExitStack) -> None:
-            client, server = await self.make(stack), await self.make(stack, "vm-2")
-            relay = await self.make_relay(stack, server)
-            await client.call(relay.address, make_request(), timeout_s=LONG_S)
-            relay.silence()
-            await self.expect(
-                PeerAnswerLost, client.call(relay.address, make_request(), timeout_s=SHORT_S)
-            )
-            await client.call(relay.address, make_request(), timeout_s=LONG_S)
-            self.assertEqual(2, relay.connections)
-            self.assertEqual(1, client.telemetry.read("peer_connections_replaced"))
-
-        self.run_case(case)
-
-    def test_a_slow_handler_does_not_replace_a_live_connection(self) -> None:
+    @on_loop
+    async def test_a_slow_handler_does_not_replace_a_live_connection(self) -> None:
         """Guards against new connections for each slow call while others are answered."""
+        client, server = await self.make(), await self.make("vm-2")
+        other = asyncio.create_task(
+            client.call(server.address, make_request("late0.3"), timeout_s=LONG_S)
+        )
+        await self.expect(
+            PeerAnswerLost,
+            client.call(server.address, make_request("never"), timeout_s=SHORT_S),
+        )
+        await other
+        await client.call(server.address, make_request(), timeout_s=LONG_S)
+        self.assertEqual(0, client.telemetry.read("peer_connections_replaced"))
 
-        async def case(stack: AsyncExitStack) -> None:
-            client, server = await self.make(stack), await self.make(stack, "vm-2")
-            other = asyncio.create_task(
-                client.call(server.address, make_request("late0.3"), timeout_s=LONG_S)
-            )
-            await self.expect(
-                PeerAnswerLost,
-                client.call(server.address, make_request("never"), timeout_s=SHORT_S),
-            )
-            await other
-            await client.call(server.address, make_request(), timeout_s=LONG_S)
-            self.assertEqual(0, client.telemetry.read("peer_connections_replaced"))
-
-        self.run_case(case)
-
-    def test_pending_calls_keep_a_replaced_connection(self) -> None:
+    @on_loop
+    async def test_pending_calls_keep_a_replaced_connection(self) -> None:
         """Guards against losing the answer of a slow call when its connection is replaced."""
-
-        async def case(stack: AsyncExitStack) -> None:
-            client, server = await self.make(stack), await self.make(stack, "vm-2")
-            slow = asyncio.create_task(
-                client.call(server.address, make_request("late0.5", term=9), timeout_s=LONG_S)
-            )
-            await self.expect(
-                PeerAnswerLost,
-                client.call(server.address, make_request("never"), timeout_s=SHORT_S),
-            )
-            await client.call(server.address, make_request(), timeout_s=LONG_S)
-            self.assertEqual(2, len(server._listeners))
-            self.assertEqual(9, (await slow).term)
-            while len(server._listeners) > 1:
-                await asyncio.sleep(0.001)
-
-        self.run_case(case)
+        client, server = await self.make(), await self.make("vm-2")
+        slow = asyncio.create_task(
+            client.call(server.address, make_request("late0.5", term=9), timeout_s=LONG_S)
+        )
+        await self.expect(
+            PeerAnswerLost,
+            client.call(server.address, make_request("never"), timeout_s=SHORT_S),
+        )
+        await client.call(server.address, make_request(), timeout_s=LONG_S)
+        self.assertEqual(2, len(server._listeners))
+        self.assertEqual(9, (await slow).term)
+        while len(server._listeners) > 1:
+            await asyncio.sleep(0.001)
 
 
 class AuthenticationTest(TransportCase):
-    def test_other_deployments_are_rejected(self) -> None:
+    @on_loop
+    async def test_other_deployments_are_rejected(self) -> None:
         """Guards against a process of one user that works for another."""
+        server = await self.make("vm-2")
+        cases = {"deployment": {"deployment": "bricola"}, "authentication": {"secret": b"two"}}
+        for reason, options in cases.items():
+            client = await self.make(**options)
+            await self.expect(
+                PeerUnreachable, client.call(server.address, make_request(), timeout_s=LONG_S)
+            )
+            rejecting = server if reason == "deployment" else client
+            self.assertEqual(
+                1, rejecting.telemetry.read("peer_connections_rejected", reason=reason)
+            )
 
-        async def case(stack: AsyncExitStack) -> None:
-            server = await self.make(stack, "vm-2")
-            cases = {"deployment": {"deployment": "bricola"}, "authentication": {"secret": b"two"}}
-            for reason, options in cases.items():
-                client = await self.make(stack, **options)
-                await self.expect(
-                    PeerUnreachable, client.call(server.address, make_request(), timeout_s=LONG_S)
-                )
-                rejecting = server if reason == "deployment" else client
-                self.assertEqual(
-                    1, rejecting.telemetry.read("peer_connections_rejected", reason=reason)
-                )
-
-        self.run_case(case)
-
-    def test_a_caller_without_the_secret_is_rejected(self) -> None:
+    @on_loop
+    async def test_a_caller_without_the_secret_is_rejected(self) -> None:
         """Guards against a listener that answers before the caller proved the secret."""
-
-        async def case(stack: AsyncExitStack) -> None:
-            server = await self.make(stack, "vm-2")
-            host, port = server.address.split(":")
-            for answer in (ConnectionProof(proof=bytes(32)), make_request(), None):
-                reader, writer = await asyncio.open_connection(host, int(port))
-                hello = ConnectionHello(deployment="khaima", nonce=bytes(32))
-                writer.write(encode_frame(encode(hello)))
-                large = encode_frame(bytes(MAX_HANDSHAKE_BYTES + 1))
-                writer.write(large if answer is None else encode_frame(encode(answer)))
-                parser = FrameParser()
-                parser.feed(await reader.read())
-                parser.next_frame()
-                self.assertIsInstance(decode(parser.next_frame()), ConnectionRefusal)
-                writer.close()
-            read = server.telemetry.read
-            self.assertEqual(1, read("peer_connections_rejected", reason="authentication"))
-            self.assertEqual(2, read("peer_connections_rejected", reason="malformed"))
-
-        self.run_case(case)
-
-    def test_datagrams_of_other_deployments_are_dropped(self) -> None:
+        server = await self.make("vm-2")
+        host, port = server.address.split(":")
+        for answer in (ConnectionProof(proof=bytes(32)), make_request(), None):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            hello = ConnectionHello(deployment="khaima", nonce=bytes(32))
+            writer.write(encode_frame(encode(hello)))
+            large = encode_frame(bytes(MAX_HANDSHAKE_BYTES + 1))
+            writer.write(large if answer is None else encode_frame(encode(answer)))
+            parser = FrameParser()
+            parser.feed(await reader.read())
+            parser.next_frame()
+            self.assertIsInstance(decode(parser.next_frame()), ConnectionRefusal)
+            writer.close()
+        read = server.telemetry.read
+        self.assertEqual(1, read("peer_connections_rejected", reason="authentication"))
+        self.assertEqual(2, read("peer_connections_rejected", reason="malformed"))
+
+    @on_loop
+    async def test_datagrams_of_other_deployments_are_dropped(self) -> None:
         """Guards against gossip of one user that changes another's members."""
+        server = await self.make("vm-2")
+        received: asyncio.Queue[tuple[str, object]] = asyncio.Queue()
+        server.handle_datagram(Fence, lambda sender, m: received.put_nowait((sender.vm, m)))
+        for vm, options in {
+            "vm-3": {"deployment": "bricola"},
+            "vm-4": {"secret": b"two"},
+            "vm-1": {},
+        }.items():
+            client = await self.make(vm, **options)
+            client.send_datagram(server.address, Fence(term=5))
+        async with asyncio.timeout(LONG_S):
+            self.assertEqual(("vm-1", Fence(term=5)), await received.get())
+            while server.telemetry.read("peer_datagrams_rejected", reason="authentication") < 2:
+                await asyncio.sleep(0.001)
+        self.assertTrue(received.empty())
 
-        async def case(stack: AsyncExitStack) -> None:
-            server = await self.make(stack, "vm-2")
-            received: asyncio.Queue[tuple[str, object]] = asyncio.Queue()
-            server.handle_datagram(Fence, lambda sender, m: received.put_nowait((sender.vm, m)))
-            for vm, options in {
-                "vm-3": {"deployment": "bricola"},
-                "vm-4": {"secret": b"two"},
-                "vm-1": {},
-            }.items():
-                client = await self.make(stack, vm, **options)
-                client.send_datagram(server.address, Fence(term=5))
-            async with asyncio.timeout(LONG_S):
-                self.assertEqual(("vm-1", Fence(term=5)), await received.get())
-                while server.telemetry.read("peer_datagrams_rejected", reason="authentication") < 2:
-                    await asyncio.sleep(0.001)
-            self.assertTrue(received.empty())
-
-        self.run_case(case)
-
-    def test_a_large_datagram_is_refused(self) -> None:
+    @on_loop
+    async def test_a_large_datagram_is_refused(self) -> None:
         """Guards against gossip that is cut or fragmented on the way."""
-
-        async def case(stack: AsyncExitStack) -> None:
-            client = await self.make(stack)
-            self.assertRaises(
-                DatagramTooLarge, client.send_datagram, "127.0.0.1:9", make_request("x" * 1200)
-            )
-            client.send_datagram("127.0.0.1:9", ReportStatus())
-
-        self.run_case(case)
+        client = await self.make()
+        self.assertRaises(
+            DatagramTooLarge, client.send_datagram, "127.0.0.1:9", make_request("x" * 1200)
+        )
+        client.send_datagram("127.0.0.1:9", ReportStatus())
