--- /dev/null
+++ b/lentilring/cli/standin_database.py
@@ -0,0 +1,183 @@
+"""The `database` subcommand of `lentilring-standin`."""
+
+import asyncio
+import signal
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import Annotated
+
+import typer
+
+from ..database.messages import Role
+from ..kernel import Kernel
+from ..standin.database import DatabaseServer, ServerSettings
+from ..standin.database_admin import DatabaseAdmin
+from ..standin.database_server import DatabaseListener, TcpReplicationLink
+from ..telemetry.log import Log, write_logs
+from ..telemetry.metrics import Telemetry
+
+DRAIN_DEADLINE_S = 5.0
+PREFIX = "LENTILRING_STANDIN_"
+
+app = typer.Typer()
+log = Log(source="standin")
+
+
+class ExitCode(IntEnum):
+    """Say how the program ended."""
+
+    STOPPED = 0
+    CANNOT_LISTEN = 1
+
+
+@dataclass(frozen=True, kw_only=True)
+class DatabaseOptions:
+    """Hold what the flags and environment variables say."""
+
+    name: str
+    listen: str
+    admin: str
+    role: Role
+    term: int
+    primary: str
+    settings: ServerSettings
+
+
+@app.command()
+def database(
+    name: Annotated[
+        str, typer.Option(envvar=f"{PREFIX}NAME", help="Name of the server in logs and statuses.")
+    ],
+    listen: Annotated[
+        str,
+        typer.Option(
+            envvar=f"{PREFIX}LISTEN",
+            help="Address for clients and replicas, ip:port; 0: free port.",
+        ),
+    ] = "127.0.0.1:7400",
+    admin: Annotated[
+        str,
+        typer.Option(
+            envvar=f"{PREFIX}ADMIN", help="Address of the administration interface, ip:port."
+        ),
+    ] = "127.0.0.1:0",
+    slots: Annotated[
+        int, typer.Option(envvar=f"{PREFIX}SLOTS", min=1, help="Statements that run at once.")
+    ] = 2,
+    connections: Annotated[
+        int,
+        typer.Option(
+            envvar=f"{PREFIX}CONNECTIONS",
+            min=1,
+            help="Greatest number of statement and control connections.",
+        ),
+    ] = 15,
+    connect_delay_s: Annotated[
+        float,
+        typer.Option(
+            envvar=f"{PREFIX}CONNECT_DELAY_S", min=0.0, help="Seconds until a connection opens."
+        ),
+    ] = 0.01,
+    statement_time_s: Annotated[
+        float,
+        typer.Option(
+            envvar=f"{PREFIX}STATEMENT_TIME_S",
+            min=0.0,
+            help="Seconds for which a statement holds its slot.",
+        ),
+    ] = 0.0,
+    replication_lag_s: Annotated[
+        float,
+        typer.Option(
+            envvar=f"{PREFIX}REPLICATION_LAG_S",
+            min=0.0,
+            help="Least age in seconds of an entry when this replica receives it.",
+        ),
+    ] = 0.0,
+    role: Annotated[
+        Role, typer.Option(envvar=f"{PREFIX}ROLE", help="Role at the start.")
+    ] = Role.REPLICA,
+    term: Annotated[
+        int, typer.Option(envvar=f"{PREFIX}TERM", min=0, help="Term at the start.")
+    ] = 1,
+    primary: Annotated[
+        str,
+        typer.Option(
+            envvar=f"{PREFIX}PRIMARY",
+            help="Address of the primary that a replica follows at the start, ip:port.",
+        ),
+    ] = "",
+    log_level: Annotated[
+        str,
+        typer.Option(envvar=f"{PREFIX}LOG_LEVEL", help="debug, info, warning or error."),
+    ] = "info",
+) -> None:
+    """Run a backend server: a replicated key-value store that keeps everything in memory.
+
+    The administration interface takes faults at run time: POST /faults with a JSON object of
+    delay_s, silence (none, existing, all), pause_replication, refuse_connections,
+    lose_next_answers and drop; POST /settings with connection_limit, connect_delay_s,
+    statement_time_s and replication_lag_s. GET /status shows all of them, GET /journal?after=N the
+    executed statements. SIGTERM lets running statements finish.
+    """
+    for address, flag in ((listen, "--listen"), (admin, "--admin"), (primary, "--primary")):
+        if address or flag != "--primary":
+            _check_address(address, flag)
+    options = DatabaseOptions(
+        name=name,
+        listen=listen,
+        admin=admin,
+        role=role,
+        term=term,
+        primary=primary,
+        settings=ServerSettings(
+            slots=slots,
+            connection_limit=connections,
+            connect_delay_s=connect_delay_s,
+            statement_time_s=statement_time_s,
+            replication_lag_s=replication_lag_s,
+        ),
+    )
+    with write_logs(level=log_level):
+        raise typer.Exit(asyncio.run(serve_database(options)))
+
+
+async def serve_database(options: DatabaseOptions) -> ExitCode:
+    """Serve until SIGTERM or SIGINT."""
+    kernel = _build_kernel(options)
+    stopped = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stopped.set)
+    try:
+        await kernel.start()
+    except OSError as error:
+        log.error("cannot_listen", address=options.listen, admin=options.admin, detail=error)
+        return ExitCode.CANNOT_LISTEN
+    await stopped.wait()
+    await kernel.drain(deadline_s=DRAIN_DEADLINE_S)
+    await kernel.stop()
+    return ExitCode.STOPPED
+
+
+def _build_kernel(options: DatabaseOptions) -> Kernel:
+    telemetry = Telemetry()
+    server = DatabaseServer(
+        name=options.name,
+        settings=options.settings,
+        link=TcpReplicationLink(server=options.name, telemetry=telemetry),
+        telemetry=telemetry,
+        term=options.term,
+        role=options.role,
+        primary_address=options.primary if options.role is Role.REPLICA else "",
+    )
+    kernel = Kernel()
+    kernel.register("admin", DatabaseAdmin(server=server, address=options.admin))
+    kernel.register("database", DatabaseListener(server=server, address=options.listen))
+    return kernel
+
+
+def _check_address(text: str, flag: str) -> None:
+    """Raise BadParameter unless a text is ip:port."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal() or int(port) > 65535:
+        raise typer.BadParameter(f"{text!r} is not IP:PORT", param_hint=flag)
--- a/lentilring/standin/database_server.py
+++ b/lentilring/standin/database_server.py
@@ -13,6 +13,7 @@
     FrameStream,
     SessionKind,
 )
+from ..kernel import Service
 from ..peers.frames import FrameTooLarge
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
@@ -61,29 +62,37 @@
         return channel
 
 
-class DatabaseListener:
-    """Accept connections for a database server."""
+class DatabaseListener(Service):
+    """Accept connections for a database server; `address` is `ip:port`, port 0 takes a free one."""
 
-    def __init__(self, *, server: DatabaseServer) -> None:
+    def __init__(self, *, server: DatabaseServer, address: str) -> None:
         self.database = server
+        self.address = address
         self._listener: asyncio.Server | None = None
         self._connections: set[ServerConnection] = set()
 
-    async def start(self, host: str, port: int) -> str:
-        """Listen and return the address; port 0 takes a free one."""
+    async def start(self) -> None:
+        """Listen and begin to replicate."""
+        host, _, port = self.address.rpartition(":")
         loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(self._accept, host, port, backlog=BACKLOG)
-        await self.database.start()
+        self._listener = await loop.create_server(self._accept, host, int(port), backlog=BACKLOG)
         bound = self._listener.sockets[0].getsockname()
-        return f"{bound[0]}:{bound[1]}"
+        self.address = f"{bound[0]}:{bound[1]}"
+        await self.database.start()
+        log.info("listening", server=self.database.name, address=self.address)
 
-    async def stop(self, *, deadline_s: float = 0.0) -> None:
-        """Stop accepting, let running requests finish within a deadline, and close."""
+    async def drain(self, *, deadline_s: float) -> None:
+        """Stop accepting and let running statements finish."""
         if self._listener is not None:
             self._listener.close()
         running = [task for entry in self._connections for task in entry.running_statements()]
         if running:
             await asyncio.wait(running, timeout=deadline_s)
+
+    async def stop(self) -> None:
+        """Close the listener and all connections."""
+        if self._listener is not None:
+            self._listener.close()
         await self.database.stop()
         for connection in list(self._connections):
             connection.close()
