--- a/lentilring/failover/supervision.py
+++ b/lentilring/failover/supervision.py
@@ -232,10 +232,14 @@
             return None
         log.warning("primary_suspected", group=group.name, primary=primary.name)
         self._telemetry.count("primaries_suspected")
-        if await probe_backend(self._backends, primary.address, timeout_s=POLL_TIMEOUT_S):
-            return None
         points = self._records.vantage_points(group.name)
-        if await self._vantage.confirm_unreachable(group.name, primary, points):
+        reachable, confirmed = await asyncio.gather(
+            probe_backend(self._backends, primary.address, timeout_s=POLL_TIMEOUT_S),
+            self._vantage.confirm_unreachable(group.name, primary, points),
+        )
+        if reachable:
+            return None
+        if confirmed:
             return PromotionCause.PRIMARY_UNREACHABLE
         silent = self._count_silent(group, SUSPECT_AFTER_S, excluded=primary)
         if silent >= group.majority:
--- /dev/null
+++ b/tests/test_failover.py
@@ -0,0 +1,345 @@
+"""Failures of primaries, supervisors and the store, with several proxies."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import testtools
+
+from lentilring.outcomes import UncertaintyReason
+
+from .fakes_failover import GROUP, NAMES, Cluster, Proxy, drain_server
+from .virtual_time import run_virtual
+
+MAX_GAP_S = 3.0
+
+
+class FailoverTestCase(testtools.TestCase):
+    def run_cluster(self, check: Callable[[Cluster], Awaitable[Any]]) -> None:
+        async def body() -> None:
+            cluster = Cluster()
+            await cluster.start()
+            try:
+                await check(cluster)
+                self.assertEqual(set(), cluster.find_lost())
+            finally:
+                for proxy in cluster.proxies:
+                    await proxy.groups.stop()
+
+        run_virtual(body())
+
+    async def write_some(self, cluster: Cluster, count: int = 5) -> None:
+        for number in range(count):
+            written = await cluster.other_proxy().write(f"before-{number}")
+            self.assertIsNotNone(written)
+            self.assertIsNone(written.missing)
+
+
+class PrimaryFailureTest(FailoverTestCase):
+    def test_first_start_makes_term_1(self) -> None:
+        """Guards against a group that never gets a first primary."""
+
+        async def check(cluster: Cluster) -> None:
+            self.assertEqual(1, cluster.record.term)
+            await self.write_some(cluster)
+
+        self.run_cluster(check)
+
+    def test_killed_primary_is_replaced(self) -> None:
+        """Guards against a gap over the aim, and against losing confirmed writes."""
+
+        async def check(cluster: Cluster) -> None:
+            await self.write_some(cluster)
+            await cluster.network.kill(cluster.address(cluster.record.primary))
+            gap_s = await cluster.until_writable(cluster.other_proxy())
+            self.assertLess(gap_s, MAX_GAP_S)
+            self.assertEqual(2, cluster.record.term)
+
+        self.run_cluster(check)
+
+    def test_two_failures_in_a_row(self) -> None:
+        """Guards against a second promotion that is delayed or loses writes of the first."""
+
+        async def check(cluster: Cluster) -> None:
+            await self.write_some(cluster)
+            first = cluster.record.primary
+            await cluster.network.kill(cluster.address(first))
+            await cluster.until_writable(cluster.other_proxy())
+            second = cluster.record.primary
+            await cluster.network.restart(cluster.address(first))
+            await asyncio.sleep(2.0)
+            await cluster.network.kill(cluster.address(second))
+            gap_s = await cluster.until_writable(cluster.other_proxy())
+            self.assertLess(gap_s, MAX_GAP_S)
+            self.assertNotEqual(second, cluster.record.primary)
+
+        self.run_cluster(check)
+
+    def test_partitioned_primary_confirms_nothing(self) -> None:
+        """Guards against an acknowledgement by a primary that a client still reaches."""
+
+        async def check(cluster: Cluster) -> None:
+            await self.write_some(cluster)
+            old = cluster.record.primary
+            client = cluster.other_proxy()
+            others = [proxy for proxy in cluster.proxies if proxy is not client]
+            cluster.network.isolate(cluster.address(old), [proxy.vm for proxy in others])
+            # The client's own records are cut off too, so only the check can stop it.
+            client.configuration.isolated = True
+            record = client.groups.record(GROUP)
+            results = []
+            gap = asyncio.ensure_future(cluster.until_writable(others[0]))
+            while len(results) < 40:
+                written = await client.write(f"old-{len(results)}", needs_replica=False)
+                opened = others[0].groups.record(GROUP)
+                results.append((written, opened.term > record.term and opened.is_open))
+                await asyncio.sleep(0.1)
+            self.assertLess(await gap, MAX_GAP_S)
+            ran = [written.missing for written, opened in results if written and opened]
+            self.assertEqual({UncertaintyReason.TERM_NOT_CONFIRMED}, set(ran))
+            client.configuration.isolated = False
+
+        self.run_cluster(check)
+
+    def test_primary_and_one_replica_link_cut(self) -> None:
+        """Guards against a check that counts a replica fenced for another term.
+
+        The proxy that still writes to the old primary reaches only one replica.
+        """
+
+        async def check(cluster: Cluster) -> None:
+            await self.write_some(cluster)
+            old = cluster.record.primary
+            client = cluster.other_proxy()
+            others = [proxy for proxy in cluster.proxies if proxy is not client]
+            replica = next(name for name in NAMES if name != old)
+            cluster.network.isolate(cluster.address(old), [proxy.vm for proxy in others])
+            cluster.network.cut.add((client.vm, cluster.address(replica)))
+            client.configuration.isolated = True
+            self.assertLess(await cluster.until_writable(others[0]), MAX_GAP_S)
+            written = await client.write("late", needs_replica=False)
+            self.assertEqual(UncertaintyReason.TERM_NOT_CONFIRMED, written.missing)
+            client.configuration.isolated = False
+
+        self.run_cluster(check)
+
+    def test_returning_primary_with_a_longer_log_is_truncated(self) -> None:
+        """Guards against unreplicated entries of an old primary that come back."""
+
+        async def check(cluster: Cluster) -> None:
+            await self.write_some(cluster)
+            old = cluster.record.primary
+            client = cluster.other_proxy()
+            cluster.network.isolate(cluster.address(old), [])
+            for number in range(8):
+                await client.run_write(f"unreplicated-{number}")
+            await cluster.network.kill(cluster.address(old))
+            await cluster.until_writable(client)
+            cluster.network.heal()
+            await cluster.network.restart(cluster.address(old))
+            await cluster.until(
+                lambda: cluster.keys(old) == cluster.keys(cluster.record.primary), limit_s=4.0
+            )
+            self.assertNotIn("unreplicated-0", cluster.keys(old))
+            self.assertTrue(client.groups.position_is_lost(GROUP, term=1, position=12))
+            self.assertFalse(client.groups.position_is_lost(GROUP, term=1, position=5))
+
+        self.run_cluster(check)
+
+    def test_replication_silence_replaces_a_primary_that_answers(self) -> None:
+        """Guards against a primary that only its replicas cannot reach and no write survives."""
+
+        async def check(cluster: Cluster) -> None:
+            await self.write_some(cluster)
+            old = cluster.record.primary
+            cluster.network.isolate(cluster.address(old), [])
+            await cluster.until(lambda: cluster.is_settled(after_term=1), limit_s=10.0)
+            self.assertNotEqual(old, cluster.record.primary)
+            await cluster.until_writable(cluster.other_proxy())
+
+        self.run_cluster(check)
+
+    def test_supervisor_alone_cut_off_does_not_promote(self) -> None:
+        """Guards against a promotion because of the supervisor's own link."""
+
+        async def check(cluster: Cluster) -> None:
+            supervisor = cluster.supervisor()
+            cluster.network.cut.add((supervisor.vm, cluster.address(cluster.record.primary)))
+            await asyncio.sleep(5.0)
+            self.assertEqual(1, cluster.record.term)
+            self.assertLess(0, supervisor.telemetry.read("suspicions_rejected"))
+
+        self.run_cluster(check)
+
+    def test_no_promotion_without_another_vantage_point(self) -> None:
+        """Guards against a supervisor that trusts its own view when no one answers."""
+
+        async def check(cluster: Cluster) -> None:
+            supervisor = cluster.supervisor()
+            cluster.peers.isolate(supervisor.transport.address)
+            cluster.network.cut.add((supervisor.vm, cluster.address(cluster.record.primary)))
+            await asyncio.sleep(5.0)
+            self.assertEqual(1, cluster.record.term)
+
+        self.run_cluster(check)
+
+    def test_minority_does_not_promote(self) -> None:
+        """Guards against a term that opens while it can't be completed."""
+
+        async def check(cluster: Cluster) -> None:
+            await self.write_some(cluster)
+            for name in NAMES[:2]:
+                await cluster.network.kill(cluster.address(name))
+            await asyncio.sleep(5.0)
+            self.assertEqual(1, cluster.record.term)
+            await cluster.network.restart(cluster.address(NAMES[0]))
+            await cluster.until_writable(cluster.other_proxy())
+
+        self.run_cluster(check)
+
+
+class SupervisionTest(FailoverTestCase):
+    def test_store_outage_stops_promotions_but_not_writes(self) -> None:
+        """Guards against writes that depend on the store, and a promotion without it."""
+
+        async def check(cluster: Cluster) -> None:
+            for proxy in cluster.proxies:
+                proxy.store.down = True
+            await asyncio.sleep(120.0)
+            await self.write_some(cluster)
+            await cluster.network.kill(cluster.address(cluster.record.primary))
+            await asyncio.sleep(30.0)
+            self.assertEqual(1, cluster.record.term)
+            for proxy in cluster.proxies:
+                proxy.store.down = False
+            gap_s = await cluster.until_writable(cluster.other_proxy())
+            self.assertLess(gap_s, MAX_GAP_S)
+
+        self.run_cluster(check)
+
+    def test_steady_state_makes_no_store_calls(self) -> None:
+        """Guards against a load on the store that grows with the number of databases."""
+
+        async def check(cluster: Cluster) -> None:
+            await asyncio.sleep(1.0)
+            before = cluster.table.calls.total()
+            await self.write_some(cluster)
+            await asyncio.sleep(60.0)
+            self.assertEqual(before, cluster.table.calls.total())
+
+        self.run_cluster(check)
+
+    def test_two_supervisors_at_once(self) -> None:
+        """Guards against harm from divergent membership: each proxy supervises."""
+
+        async def check(cluster: Cluster) -> None:
+            await self.write_some(cluster)
+            for proxy in cluster.proxies:
+                others = [m for m in cluster.members if m.vm != proxy.vm]
+                suspects = [type(m)(**{**vars(m), "state": "suspect"}) for m in others]
+                proxy.membership.known = [proxy.membership.local, *suspects]
+            await asyncio.sleep(1.0)
+            self.assertTrue(all(proxy.groups.supervised() for proxy in cluster.proxies))
+            await cluster.network.kill(cluster.address(cluster.record.primary))
+            gap_s = await cluster.until_writable(cluster.proxies[0])
+            self.assertLess(gap_s, MAX_GAP_S)
+            await asyncio.sleep(5.0)
+            self.assertLessEqual(cluster.record.term, 3)
+
+        self.run_cluster(check)
+
+    def test_failed_supervisor_is_replaced(self) -> None:
+        """Guards against a group that stays without a primary when both fail together."""
+
+        async def check(cluster: Cluster) -> None:
+            await self.write_some(cluster)
+            supervisor = cluster.supervisor()
+            client = cluster.other_proxy()
+            await cluster.network.kill(cluster.address(cluster.record.primary))
+            await supervisor.groups.stop()
+            supervisor.transport.closed = True
+            for proxy in cluster.proxies:
+                proxy.membership.known = [m for m in cluster.members if m.vm != supervisor.vm]
+            gap_s = await cluster.until_writable(client)
+            self.assertLess(gap_s, MAX_GAP_S)
+
+        self.run_cluster(check)
+
+    def test_hint_reaches_the_supervisor(self) -> None:
+        """Guards against hints that change nothing: the check begins before SUSPECT_AFTER_S."""
+
+        async def check(cluster: Cluster) -> None:
+            await cluster.network.kill(cluster.address(cluster.record.primary))
+            cluster.other_proxy().groups.suspect_primary(GROUP)
+            gap_s = await cluster.until(lambda: cluster.is_settled(after_term=1))
+            self.assertLess(gap_s, 0.5)
+
+        self.run_cluster(check)
+
+    def test_silent_connections_are_replaced(self) -> None:
+        """Guards against a promotion, or a stop of writes, for connections that went silent."""
+
+        async def check(cluster: Cluster) -> None:
+            await self.write_some(cluster)
+            for name in NAMES:
+                for session in cluster.server(name).sessions:
+                    session.silent = session.client.startswith("vm-")
+            await self.write_some(cluster)
+            await asyncio.sleep(5.0)
+            self.assertEqual(1, cluster.record.term)
+
+        self.run_cluster(check)
+
+    def test_drained_primary_hands_over_without_loss(self) -> None:
+        """Guards against a planned change that loses writes or picks the drained instance."""
+
+        async def check(cluster: Cluster) -> None:
+            old = cluster.record.primary
+            client = cluster.other_proxy()
+            for name in NAMES:
+                cluster.server(name).settings.replication_lag_s = 0.05
+            stopped = asyncio.Event()
+            writer = asyncio.ensure_future(write_until(client, stopped))
+            await asyncio.sleep(0.5)
+            drain(cluster, old)
+            await cluster.until(lambda: cluster.record.primary != old, limit_s=5.0)
+            await cluster.until_writable(client)
+            stopped.set()
+            # Even writes that only the primary confirmed are kept by a planned change.
+            lost = await writer - cluster.keys(cluster.record.primary)
+            self.assertEqual(set(), lost)
+
+        self.run_cluster(check)
+
+    def test_drained_instance_is_not_chosen_when_another_is_equal(self) -> None:
+        """Guards against work that a promotion brings to a drained instance."""
+
+        async def check(cluster: Cluster) -> None:
+            await self.write_some(cluster)
+            old = cluster.record.primary
+            drained = next(name for name in NAMES if name != old)
+            drain(cluster, drained)
+            await asyncio.sleep(1.0)
+            await cluster.network.kill(cluster.address(old))
+            await cluster.until_writable(cluster.other_proxy())
+            self.assertNotIn(cluster.record.primary, (old, drained))
+
+        self.run_cluster(check)
+
+
+def drain(cluster: Cluster, name: str) -> None:
+    for configuration in cluster.configurations:
+        configuration.service = drain_server(configuration.service, name)
+        configuration.notify("service")
+
+
+async def write_until(proxy: Proxy, stopped: asyncio.Event) -> set[str]:
+    confirmed: set[str] = set()
+    number = 0
+    while not stopped.is_set():
+        number += 1
+        written = await proxy.write(f"w-{number}", needs_replica=False)
+        if written is not None and written.missing is None:
+            confirmed.add(written.key)
+        await asyncio.sleep(0.005)
+    return confirmed
