Test promotion steps, write confirmation and random interleavings

A test found that a lane was dropped as idle before its first write joined, so that a replica got a second request at the same time; a write now joins when the lane is made.

--- a/lentilring/failover/confirmation.py
+++ b/lentilring/failover/confirmation.py
@@ -183,9 +183,7 @@
 
     async def _ask_instances(self, check: WriteCheck, timeout_s: float) -> None:
         asked = [server for server in check.group.servers if server.name not in check.accepted]
-        lanes = [self._lane(server, check) for server in asked]
-        for lane in lanes:
-            lane.join(check)
+        lanes = [self._join_lane(server, check) for server in asked]
         try:
             async with asyncio.timeout(timeout_s):
                 await check.ended.wait()
@@ -195,7 +193,7 @@
             for lane in lanes:
                 lane.leave(check)
 
-    def _lane(self, server: GroupServer, check: WriteCheck) -> _Lane:
+    def _join_lane(self, server: GroupServer, check: WriteCheck) -> _Lane:
         key = (server.address, check.term, check.needs_replica)
         if key not in self._lanes:
             self._lanes = {old: lane for old, lane in self._lanes.items() if not lane.is_idle}
@@ -205,4 +203,5 @@
                 for_position=check.needs_replica,
                 controls=self._controls,
             )
+        self._lanes[key].join(check)
         return self._lanes[key]
