--- a/tests/limit_fleet.py
+++ b/tests/limit_fleet.py
@@ -111,6 +111,7 @@
         )
         clock.gate = self.store.gate = self.transport.gate = self.gate
         self.telemetry = Telemetry()
+        self.accounts, self.shares = dict(fleet.accounts), fleet.shares
         self.service = LimitService(
             clock=clock,
             random=Random(f"{fleet.seed}-{member.vm}-{member.incarnation}"),
@@ -118,9 +119,9 @@
             transport=self.transport,
             telemetry=self.telemetry,
             membership=self,
-            find_account=fleet.accounts.get,
-            limit_settings=lambda: LimitSettings(shares=fleet.shares),
-            list_accounts=lambda: tuple(fleet.accounts.values()),
+            find_account=lambda name: self.accounts.get(name),
+            limit_settings=lambda: LimitSettings(shares=self.shares),
+            list_accounts=lambda: tuple(self.accounts.values()),
             lease_duration_s=fleet.lease_duration_s,
             lease_margin_s=fleet.lease_margin_s,
             clock_tolerance=fleet.clock_tolerance,
@@ -186,6 +187,7 @@
         self.arrivals: dict[str, list[tuple[float, bool]]] = defaultdict(list)
         self.tasks: set[asyncio.Task[Any]] = set()
         self.proxies: list[Proxy] = []
+        self.ended: list[Proxy] = []  # kept, or the garbage collector would end their tasks
         for number in range(proxies):
             member = LimitMember(
                 vm=f"vm{number}",
@@ -231,6 +233,7 @@
         """Start a new process on the VM of one that was killed."""
         old = self.proxies[index].member
         proxy = self.add_proxy(replace(old, incarnation=old.incarnation + 1))
+        self.ended.append(self.proxies[index])
         self.proxies[index] = proxy
         await proxy.service.start()
         return proxy
@@ -241,10 +244,21 @@
     def find_busiest_holder(self) -> Proxy:
         return max(self.proxies, key=lambda entry: len(entry.service.lender.tenures))
 
+    def configure(self, *, account: ClientAccount | None = None, shares: int = 0) -> None:
+        """Change the configuration, which reaches the proxies one after the other within 2 s."""
+        if account is not None:
+            self.accounts[account.name] = account
+        self.shares = shares or self.shares
+        for number, proxy in enumerate(self.proxies):
+            self.later(2.0 * number / len(self.proxies), self._apply, proxy)
+
+    def _apply(self, proxy: Proxy) -> None:
+        proxy.accounts, proxy.shares = dict(self.accounts), self.shares
+
     async def request(self, proxy: Proxy, name: str, *, timeout_s: float = 1.0) -> NotRun | None:
         """Send one request to a proxy and log how it ends."""
         arrived = self.now
-        outcome = await proxy.service.acquire(self.accounts[name], timeout_s=timeout_s)
+        outcome = await proxy.service.acquire(proxy.accounts[name], timeout_s=timeout_s)
         if outcome is None:
             self.admitted[name].append(self.now)
         else:
@@ -274,13 +288,13 @@
     async def finish(self) -> None:
         await asyncio.sleep(2)
 
-    def find_excess(self, *, rate_factor: float = 1.0) -> float:
-        """Return the worst excess over all accounts and windows, in tokens."""
+    def find_excess(self, *, burst: float = 0.0, after: float = 0.0) -> float:
+        """Return the worst excess over all accounts and windows from a time on, in tokens."""
         return max(
             find_excess(
-                [(time, 1.0) for time in times],
-                rate=self.accounts[name].rate_per_s * rate_factor,
-                burst=self.accounts[name].burst,
+                [(time, 1.0) for time in times if time >= after],
+                rate=self.accounts[name].rate_per_s,
+                burst=burst or self.accounts[name].burst,
             )
             for name, times in self.admitted.items()
         )
