Test guards of the backend server stand-in that no test covered

Removing each guard once showed four without a failing test: waiting for a matched log, replaying a commit only from a commit's record, closing after a mismatched answer, and cutting the log when a server leads. Each removal now fails a test.

--- a/tests/test_database_connections.py
+++ b/tests/test_database_connections.py
@@ -263,6 +263,7 @@
                 return_exceptions=True,
             )
             self.assertIsInstance(outcome[0], BackendAnswerLost)
+            self.assertIn("connection closed", str(outcome[0]))
             self.assertFalse(connection.usable)
             self.assertEqual(1, telemetry.read("backend_answers_dropped", reason="mismatched"))
             listener.close()
--- a/tests/test_database_terms.py
+++ b/tests/test_database_terms.py
@@ -79,7 +79,8 @@
             a.follow(Follow(term=3, primary_address=C, start_position=6))
             waiting = await a.await_position(AwaitPosition(term=3, position=3, wait_s=0.0))
             self.assertEqual((True, 0), (waiting.accepted, waiting.position))
-            await asyncio.sleep(CATCH_UP_S)
+            status = await a.await_position(AwaitPosition(term=3, position=3, wait_s=CATCH_UP_S))
+            self.assertEqual(6, status.position)
             self.assertEqual(c.log.entries, a.log.entries)
             self.assertEqual({"n": 6}, a.log.maps["khaima"])
 
@@ -212,6 +213,17 @@
 
         self.run_on_group(check)
 
+    def test_lead_cuts_entries_past_the_start(self) -> None:
+        """Guards against a primary whose own log goes past the recorded start of its term."""
+
+        async def check(network: BackendNetwork, a: DatabaseServer, *_: DatabaseServer) -> None:
+            await write(a, add(1))
+            await write(a, add(1))
+            self.assertEqual(1, a.lead(Lead(term=2, start_position=1)).position)
+            self.assertEqual({"n": 1}, a.log.maps["khaima"])
+
+        self.run_on_group(check)
+
     def test_await_position_ends_as_soon_as_the_term_is_greater(self) -> None:
         """Guards against a confirmation wait that lasts to its time-out after a failover."""
 
--- a/tests/test_database_transactions.py
+++ b/tests/test_database_transactions.py
@@ -76,6 +76,9 @@
             self.assertEqual({"n": 1}, a.log.maps["khaima"])
             single = await write(a, add(1), idempotency_key="i1")
             self.assertEqual(StatementStatus.KEY_REUSED, single.status)
+            await write(a, add(1), idempotency_key="i2")
+            bare = await run(a, a_session(), Action.COMMIT, idempotency_key="i2")
+            self.assertEqual(StatementStatus.REJECTED, bare.status)
 
         self.run_on_group(check)
 
