--- a/lentilring/cli/standin.py
+++ b/lentilring/cli/standin.py
@@ -13,6 +13,7 @@
 from ..standin.objects import ObjectTable
 from ..standin.platform import PlatformServer
 from ..telemetry.log import Log, write_logs
+from . import standin_database
 
 DRAIN_DEADLINE_S = 2.0
 
@@ -24,6 +25,7 @@
 log = Log(source="standin")
 
 # Subcommands of other modules are added here: application.add_typer(standin_<name>.app)
+application.add_typer(standin_database.app)
 
 
 class ExitCode(IntEnum):
--- a/lentilring/standin/database_admin.py
+++ b/lentilring/standin/database_admin.py
@@ -77,6 +77,7 @@
                 "status": asdict(database.report_status()),
                 "faults": asdict(database.faults),
                 "settings": asdict(database.settings),
+                "received": len(database.journal.received),
                 "executed": len(database.journal.executed),
             }
         )
