Keep the stand-in's terms and log in an optional state file

A backend server has a disk. Without the file a restarted server process forgets the term it was fenced at and could confirm a term that has ended.

--- a/lentilring/cli/standin_database.py
+++ b/lentilring/cli/standin_database.py
@@ -4,6 +4,7 @@
 import signal
 from dataclasses import dataclass
 from enum import IntEnum
+from pathlib import Path
 from typing import Annotated
 
 import typer
@@ -13,6 +14,7 @@
 from ..standin.database import DatabaseServer, ServerSettings
 from ..standin.database_admin import DatabaseAdmin
 from ..standin.database_server import DatabaseListener, TcpReplicationLink
+from ..standin.storage import StateFile
 from ..telemetry.log import Log, write_logs
 from ..telemetry.metrics import Telemetry
 
@@ -40,6 +42,7 @@
     role: Role
     term: int
     primary: str
+    state_file: Path | None
     settings: ServerSettings
 
 
@@ -107,12 +110,20 @@
             help="Address of the primary that a replica follows at the start, ip:port.",
         ),
     ] = "",
+    state_file: Annotated[
+        Path | None,
+        typer.Option(
+            envvar=f"{PREFIX}STATE_FILE",
+            help="File that keeps terms and log across restarts. Without it a restarted server "
+            "forgets its promises, and acknowledged writes can be lost.",
+        ),
+    ] = None,
     log_level: Annotated[
         str,
         typer.Option(envvar=f"{PREFIX}LOG_LEVEL", help="debug, info, warning or error."),
     ] = "info",
 ) -> None:
-    """Run a backend server: a replicated key-value store that keeps everything in memory.
+    """Run a backend server: a replicated key-value store in memory, with an optional state file.
 
     The administration interface takes faults at run time: POST /faults with a JSON object of
     delay_s, silence (none, existing, all), pause_replication, refuse_connections,
@@ -130,6 +141,7 @@
         role=role,
         term=term,
         primary=primary,
+        state_file=state_file,
         settings=ServerSettings(
             slots=slots,
             connection_limit=connections,
@@ -169,6 +181,7 @@
         term=options.term,
         role=options.role,
         primary_address=options.primary if options.role is Role.REPLICA else "",
+        state=StateFile(path=options.state_file) if options.state_file else None,
     )
     kernel = Kernel()
     kernel.register("admin", DatabaseAdmin(server=server, address=options.admin))
--- a/lentilring/standin/database.py
+++ b/lentilring/standin/database.py
@@ -16,6 +16,7 @@
 """
 
 import asyncio
+import math
 from dataclasses import dataclass, replace
 from functools import singledispatch
 
@@ -41,6 +42,7 @@
 from .messages import LogEntry, PulledEntries, PullEntries
 from .replication import Replication, ReplicationLink
 from .sessions import Faults, NoAnswer, Session, Silence
+from .storage import Appended, StateFile, TermBegun, Terms, Truncated
 
 # Rounding can make an entry appear old enough in one comparison and too young in another; waiting
 # at least this long keeps the pull from spinning.
@@ -74,6 +76,7 @@
         term: int = 1,
         role: Role = Role.REPLICA,
         primary_address: str = "",
+        state: StateFile | None = None,
     ) -> None:
         self.name = name
         self.settings = settings or ServerSettings()
@@ -93,7 +96,33 @@
         self.stops = 0
         self._executor = StatementExecutor(server=self)
         self._changed = asyncio.Event()
-        self.log.begin_term(term, 0)
+        self._state = state
+        self._restore()
+
+    def _restore(self) -> None:
+        """Continue with the stored terms and log; the constructor's terms are for a new file."""
+        records = self._state.load() if self._state is not None else []
+        for record in records:
+            restore_record(record, self)
+        if self._state is not None:
+            self.log.recorder = self._state.write
+        if not records:
+            self.log.begin_term(self.term, 0)
+            self.save_terms()
+
+    def save_terms(self) -> None:
+        """Store the terms before they are answered: a fence is a promise that must last."""
+        if self._state is None:
+            return
+        self._state.write(
+            Terms(
+                term=self.term,
+                led_term=self.led_term,
+                matched_term=self.matched_term,
+                primary_address=self.replication.primary_address,
+                start_position=self.replication.start_position,
+            )
+        )
 
     @property
     def is_primary(self) -> bool:
@@ -169,6 +198,7 @@
             self.replication.note_contact()
         self.term = term
         self.replication.forget_primary()
+        self.save_terms()
         for session in self.sessions:
             if session.transaction is not None:
                 session.transaction.aborted = True
@@ -191,6 +221,7 @@
         self._cut(self.log.find_divergence(request.term, request.start_position))
         self.led_term = self.matched_term = request.term
         self.log.begin_term(request.term, request.start_position)
+        self.save_terms()
         log.info("leads", server=self.name, term=self.term, position=self.log.position)
         self.notify()
         return self.report_status()
@@ -202,6 +233,7 @@
             return self._refuse_command("follow")
         self._cut(self.log.find_divergence(request.term, request.start_position))
         self.replication.follow(request.primary_address, request.start_position)
+        self.save_terms()
         self.notify()
         return self.report_status()
 
@@ -342,6 +374,35 @@
         return min(remaining, max(MIN_WAIT_S, age_left))
 
 
+@singledispatch
+def restore_record(record: object, server: DatabaseServer) -> None:
+    """Repeat the change of a stored record."""
+
+
+@restore_record.register
+def _(record: Terms, server: DatabaseServer) -> None:
+    server.term = record.term
+    server.led_term = record.led_term
+    server.matched_term = record.matched_term
+    server.replication.primary_address = record.primary_address
+    server.replication.start_position = record.start_position
+
+
+@restore_record.register
+def _(record: Appended, server: DatabaseServer) -> None:
+    server.log.append(record.entry, now=-math.inf)
+
+
+@restore_record.register
+def _(record: Truncated, server: DatabaseServer) -> None:
+    server.log.truncate(record.position)
+
+
+@restore_record.register
+def _(record: TermBegun, server: DatabaseServer) -> None:
+    server.log.begin_term(record.start.term, record.start.position)
+
+
 @singledispatch
 async def answer_request(request: object, server: DatabaseServer, session: Session) -> object:
     """Answer one request; a type without a handler gets none."""
--- a/lentilring/standin/entries.py
+++ b/lentilring/standin/entries.py
@@ -1,12 +1,14 @@
 """The log of a backend server stand-in and the maps and idempotency records built from it."""
 
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ..database.messages import Action, TermStart
 from ..outcomes import JsonValue
 from .messages import LogEntry
 from .statements import decode_operations, evaluate
+from .storage import Appended, Record, TermBegun, Truncated
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -30,6 +32,7 @@
         self.maps: defaultdict[str, dict[str, JsonValue]] = defaultdict(dict)
         self._appended_at: list[float] = []
         self._records: dict[tuple[str, str], int] = {}
+        self.recorder: Callable[[Record], None] | None = None
 
     @property
     def position(self) -> int:
@@ -46,6 +49,7 @@
         self.entries.append(entry)
         self._appended_at.append(now)
         self._apply(entry)
+        self._record(Appended(entry=entry))
         return self.position
 
     def begin_term(self, term: int, start_position: int) -> None:
@@ -56,7 +60,9 @@
         """
         newest = self.term_starts[-1].term if self.term_starts else 0
         if term > newest and self.position >= start_position:
-            self.term_starts.append(TermStart(term=term, position=start_position))
+            start = TermStart(term=term, position=start_position)
+            self.term_starts.append(start)
+            self._record(TermBegun(start=start))
 
     def find_record(self, client_account: str, idempotency_key: str) -> RecordedWrite | None:
         """Return the write that was recorded under a key of an account."""
@@ -97,6 +103,7 @@
         for entry in kept:
             self.entries.append(entry)
             self._apply(entry)
+        self._record(Truncated(position=position))
         return dropped
 
     def read_after(self, position: int, *, limit: int, appended_by: float) -> tuple[LogEntry, ...]:
@@ -111,6 +118,10 @@
         """Return when the entry at a position was appended, None if there is none yet."""
         return self._appended_at[position - 1] if position <= self.position else None
 
+    def _record(self, record: Record) -> None:
+        if self.recorder is not None:
+            self.recorder(record)
+
     def _apply(self, entry: LogEntry) -> None:
         table = self.maps[entry.client_account]
         table.update(evaluate(decode_operations(entry.operations), table).changes)
--- a/lentilring/standin/replication.py
+++ b/lentilring/standin/replication.py
@@ -42,7 +42,7 @@
         self.primary_address = primary_address
         self._server = server
         self._link = link
-        self._start_position = 0
+        self.start_position = 0
         self._heard_at: float | None = None
         # Each change of the primary starts a new epoch; answers of older epochs are discarded.
         self._epoch = 0
@@ -74,7 +74,7 @@
         if self.primary_address == primary_address and self._tasks:
             return
         self.primary_address = primary_address
-        self._start_position = start_position
+        self.start_position = start_position
         self.start()
 
     def forget_primary(self) -> None:
@@ -133,8 +133,10 @@
         if not pulled.matched:
             server.cut_at_divergence(pulled)
             return
-        server.matched_term = server.term
+        if server.matched_term != server.term:
+            server.matched_term = server.term
+            server.save_terms()
         for entry in () if server.faults.pause_replication else pulled.entries:
             server.append(entry)
-        server.log.begin_term(server.term, self._start_position)
+        server.log.begin_term(server.term, self.start_position)
         server.notify()
