--- a/tests/test_database_storage.py
+++ b/tests/test_database_storage.py
@@ -1,6 +1,5 @@
 """Tests of the state file of the backend server stand-in."""
 
-import asyncio
 import tempfile
 from pathlib import Path
 
@@ -60,13 +59,13 @@
             await promote([b, c], leader=b, address=B, term=2)
             await write(b, add(1), term=2)
             a.follow(Follow(term=2, primary_address=B, start_position=0))
+            self.assertEqual(B, self.restart().replication.primary_address)
             await a.await_position(AwaitPosition(term=2, position=1, wait_s=5.0))
             again = self.restart()
             self.assertEqual(b.log.entries, again.log.entries)
             self.assertEqual({"n": 1}, again.log.maps["khaima"])
             self.assertEqual(a.report_status().log_terms, again.report_status().log_terms)
             self.assertEqual((2, B), (again.matched_term, again.replication.primary_address))
-            await asyncio.sleep(0)
 
         run_virtual(body())
 
