--- a/lentilring/cli/standin.py
+++ b/lentilring/cli/standin.py
@@ -24,6 +24,7 @@
 )
 log = Log(source="standin")
 
+# Subcommands of other modules are added here: application.add_typer(standin_<name>.app)
 application.add_typer(standin_database.app)
 
 
