--- a/lentilring/http/bridge.py
+++ b/lentilring/http/bridge.py
@@ -101,8 +101,8 @@
 
     The server's own reader waits for the whole size, with a new time-out for each byte.
     """
-    buffered = getattr(source, "rfile", None)
-    if not hasattr(buffered, "read1") or not hasattr(source, "remaining"):
+    buffered: Any = getattr(source, "rfile", None)
+    if buffered is None or not hasattr(buffered, "read1"):
         part: bytes = source.read(size)
         return part
     part = buffered.read1(min(size, source.remaining))
