--- /dev/null
+++ b/lentilring/configuration/service.py
@@ -0,0 +1,164 @@
+"""The configuration service: what is in force on the local node, and whether it is fresh."""
+
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import cast
+
+from ..clock import Clock
+from ..kernel import Service
+from ..membership.service import MembershipService
+from ..peers.transport import PeerTransport
+from ..platform.store import Kind, Store, StoredObject
+from ..telemetry.log import Log
+from ..telemetry.metrics import Telemetry
+from . import models
+from .distribution import Distributor
+from .drain import DrainView
+from .freshness import Freshness
+from .models import ClientAccount, DrainState, LimitSettings, hash_key
+from .parsing import ConfigurationRegistry
+
+WITHDRAWAL_BOUND_S = 3.0
+LIMIT_SETTINGS_NAME = "limit-settings"
+
+log = Log(source="configuration")
+
+
+class ConfigurationService(Service):
+    """Answer from the local copy of the configuration."""
+
+    def __init__(
+        self,
+        *,
+        membership: MembershipService,
+        clock: Clock,
+        random: Random,
+        transport: PeerTransport,
+        store: Store,
+        telemetry: Telemetry,
+        withdrawal_bound_s: float = WITHDRAWAL_BOUND_S,
+    ) -> None:
+        self._membership = membership
+        self._clock = clock
+        self._telemetry = telemetry
+        self._withdrawal_bound_s = withdrawal_bound_s
+        self._registry = ConfigurationRegistry(telemetry=telemetry)
+        self._freshness = Freshness()
+        self._distributor = Distributor(
+            registry=self._registry,
+            freshness=self._freshness,
+            apply=self._apply,
+            membership=membership,
+            clock=clock,
+            random=random,
+            transport=transport,
+            store=store,
+            telemetry=telemetry,
+        )
+        self._callbacks: list[Callable[[StoredObject], None]] = []
+
+    @property
+    def revision(self) -> int:
+        """Return the revision up to which the local node has all changes."""
+        return self._freshness.revision
+
+    async def start(self) -> None:
+        """Load the configuration and begin to follow its changes."""
+        await self._distributor.start()
+
+    async def stop(self) -> None:
+        """End background work."""
+        self._distributor.stop()
+
+    def find_account_by_key(self, key: str) -> ClientAccount | None:
+        """Return the client account of a caller's key."""
+        return self._registry.find_owner(hash_key(key))
+
+    def account(self, name: str) -> ClientAccount | None:
+        """Return a client account, or None when it or its template is missing."""
+        return self._registry.account(name)
+
+    def accounts(self) -> tuple[ClientAccount, ...]:
+        """Return all client accounts in force."""
+        return self._registry.accounts()
+
+    def service(self, name: str) -> models.Service | None:
+        """Return a service."""
+        return cast(models.Service | None, self._registry.model(Kind.SERVICE, name))
+
+    def services(self) -> tuple[models.Service, ...]:
+        """Return all services."""
+        return cast(tuple[models.Service, ...], self._registry.models(Kind.SERVICE))
+
+    def failure_domain_state(self, name: str) -> DrainState:
+        """Return the state that operators gave a failure domain; in service by default."""
+        return self.drain_view().failure_domain_state(name)
+
+    def drain_view(self) -> DrainView:
+        """Return which failure domains are drained."""
+        return DrainView.of(self._registry.models(Kind.FAILURE_DOMAIN))
+
+    def limit_settings(self) -> LimitSettings:
+        """Return the settings of the rate limits; defaults when none are stored."""
+        found = self._registry.model(Kind.LIMIT_SETTINGS, LIMIT_SETTINGS_NAME)
+        return cast(LimitSettings, found or LimitSettings())
+
+    def stored(self, kind: str, name: str) -> StoredObject | None:
+        """Return the newest version known of an object; its value is None once deleted."""
+        return self._registry.stored(kind, name)
+
+    def is_fresh(self) -> bool:
+        """Tell whether no change older than the withdrawal bound can be missing here.
+
+        During an outage of the store there are no changes; a majority must agree that it is one.
+        """
+        age_s = self._clock.monotonic() - self._freshness.fresh_as_of
+        if age_s <= self._withdrawal_bound_s:
+            return True
+        has_everything = self.revision > 0 and not self._distributor.is_behind()
+        return has_everything and self._membership.store_is_down()
+
+    def accept(self, objects: Iterable[StoredObject]) -> None:
+        """Apply changes that the local node made in the store, and announce them."""
+        head = self._registry.head
+        self._apply(objects)
+        if self._registry.head > head:
+            self._distributor.push()
+
+    def in_force(self, revision: int) -> tuple[tuple[str, ...], tuple[str, ...]]:
+        """Return the VMs that confirmed a revision and those that have not."""
+        confirmed: list[str] = []
+        missing: list[str] = []
+        for member in self._membership.known():
+            has_it = member.is_running and self._membership.revision_of(member) >= revision
+            (confirmed if has_it else missing).append(member.vm)
+        return tuple(sorted(confirmed)), tuple(sorted(missing))
+
+    def subscribe(self, callback: Callable[[StoredObject], None]) -> None:
+        """Call back with each newer version of an object."""
+        self._callbacks.append(callback)
+
+    def _apply(self, objects: Iterable[StoredObject]) -> None:
+        for changed in objects:
+            if not self._registry.apply(changed):
+                continue
+            log.info(
+                "object_changed",
+                kind=changed.kind,
+                name=changed.name,
+                version=changed.version,
+                revision=changed.revision,
+                deleted=changed.value is None,
+            )
+            self._notify(changed)
+
+    def _notify(self, changed: StoredObject) -> None:
+        """Call the subscribers; a failure in one must not keep changes from the others."""
+        for callback in self._callbacks:
+            try:
+                callback(changed)
+            except Exception as error:
+                self._telemetry.count("configuration_callback_failures")
+                log.error(
+                    "callback_failed", kind=changed.kind, name=changed.name, error=repr(error)
+                )
--- a/lentilring/membership/gossip.py
+++ b/lentilring/membership/gossip.py
@@ -19,7 +19,7 @@
 )
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
-from .member import Member, MemberState
+from .member import UNKNOWN_INCARNATION, Member, MemberState
 from .messages import Gossip, IndirectProbe, Probe, ProbeAnswer, SyncReply, SyncRequest
 from .sizes import MAX_PAYLOAD_BYTES, estimate_size
 from .status import StatusTable
@@ -44,6 +44,9 @@
 # A step that is later than this shows that the process was paused; its time-outs prove nothing.
 STALL_S = 0.5
 LEAVE_FANOUT = 8
+# A node repeats the suspicions that it raised to the suspects themselves, because the datagrams
+# that spread them may all have been lost.
+REPEATED_SUSPICIONS = 8
 
 log = Log(source="membership")
 
@@ -70,6 +73,7 @@
         self._sequence = 0
         self._answers: dict[int, tuple[set[str], asyncio.Event]] = {}
         self._suspected_at: dict[str, tuple[int, float]] = {}
+        self._own_suspects: set[str] = set()
         self._probe_order: list[str] = []
         self._syncing: set[str] = set()
         self._prompted_sync_at = -math.inf
@@ -168,7 +172,8 @@
             self._start_suspicion(record)
         elif record.vm in self._suspected_at and record.state is not MemberState.LEAVING:
             del self._suspected_at[record.vm]
-        if previous is None or previous.state is not record.state:
+        contacted = record.incarnation != UNKNOWN_INCARNATION
+        if contacted and (previous is None or previous.state is not record.state):
             log.info(
                 "member_changed",
                 vm=record.vm,
@@ -194,6 +199,7 @@
         while True:
             started = self._clock.monotonic()
             self._probe_next()
+            self._repeat_suspicions()
             await self._clock.sleep(PROBE_INTERVAL_S)
             elapsed = self._clock.monotonic() - started
             if elapsed > PROBE_INTERVAL_S + STALL_S:
@@ -249,11 +255,30 @@
         if current is None or current.precedence != target.precedence:
             return
         if current.state is MemberState.LIVE:
-            self.table.claim_state(current, MemberState.SUSPECT)
+            self.suspect(current)
         elif current.state is MemberState.LEAVING:
             # A suspect is usable for placement, so a leaving member never becomes one.
             self._start_suspicion(current)
 
+    def suspect(self, member: Member) -> None:
+        """Claim that a member does not answer; it is dead unless it denies that in time."""
+        self._own_suspects.add(member.vm)
+        self.table.claim_state(member, MemberState.SUSPECT)
+
+    def _repeat_suspicions(self) -> None:
+        records = self.table.records
+        self._own_suspects = {
+            vm
+            for vm in self._own_suspects
+            if vm in records and records[vm].state is MemberState.SUSPECT
+        }
+        count = min(REPEATED_SUSPICIONS, len(self._own_suspects))
+        for vm in self._random.sample(sorted(self._own_suspects), count):
+            self._spawn(self._ping_quietly(records[vm]))
+
+    async def _ping_quietly(self, target: Member) -> None:
+        await self._ping(target.vm, target.address)
+
     def _clear_leaving(self, target: Member) -> None:
         """End the unpublished suspicion of a leaving member that answered."""
         if target.state is MemberState.LEAVING:
@@ -261,7 +286,7 @@
 
     async def _ping(self, vm: str, address: str) -> bool:
         sequence = self._next_sequence()
-        probe = Probe(sequence=sequence, target_vm=vm, updates=self._updates())
+        probe = Probe(sequence=sequence, target_vm=vm, updates=self._claim(vm) + self._updates())
         self._transport.send_datagram(address, probe)
         return await self._await_answer(sequence, {vm}, PROBE_TIMEOUT_S)
 
@@ -327,6 +352,8 @@
         unknown = record is None or record.incarnation < sender.incarnation
         if unknown or (record is not None and _is_wrongly_dead(record, sender)):
             self._prompt_sync(sender.address)
+        elif claim := self._claim(sender.vm):
+            self._transport.send_datagram(sender.address, Gossip(updates=claim))
 
     def _prompt_sync(self, address: str) -> None:
         now = self._clock.monotonic()
@@ -371,6 +398,11 @@
         records = self.table.records.values()
         return [entry for entry in records if not entry.is_running and not entry.is_removed]
 
+    def _claim(self, vm: str) -> tuple[Member, ...]:
+        """Return the record of a member that has something to deny."""
+        record = self.table.records.get(vm)
+        return (record,) if record and record.state is MemberState.SUSPECT else ()
+
     def _updates(self) -> tuple[Member, ...]:
         return self.table.take(budget=MAX_PAYLOAD_BYTES // 2)
 
@@ -384,7 +416,13 @@
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._finish)
+
+    def _finish(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self._telemetry.count("membership_task_failures")
+            log.error("task_failed", error=repr(error))
 
 
 def _is_wrongly_dead(record: Member, sender: Sender) -> bool:
--- a/lentilring/membership/service.py
+++ b/lentilring/membership/service.py
@@ -208,7 +208,12 @@
         else:
             self._dead_since.setdefault(record.vm, self._clock.monotonic())
         for callback in self._callbacks:
-            callback()
+            try:
+                callback()
+            except Exception as error:
+                # A failure in one subscriber must not keep changes from the others.
+                self._telemetry.count("membership_callback_failures")
+                log.error("callback_failed", vm=record.vm, error=repr(error))
 
     async def _find_addresses(self) -> list[str]:
         await self._poll()
--- a/lentilring/standin/objects.py
+++ b/lentilring/standin/objects.py
@@ -64,7 +64,8 @@
             try:
                 await asyncio.wait_for(changed.wait(), remaining)
             except TimeoutError:
-                continue
+                # A remaining time lost in rounding would repeat without the loop's time advancing.
+                return self.list(kinds, after_revision)
 
 
 class LocalStore:
