--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -47,6 +47,12 @@
     term: float
 
 
+@message
+@dataclass(frozen=True, kw_only=True)
+class CodecRenamed:
+    epoch: int = 0
+
+
 def import_all_messages() -> None:
     for entry in pkgutil.walk_packages(lentilring.__path__, "lentilring."):
         if ".cli" not in entry.name and not entry.name.endswith("__main__"):
@@ -70,9 +76,10 @@
                 )
         self.assertGreaterEqual(len(own), 14)
 
-    def test_a_different_type_is_refused(self) -> None:
+    def test_a_different_field_is_refused(self) -> None:
         """Guards against a comparison that accepts any struct of the right name."""
         self.assertRaises(IdlMismatch, encode, CodecMismatch(term=1.0))
+        self.assertRaises(IdlMismatch, encode, CodecRenamed())
 
 
 class RoundTripTest(testtools.TestCase):
@@ -98,6 +105,11 @@
         """Guards against a message with made-up values."""
         self.assertRaises(DecodeFailed, decode, bytes((9,)) + b"TermStart\0")
 
+    def test_text_must_be_utf_8(self) -> None:
+        """Guards against bytes in a field that its users take for text."""
+        name = encode(STATUS).replace(b"\0\0\0\1a", b"\0\0\0\1\xff")
+        self.assertRaises(DecodeFailed, decode, name)
+
     def test_values_out_of_range_are_refused(self) -> None:
         """Guards against a truncated number."""
         self.assertRaises(EncodeFailed, encode, TermStart(term=2**63, position=0))
--- a/tests/test_peer_fuzz.py
+++ b/tests/test_peer_fuzz.py
@@ -110,6 +110,7 @@
             b"\x0f\x00\x09\x0c" + most + b"\0",
             b"\x0b\x00\x09" + most + b"\0",
             b"\x0b\x00\x09\xff\xff\xff\xff\0",
+            b"\x0b\x00\x09\xff\xff\xff\xf9\0",  # length that leads back to the field's start
             b"\x0f\x00\x09\x02\xff\xff\xff\xff\0\0",
             b"\x0c\x00\x09" * 100_000,
             b"\x0f\x00\x09" + b"\x0f\0\0\0\1" * 100_000,
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -243,7 +243,7 @@
             reader, writer = await asyncio.open_connection(host, int(port))
             hello = ConnectionHello(deployment="khaima", nonce=bytes(32))
             writer.write(encode_frame(encode(hello)))
-            large = encode_frame(bytes(MAX_HANDSHAKE_BYTES + 1))
+            large = (MAX_HANDSHAKE_BYTES + 1).to_bytes(4, "big")
             writer.write(large if answer is None else encode_frame(encode(answer)))
             parser = FrameParser()
             parser.feed(await reader.read())
--- a/tests/tests.thrift
+++ b/tests/tests.thrift
@@ -12,3 +12,7 @@
 struct CodecMismatch {
   1: i64 term
 }
+
+struct CodecRenamed {
+  1: i64 term
+}
