--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -77,7 +77,9 @@
             await self.add_proxy(index)
         await self.wait_for_primary()
 
-    async def add_proxy(self, index: int, *, incarnation: int = 1) -> Proxy:
+    async def add_proxy(
+        self, index: int, *, incarnation: int = 1, store_down: bool = False
+    ) -> Proxy:
         """Start a proxy."""
         vm = f"vm-{index}"
         domain = DOMAINS[index % len(DOMAINS)]
@@ -110,12 +112,16 @@
                 transport=proxy.transport,
                 backends=FakeBackends(network=self.backends, source=vm),
             ),
-            identity=ProxyIdentity(local=local),
+            identity=ProxyIdentity(local=local, seeds=self._seeds()),
         )
         self.proxies[vm] = proxy
+        proxy.store.down = store_down
         await proxy.kernel.start()
         return proxy
 
+    def _seeds(self) -> tuple[str, ...]:
+        return tuple(proxy.transport.address for proxy in self.proxies.values())
+
     async def kill_proxy(self, vm: str) -> None:
         """End a proxy without notice: its connections are reset and it answers nothing more."""
         proxy = self.proxies.pop(vm)
