--- a/lentilring/standin/platform.py
+++ b/lentilring/standin/platform.py
@@ -63,10 +63,7 @@
 
     def change(self, name: str, entry: VmEntry | None, *, lag_s: float) -> None:
         """Register an entry, or remove it with None, visible after `lag_s` seconds."""
-        due = self._now() + lag_s
-        if self._pending:
-            due = max(due, self._pending[-1][0])
-        self._pending.append((due, name, entry))
+        self._pending.append((self._now() + lag_s, name, entry))
 
     def show(self) -> tuple[VmEntry, ...]:
         """Return the entries that are visible now."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -163,34 +163,39 @@
             await self.expect(StoreUnavailable, fixture.store.get("group", "g"))
 
     @on_loop
-    async def test_other_servers_are_no_store(self) -> None:
-        """Guards against a 404 or body of some other server that passes for a missing object."""
-        for status, text in ((404, "not found"), (200, "{}"), (302, ""), (409, "[]")):
-            runner = web.AppRunner(web.Application())
+    async def test_other_answers_are_no_success(self) -> None:
+        """Guards against an answer of some other server that passes for the store's."""
+        valid = '{"kind": "group", "name": "g", "version": 1, "revision": 1, "value": null}'
+        status, text = 404, "not found"
 
-            async def handle(
-                request: web.Request, status: int = status, text: str = text
-            ) -> web.Response:
-                return web.Response(status=status, text=text)
+        async def answer(request: web.Request) -> web.Response:
+            if request.path == "/moved":
+                return web.Response(text=valid)
+            return web.Response(status=status, text=text, headers={"Location": "/moved"})
 
-            runner.app.router.add_route("*", "/{path:.*}", handle)
-            await runner.setup()
-            site = web.TCPSite(runner, "127.0.0.1", 0)
-            await site.start()
-            store = HttpStore(
-                address=f"127.0.0.1:{runner.addresses[0][1]}",
-                call_timeout_s=LONG_S,
-                telemetry=Telemetry(),
-            )
-            await self.expect(StoreUnavailable, store.get("group", "g"))
-            await store.start()
+        runner = web.AppRunner(web.Application())
+        runner.app.router.add_route("*", "/{path:.*}", answer)
+        await runner.setup()
+        self.stack.push_async_callback(runner.cleanup)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        address = f"127.0.0.1:{runner.addresses[0][1]}"
+        store = HttpStore(address=address, call_timeout_s=LONG_S, telemetry=Telemetry())
+        await self.expect(StoreUnavailable, store.get("group", "g"))
+        await store.start()
+        self.stack.push_async_callback(store.stop)
+        other = '{"kind": "group", "name": "other"}'
+        for status, text in (  # noqa: B007
+            (404, "not found"),
+            (404, other),
+            (200, "{}"),
+            (302, ""),
+            (409, "[]"),
+            (500, valid),
+        ):
             await self.expect(StoreUnavailable, store.get("group", "g"))
-            await self.expect(StoreUnavailable, store.put("a", "g", {}, expected_version=0))
-            await store.stop()
-            await runner.cleanup()
-            await store.start()
-            await self.expect(StoreUnavailable, store.list_vms())
-            await store.stop()
+            await self.expect(StoreUnavailable, store.put("group", "g", {}, expected_version=0))
+        await runner.cleanup()
+        await self.expect(StoreUnavailable, store.list_vms())
 
     @on_loop
     async def test_malformed_requests_are_refused(self) -> None:
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -4,9 +4,14 @@
 from typing import Any
 
 from lentilring.database.messages import Fence, ReportStatus, StatementReply, StatementRequest
-from lentilring.peers.codec import decode, encode
+from lentilring.peers.codec import decode, encode, encode_struct
 from lentilring.peers.connection import MAX_HANDSHAKE_BYTES
-from lentilring.peers.envelope import ConnectionHello, ConnectionProof, ConnectionRefusal
+from lentilring.peers.envelope import (
+    ConnectionHello,
+    ConnectionProof,
+    ConnectionRefusal,
+    EnvelopeKind,
+)
 from lentilring.peers.frames import FrameParser, encode_frame
 from lentilring.peers.tcp import DatagramTooLarge, TcpTransport
 from lentilring.peers.transport import PeerAnswerLost, PeerRejected, PeerUnreachable, Sender
@@ -143,6 +148,18 @@
         await client.call(server.address, make_request(), timeout_s=LONG_S)
         self.assertEqual(1, server.telemetry.read("peer_requests_rejected", reason="no_handler"))
 
+    @on_loop
+    async def test_an_unreadable_answer_is_lost(self) -> None:
+        """Guards against an unexpected error for a call that ran."""
+        client, server = await self.make(), await self.make("vm-2")
+        unknown = server._envelope(1, EnvelopeKind.ANSWER, body=b"\3New")
+        server._send_answer = lambda connection, call, answer: connection.send(
+            encode_frame(encode_struct(unknown))
+        )
+        await self.expect(
+            PeerAnswerLost, client.call(server.address, make_request(), timeout_s=LONG_S)
+        )
+
     @on_loop
     async def test_a_late_answer_is_dropped(self) -> None:
         """Guards against a late answer that is taken for the next call's (I9)."""
