Hold back answers by a gate instead of delays in the transport tests

A stalled machine could end a delayed answer before the call that the test makes meanwhile. A short deadline now applies only to calls on a connection that exists, so that it never ends while connecting.

--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -65,30 +65,33 @@
         sink.close()
 
 
-async def reply(sender: Sender, request: StatementRequest) -> StatementReply:
-    """Answer at once, never, late, or with a failure, as the statement says."""
-    if request.statement == "never":
-        await asyncio.Event().wait()
-    if request.statement == "fail":
-        raise ValueError("no such table")
-    if request.statement.startswith("late"):
-        await asyncio.sleep(float(request.statement[4:]))
-    return StatementReply(
-        status="ok", term=request.term, position=1, result=f"{sender.vm} {sender.incarnation}"
-    )
-
-
 def make_request(statement: str = "", term: int = 1) -> StatementRequest:
     return StatementRequest(term=term, client_account="a", action="read", statement=statement)
 
 
 class TransportCase(LoopTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.gate = asyncio.Event()
+
+    async def reply(self, sender: Sender, request: StatementRequest) -> StatementReply:
+        """Answer at once, after the gate opens, in another order, or with a failure."""
+        if request.statement == "gated":
+            await self.gate.wait()
+        if request.statement == "shuffled":
+            await asyncio.sleep(request.term * 7 % 5 / 100)
+        if request.statement == "fail":
+            raise ValueError("no such table")
+        return StatementReply(
+            status="ok", term=request.term, position=1, result=f"{sender.vm} {sender.incarnation}"
+        )
+
     async def make(self, vm: str = "vm-1", **options: Any) -> TcpTransport:
         values: dict[str, Any] = {"deployment": "khaima", "secret": b"one", "incarnation": 7}
         transport = TcpTransport(
             vm=vm, address="127.0.0.1:0", telemetry=Telemetry(), **(values | options)
         )
-        transport.handle(StatementRequest, reply)
+        transport.handle(StatementRequest, self.reply)
         await transport.start()
         self.stack.push_async_callback(transport.stop)
         return transport
@@ -99,6 +102,18 @@
         self.stack.push_async_callback(relay.stop)
         return relay
 
+    async def miss_a_deadline(
+        self, client: TcpTransport, address: str
+    ) -> asyncio.Task[StatementReply]:
+        """Let a call expire behind the gate; return another that waits there on its connection."""
+        await client.call(address, make_request(), timeout_s=LONG_S)
+        waiting = asyncio.create_task(
+            client.call(address, make_request("gated", term=9), timeout_s=LONG_S)
+        )
+        missed = client.call(address, make_request("gated", term=2), timeout_s=SHORT_S)
+        await self.expect(PeerAnswerLost, missed)
+        return waiting
+
 
 class CallTest(TransportCase):
     @on_loop
@@ -108,7 +123,7 @@
         calls = [
             client.call(
                 server.address,
-                make_request(f"late{(i * 7 % 5) / 100}", term=i),
+                make_request("shuffled", term=i),
                 timeout_s=LONG_S,
             )
             for i in range(50)
@@ -132,7 +147,7 @@
         """Guards against a repeat of a call that may have run (I11)."""
         client, server = await self.make(), await self.make("vm-2")
         call = asyncio.create_task(
-            client.call(server.address, make_request("never"), timeout_s=LONG_S)
+            client.call(server.address, make_request("gated"), timeout_s=LONG_S)
         )
         while not server._running:
             await asyncio.sleep(0.001)
@@ -164,16 +179,11 @@
     async def test_a_late_answer_is_dropped(self) -> None:
         """Guards against a late answer that is taken for the next call's (I9)."""
         client, server = await self.make(), await self.make("vm-2")
-        await client.call(server.address, make_request(), timeout_s=LONG_S)
-        # Another pending call keeps the connection open until the late answer arrives.
-        other = asyncio.create_task(
-            client.call(server.address, make_request("late0.4", term=4), timeout_s=LONG_S)
-        )
-        late = client.call(server.address, make_request("late0.2", term=2), timeout_s=SHORT_S)
-        await self.expect(PeerAnswerLost, late)
+        waiting = await self.miss_a_deadline(client, server.address)
         answer = await client.call(server.address, make_request(term=3), timeout_s=LONG_S)
         self.assertEqual(3, answer.term)
-        self.assertEqual(4, (await other).term)
+        self.gate.set()
+        self.assertEqual(9, (await waiting).term)
         self.assertEqual(1, client.telemetry.read("peer_answers_dropped"))
 
     @on_loop
@@ -206,14 +216,9 @@
     async def test_a_slow_handler_does_not_replace_a_live_connection(self) -> None:
         """Guards against new connections for each slow call while others are answered."""
         client, server = await self.make(), await self.make("vm-2")
-        other = asyncio.create_task(
-            client.call(server.address, make_request("late0.3"), timeout_s=LONG_S)
-        )
-        await self.expect(
-            PeerAnswerLost,
-            client.call(server.address, make_request("never"), timeout_s=SHORT_S),
-        )
-        await other
+        waiting = await self.miss_a_deadline(client, server.address)
+        self.gate.set()
+        await waiting
         await client.call(server.address, make_request(), timeout_s=LONG_S)
         self.assertEqual(0, client.telemetry.read("peer_connections_replaced"))
 
@@ -221,16 +226,11 @@
     async def test_pending_calls_keep_a_replaced_connection(self) -> None:
         """Guards against losing the answer of a slow call when its connection is replaced."""
         client, server = await self.make(), await self.make("vm-2")
-        slow = asyncio.create_task(
-            client.call(server.address, make_request("late0.5", term=9), timeout_s=LONG_S)
-        )
-        await self.expect(
-            PeerAnswerLost,
-            client.call(server.address, make_request("never"), timeout_s=SHORT_S),
-        )
+        waiting = await self.miss_a_deadline(client, server.address)
         await client.call(server.address, make_request(), timeout_s=LONG_S)
         self.assertEqual(2, len(server._listeners))
-        self.assertEqual(9, (await slow).term)
+        self.gate.set()
+        self.assertEqual(9, (await waiting).term)
         while len(server._listeners) > 1:
             await asyncio.sleep(0.001)
 
