--- a/tests/fakes_failover.py
+++ b/tests/fakes_failover.py
@@ -1,7 +1,7 @@
 """Proxies that share three in-memory backend servers and one store; faults are set by the tests."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, replace
 from random import Random
 from typing import Any
@@ -12,7 +12,7 @@
 from lentilring.database.messages import Action, StatementRequest, StatementStatus
 from lentilring.failover.controls import ControlConnections
 from lentilring.failover.group import Group, list_groups
-from lentilring.failover.promotion import Promoter
+from lentilring.failover.promotion import Promoter, PromotionStep
 from lentilring.failover.record import GroupRecord, parse_record
 from lentilring.failover.service import GroupService
 from lentilring.outcomes import UncertaintyReason
@@ -288,3 +288,15 @@
         for server in database.backend_servers
     )
     return replace(service, databases=(replace(database, backend_servers=servers),))
+
+
+def stop_at(
+    step: PromotionStep, resume: asyncio.Event | None = None
+) -> Callable[[PromotionStep], Awaitable[None]]:
+    """Make a proposer wait after a step, for ever without an event."""
+
+    async def wait(reached: PromotionStep) -> None:
+        if reached is step:
+            await (resume or asyncio.Event()).wait()
+
+    return wait
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import testtools
@@ -12,7 +12,7 @@
 from lentilring.failover.confirmation import Confirmer, WriteCheck
 from lentilring.failover.controls import ControlConnections
 from lentilring.failover.group import Group, GroupServer
-from lentilring.failover.record import GroupRecord, GroupState
+from lentilring.failover.record import GroupRecord, GroupState, format_record
 from lentilring.outcomes import UncertaintyReason
 from lentilring.telemetry.metrics import Telemetry
 
@@ -166,7 +166,8 @@
         """Guards against a write that waits for ever."""
 
         async def check(backends: ScriptedBackends, confirm: Callable[..., Any]) -> None:
-            results = await asyncio.gather(confirm(20), confirm(20, needs_replica=True))
+            async with asyncio.timeout(5.0):
+                results = await asyncio.gather(confirm(20), confirm(20, needs_replica=True))
             self.assertEqual([TERM_MISSING, TERM_MISSING], results)
             self.assertAlmostEqual(0.2, asyncio.get_running_loop().time())
 
@@ -254,18 +255,16 @@
         async def check(cluster: Cluster) -> None:
             proxy = cluster.proxies[0]
             term, position = await proxy.run_write("a")
-            check = asyncio.ensure_future(
+            write = asyncio.ensure_future(
                 proxy.groups.confirm_write(
                     GROUP, term=term, position=position, needs_replica=False, timeout_s=1.0
                 )
             )
             await asyncio.sleep(0.001)
-            await cluster.promoter("vm-1").promote(cluster.group, cluster.stored)
-            self.assertIsNone(await check)
-            late = await proxy.groups.confirm_write(
-                GROUP, term=term, position=position, needs_replica=False, timeout_s=1.0
-            )
-            self.assertEqual(TERM_MISSING, late)
+            later = replace(cluster.record, term=term + 1)
+            newer = replace(cluster.stored, version=9, value=format_record(later))
+            proxy.configuration.accept([newer])
+            self.assertEqual(TERM_MISSING, await write)
 
         self.run_cluster(check)
 
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -2,13 +2,15 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Any
 
 import testtools
 
+from lentilring.failover.promotion import PromotionStep
 from lentilring.outcomes import UncertaintyReason
 
-from .fakes_failover import GROUP, NAMES, Cluster, Proxy, drain_server
+from .fakes_failover import GROUP, NAMES, Cluster, Proxy, drain_server, stop_at
 from .virtual_time import run_virtual
 
 MAX_GAP_S = 3.0
@@ -265,6 +267,62 @@
 
         self.run_cluster(check)
 
+    def test_supervisor_finishes_what_a_dead_proposer_began(self) -> None:
+        """Guards against a term that stays opening, or open without an instance that leads."""
+        for step in PromotionStep:
+
+            async def check(cluster: Cluster, step: PromotionStep = step) -> None:
+                await self.write_some(cluster)
+                dying = cluster.promoter("vm-9", after_step=stop_at(step))
+                task = asyncio.ensure_future(dying.promote(cluster.group, cluster.stored))
+                await asyncio.sleep(0.1)
+                task.cancel()
+                self.assertLess(await cluster.until_writable(cluster.other_proxy()), MAX_GAP_S)
+
+            self.run_cluster(check)
+
+    def test_supervision_survives_an_invalid_record(self) -> None:
+        """Guards against a supervisor that ends at the first unexpected failure."""
+
+        async def check(cluster: Cluster) -> None:
+            good = cluster.stored
+            bad = replace(good, version=5, value={"term": "x"})
+            cluster.configurations[0].accept([bad])
+            await asyncio.sleep(1.0)
+            self.assertLess(0, cluster.supervisor().telemetry.read("supervision_errors"))
+            cluster.table.objects[("group", GROUP)] = replace(good, version=6)
+            cluster.configurations[0].accept([cluster.stored])
+            await cluster.network.kill(cluster.address(cluster.record.primary))
+            await cluster.until_writable(cluster.other_proxy())
+
+        self.run_cluster(check)
+
+    def test_deleted_record_does_not_repeat_a_term(self) -> None:
+        """Guards against a second primary in a term whose record was removed."""
+
+        async def check(cluster: Cluster) -> None:
+            await self.write_some(cluster)
+            deleted = cluster.table.put("group", GROUP, None, cluster.stored.version)
+            cluster.configurations[0].accept([deleted])
+            await cluster.until_writable(cluster.other_proxy())
+            self.assertEqual(2, cluster.record.term)
+
+        self.run_cluster(check)
+
+    def test_supervisor_reads_a_record_that_did_not_arrive(self) -> None:
+        """Guards against a group that stays stuck because configuration did not spread."""
+
+        async def check(cluster: Cluster) -> None:
+            await self.write_some(cluster)
+            supervisor = cluster.supervisor()
+            for configuration in cluster.configurations:
+                configuration.isolated = True
+            await cluster.promoter("vm-9").promote(cluster.group, cluster.stored)
+            await asyncio.sleep(3.0)
+            self.assertEqual(cluster.record, supervisor.groups.record(GROUP))
+
+        self.run_cluster(check)
+
     def test_hint_reaches_the_supervisor(self) -> None:
         """Guards against hints that change nothing: the check begins before SUSPECT_AFTER_S."""
 
--- a/tests/test_promotion.py
+++ b/tests/test_promotion.py
@@ -16,6 +16,7 @@
     PROMOTION_FAILURES,
     LossRisk,
     MajorityUnreachable,
+    PrimaryNotInstalled,
     PromotionStep,
     RecordChanged,
 )
@@ -32,7 +33,7 @@
 from lentilring.platform.store import StoredObject, StoreUnavailable
 from lentilring.standin.objects import LocalStore
 
-from .fakes_failover import GROUP, NAMES, Cluster, FakeMember, Written
+from .fakes_failover import GROUP, NAMES, Cluster, FakeMember, Written, stop_at
 from .virtual_time import run_virtual
 
 STARTS = (TermStart(term=1, position=0), TermStart(term=2, position=10))
@@ -216,6 +217,33 @@
 
         self.run_cluster(check)
 
+    def test_instances_at_a_greater_term_are_not_fenced(self) -> None:
+        """Guards against counting an instance that refused the term, and may take writes."""
+
+        async def check(cluster: Cluster) -> None:
+            for name in NAMES[:2]:
+                cluster.server(name).observe_term(9)
+            with testtools.ExpectedException(MajorityUnreachable):
+                await cluster.promoter("vm-1").promote(cluster.group, cluster.stored)
+
+        self.run_cluster(check)
+
+    def test_refusal_to_lead_is_a_failure(self) -> None:
+        """Guards against a promotion that reports success although nothing leads."""
+
+        async def check(cluster: Cluster) -> None:
+            async def raise_terms(step: PromotionStep) -> None:
+                if step is PromotionStep.OPEN:
+                    for name in NAMES:
+                        cluster.server(name).observe_term(9)
+
+            with testtools.ExpectedException(PrimaryNotInstalled):
+                await cluster.promoter("vm-1", after_step=raise_terms).promote(
+                    cluster.group, cluster.stored
+                )
+
+        self.run_cluster(check)
+
     def test_replaced_entries_do_not_win_a_later_promotion(self) -> None:
         """Guards against a session position of term 2 that term 3 covers with other entries.
 
@@ -249,18 +277,6 @@
         self.run_cluster(check)
 
 
-def stop_at(
-    step: PromotionStep, resume: asyncio.Event | None = None
-) -> Callable[[PromotionStep], Awaitable[None]]:
-    """Make a proposer wait after a step, for ever without an event."""
-
-    async def wait(reached: PromotionStep) -> None:
-        if reached is step:
-            await (resume or asyncio.Event()).wait()
-
-    return wait
-
-
 class SupervisorTableTest(testtools.TestCase):
     def test_table_agrees_with_ranking(self) -> None:
         """Guards against nodes that disagree on the supervisor after members change."""
