--- a/lentilring/failover/service.py
+++ b/lentilring/failover/service.py
@@ -240,7 +240,6 @@
             controls=self._controls,
             backends=self._backends,
             vantage=self._vantage,
-            store=self._store,
             clock=self._clock,
             random=self._random,
             telemetry=self._telemetry,
--- a/lentilring/failover/supervision.py
+++ b/lentilring/failover/supervision.py
@@ -10,7 +10,7 @@
 from ..clock import Clock
 from ..database.backend import BackendConnector
 from ..database.messages import Role, ServerStatus
-from ..platform.store import Kind, Store, StoredObject, StoreUnavailable
+from ..platform.store import StoredObject
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .controls import BACKEND_FAILURES, ControlConnections, probe_backend
@@ -69,10 +69,6 @@
         """Return the newest known version of a group's record."""
         ...
 
-    def accept(self, stored: StoredObject) -> None:
-        """Take a newer version of a record."""
-        ...
-
     def vantage_points(self, group: str) -> Sequence[Peer]:
         """Return the members to ask about a group's primary."""
         ...
@@ -88,7 +84,6 @@
     record_version: int = -1
     record_seen_at: float = 0.0
     not_leading_since: float | None = None
-    ahead_since: float | None = None
 
 
 class GroupSupervisor:
@@ -103,7 +98,6 @@
         controls: ControlConnections,
         backends: BackendConnector,
         vantage: VantagePoints,
-        store: Store,
         clock: Clock,
         random: Random,
         telemetry: Telemetry,
@@ -114,7 +108,6 @@
         self._controls = controls
         self._backends = backends
         self._vantage = vantage
-        self._store = store
         self._clock = clock
         self._random = random
         self._telemetry = telemetry
@@ -167,7 +160,6 @@
             await self._poll(group, (primary,))
         if primary is not None and primary.name not in self._health.statuses and not everyone:
             await self._poll(group, group.others(primary.name))
-        await self._refresh_stale_record(group, record)
         cause = await self._find_cause(group, stored, record, primary, hinted=hinted)
         if cause is not None:
             await self._act(group, stored, cause)
@@ -250,8 +242,9 @@
     def _stays_not_leading(self, record: GroupRecord, status: ServerStatus, now: float) -> bool:
         """Tell whether the primary has answered for a while without leading the record's term.
 
-        It was never told to lead, or was fenced for a greater term. It is not told to lead now: it
-        may have led this term before, and its log may differ from the replicas'.
+        It was never told to lead, or was fenced for a greater term whose record did not arrive
+        here; the claim of the next term then fails and brings that record. It is not told to lead
+        now: it may have led this term before, and its log may differ from the replicas'.
         """
         if status.term == record.term and status.role is Role.PRIMARY:
             self._health.not_leading_since = None
@@ -325,26 +318,6 @@
         )
         return max(used, default=0)
 
-    async def _refresh_stale_record(self, group: Group, record: GroupRecord | None) -> None:
-        """Read the record from the store if an instance stays at a greater term than it."""
-        term = record.term if record else 0
-        now = self._clock.monotonic()
-        if record is None or self._greatest_term() <= term:
-            self._health.ahead_since = None
-            return
-        if self._health.ahead_since is None:
-            self._health.ahead_since = now
-        if now - self._health.ahead_since < SUSPECT_AFTER_S:
-            return
-        self._health.ahead_since = now
-        self._telemetry.count("group_records_refreshed")
-        try:
-            stored = await self._store.get(Kind.GROUP, group.name)
-        except StoreUnavailable:
-            return
-        if stored is not None:
-            self._records.accept(stored)
-
     async def _repair(self, group: Group, record: GroupRecord, primary: GroupServer) -> None:
         leading = self._health.statuses.get(primary.name)
         if leading is None or leading.term != record.term or leading.role is not Role.PRIMARY:
--- a/tests/test_promotion.py
+++ b/tests/test_promotion.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import runpy
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 from random import Random
 from typing import Any
 
@@ -36,6 +38,7 @@
 from .fakes_failover import GROUP, NAMES, Cluster, FakeMember, Written, stop_at
 from .virtual_time import run_virtual
 
+EXAMPLE = Path(__file__).parent.parent / "docs" / "examples" / "promotion.py"
 STARTS = (TermStart(term=1, position=0), TermStart(term=2, position=10))
 
 
@@ -298,6 +301,15 @@
         run_virtual(body())
 
 
+class ExampleTest(testtools.TestCase):
+    def test_example_promotes_twice(self) -> None:
+        """Guards against an example in docs/ that no longer runs."""
+        example = runpy.run_path(str(EXAMPLE))
+        first, second = run_virtual(example["promote_twice"]())
+        self.assertEqual([1, 2], [first.record.term, second.record.term])
+        self.assertNotEqual(first.record.primary, second.record.primary)
+
+
 class PromotionPropertyTest(testtools.TestCase):
     @seed(20240611)
     @settings(max_examples=60, deadline=None, database=None)
