--- a/tests/test_buckets.py
+++ b/tests/test_buckets.py
@@ -61,6 +61,9 @@
                 self.act(action, grants[pick % len(grants)], clock, buckets, uses)
             for checked in buckets:
                 self.assertLessEqual(checked.level + checked.outstanding, burst + 1e-6)
+                usable = [g for g in grants if g["bucket"] is checked and clock.now < g["end"]]
+                held = sum(grant["left"] for grant in usable)
+                self.assertLessEqual(checked.level + held, burst + 1e-6)
         self.assertLessEqual(find_excess(uses, rate=2 * rate, burst=2 * burst), 1e-6)
 
     def act(
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -162,3 +162,21 @@
             self.assertEqual(before, lease.expires_at)
 
         run_virtual(live())
+
+    def test_own_lapsed_lease_is_taken_with_a_settle_time(self) -> None:
+        """Guards against a new term that adds to grants of the same process's last term."""
+
+        async def live() -> None:
+            lease = self.make("a")
+            await lease.acquire()
+            await asyncio.sleep(DURATION_S - 0.5)
+            # The last write is found again: it is still in force.
+            self.assertIs(AcquireResult.ACQUIRED, await lease.acquire())
+            self.assertGreaterEqual(lease.usable_from, DURATION_S - 0.5 + SETTLE_S)
+            await asyncio.sleep(10)
+            self.assertFalse(lease.is_held())
+            lapsed_at = asyncio.get_running_loop().time()
+            await self.contend(lease)
+            self.assertGreaterEqual(lease.usable_from, lapsed_at + SETTLE_S)
+
+        run_virtual(live())
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -195,6 +195,54 @@
 
         self.play(story, lease_duration_s=20, lease_margin_s=1, early_takeover=False)
 
+    def test_resumed_holder_that_cannot_reach_the_store(self) -> None:
+        """Guards against grants after a pause by a holder that cannot learn of the takeover."""
+
+        async def story(fleet: Fleet) -> None:
+            load = asyncio.ensure_future(self.overload(fleet, 60))
+            await asyncio.sleep(5.0371)
+            holder = self.find_holder(fleet)
+            holder.pause()
+            holder.store.down = True
+            await asyncio.sleep(40)
+            fleet.network.isolate(holder.member.address)
+            holder.resume()
+            await load
+            self.assert_bound(fleet)
+
+        self.play(story, lease_duration_s=20, lease_margin_s=1, early_takeover=False)
+
+    def test_no_grants_at_the_edges_of_the_lease(self) -> None:
+        """Guards against grants or loans that overlap with those of another holder."""
+
+        async def story(fleet: Fleet) -> None:
+            holder = self.find_holder(fleet)
+            tenure = next(t for t in holder.service.lender.tenures.values() if "a" in t.buckets)
+            request = TokenRequest(
+                account="a",
+                needed=1.0,
+                wanted=1.0,
+                borrow=False,
+                fractional=False,
+                lender_incarnation=1,
+                reports=(),
+            )
+            for held in holder.service.lender.tenures.values():
+                held.lease.renew_at = float("inf")
+            clock = holder.service._clock
+            usable_from, tenure.lease.usable_from = tenure.lease.usable_from, clock.monotonic() + 1
+            answer = await holder.service.lender.serve(request)
+            self.assertIs(TokenStatus.NOT_HOLDER, answer.status)
+            tenure.lease.usable_from = usable_from
+            await asyncio.sleep(tenure.lease.expires_at - clock.monotonic() - 1.0)
+            answer = await holder.service.lender.serve(request)
+            self.assertIs(TokenStatus.GRANTED, answer.status)
+            await asyncio.sleep(0.7)
+            answer = await holder.service.lender.serve(request)
+            self.assertIs(TokenStatus.NOT_HOLDER, answer.status)
+
+        self.play(story)
+
     def test_holder_restarted(self) -> None:
         """Guards against a new incarnation that adds to the grants of the old one."""
 
