Make the fault tests start with full buckets, so that slack cannot hide an excess

Cause: with guards removed by hand, four tests still passed, because the buckets were not full when the fault came.

--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -8,7 +8,14 @@
 import testtools
 
 from lentilring.limits import lender
-from lentilring.limits.messages import GrantReport, TokenRequest, TokenStatus
+from lentilring.limits.bucket import GRANT_LIFETIME_S
+from lentilring.limits.messages import (
+    GrantReport,
+    TokenAnswer,
+    TokenGrant,
+    TokenRequest,
+    TokenStatus,
+)
 from lentilring.outcomes import RefusalReason
 
 from .bench_limits import measure
@@ -37,7 +44,8 @@
 
         async def live() -> None:
             fleet = Fleet(accounts=[make_account("a", rate, burst)], **options)
-            await fleet.start()
+            # Full buckets, or the bound would have slack that hides an excess.
+            await fleet.start(settle_s=30 + burst / rate)
             await story(fleet)
 
         run_virtual(live())
@@ -165,7 +173,8 @@
 
 class HolderFaultTest(LimitTest):
     async def overload(self, fleet: Fleet, seconds: float) -> None:
-        await fleet.load("a", rate=3 * fleet.accounts["a"].rate_per_s, seconds=seconds)
+        rate = max(80, 3 * fleet.accounts["a"].rate_per_s)
+        await fleet.load("a", rate=rate, seconds=seconds)
         await fleet.finish()
 
     def find_holder(self, fleet: Fleet) -> Proxy:
@@ -230,10 +239,17 @@
             for held in holder.service.lender.tenures.values():
                 held.lease.renew_at = float("inf")
             clock = holder.service._clock
-            usable_from, tenure.lease.usable_from = tenure.lease.usable_from, clock.monotonic() + 1
+            for held in holder.service.lender.tenures.values():
+                held.lease.usable_from = clock.monotonic() + 1
+            answer = await holder.service.lender.serve(request)
+            self.assertIs(TokenStatus.NOT_HOLDER, answer.status)
+            await asyncio.sleep(1)
+            for held in holder.service.lender.tenures.values():
+                held.closing = True
             answer = await holder.service.lender.serve(request)
             self.assertIs(TokenStatus.NOT_HOLDER, answer.status)
-            tenure.lease.usable_from = usable_from
+            for held in holder.service.lender.tenures.values():
+                held.closing = False
             await asyncio.sleep(tenure.lease.expires_at - clock.monotonic() - 1.0)
             answer = await holder.service.lender.serve(request)
             self.assertIs(TokenStatus.GRANTED, answer.status)
@@ -278,7 +294,9 @@
             await load
             self.assert_bound(fleet)
 
-        self.play(story)
+        # With a low rate, the gap in filling cannot hide a bucket that starts full.
+        for rate, burst in ((100, 40), (5, 200)):
+            self.play(story, rate=rate, burst=burst)
 
     def test_graceful_release(self) -> None:
         """Guards against refusals during a planned restart."""
@@ -342,6 +360,32 @@
 
         self.play(story)
 
+    def test_late_borrowed_tokens_are_not_used(self) -> None:
+        """Guards against a holder that was paused while it borrowed."""
+
+        async def story(fleet: Fleet) -> None:
+            service = self.find_holder(fleet).service
+            account = fleet.accounts["a"]
+            buckets = service.lender._open_buckets(account)
+            for share, bucket in buckets:
+                bucket.lend(share, 5.0)
+                bucket.report(share, used=5.0, returned=0.0)
+            before = [bucket.level for _, bucket in buckets]
+            answer = TokenAnswer(
+                status=TokenStatus.GRANTED,
+                incarnation=1,
+                lifetime_s=GRANT_LIFETIME_S,
+                retry_after_s=0.0,
+                level=0.0,
+                grants=(TokenGrant(share=0, grant=1, amount=1.0),),
+                holders=(),
+            )
+            now = service._clock.monotonic()
+            service.lender._deposit(account, "10.0.0.8:7000", answer, now - GRANT_LIFETIME_S)
+            self.assertEqual(before, [bucket.level for _, bucket in buckets])
+
+        self.play(story)
+
     def test_reports_for_an_earlier_process_are_ignored(self) -> None:
         """Guards against returns that a restarted holder credits to another grant."""
 
@@ -433,7 +477,7 @@
 
         async def story(fleet: Fleet) -> None:
             fleet.configure(account=make_account("a", 0.5, 24))
-            await fleet.load("a", rate=30, seconds=7.5)
+            await fleet.load("a", rate=30, seconds=15)
             await fleet.finish()
             self.assert_bound(fleet)
 
