--- a/lentilring/configuration/distribution.py
+++ b/lentilring/configuration/distribution.py
@@ -93,6 +93,7 @@
         self._tokens: dict[int, float] = {}
         self._last_token = 0
         self._fetching = False
+        self._stopped = False
         self._store_failed_at = STORE_IS_REACHABLE
         self._reported_down_at = -math.inf
         self._next_try_at = -math.inf
@@ -114,7 +115,11 @@
         self._spawn(self._run_store_calls())
 
     def stop(self) -> None:
-        """End all background work."""
+        """End all background work.
+
+        Python 3.11's `wait_for` can swallow a cancellation, so the loops also check a flag.
+        """
+        self._stopped = True
         for task in self._tasks:
             task.cancel()
 
@@ -152,7 +157,7 @@
         )
 
     async def _run_announcements(self) -> None:
-        while True:
+        while not self._stopped:
             factor = self._random.uniform(1 - ANNOUNCE_JITTER, 1 + ANNOUNCE_JITTER)
             await self._clock.sleep(ANNOUNCE_INTERVAL_S * factor)
             for peer in self._membership.choose_peers(1):
@@ -258,7 +263,7 @@
         return FetchReply(objects=tuple(batch), revision=self.freshness.revision, more=more)
 
     async def _run_store_calls(self) -> None:
-        while True:
+        while not self._stopped:
             if self._membership.is_chosen("configuration-watch", count=WATCHERS_PER_REGION):
                 if not await self._ask_store(wait_s=WATCH_WAIT_S):
                     await self._clock.sleep(WATCH_RETRY_S * self._random.uniform(0.8, 1.2))
