--- a/lentilring/membership/gossip.py
+++ b/lentilring/membership/gossip.py
@@ -21,9 +21,9 @@
 from ..telemetry.metrics import Telemetry
 from .member import UNKNOWN_INCARNATION, Member, MemberState
 from .messages import Gossip, IndirectProbe, Probe, ProbeAnswer, SyncReply, SyncRequest
-from .sizes import MAX_PAYLOAD_BYTES, estimate_size
+from .sizes import MAX_PAYLOAD_BYTES
 from .status import StatusTable
-from .table import MemberTable
+from .table import MemberTable, measure_member
 
 PROBE_INTERVAL_S = 1.0
 PROBE_TIMEOUT_S = 0.3
@@ -374,7 +374,7 @@
         for peer in self.choose_peers(1):
             share = 2 if self.statuses else 1
             updates = self.table.take(budget=MAX_PAYLOAD_BYTES // share)
-            used = sum(estimate_size(entry) for entry in updates)
+            used = sum(measure_member(entry) for entry in updates)
             statuses = self.statuses.take(
                 budget=MAX_PAYLOAD_BYTES - used, members=len(self.table.records)
             )
--- a/lentilring/membership/service.py
+++ b/lentilring/membership/service.py
@@ -26,6 +26,8 @@
 HOUSEKEEPING_INTERVAL_S = 60.0
 # `members()` shows revisions that are at most this old; `revision_of` is always current.
 MEMBERS_CACHE_S = 1.0
+# Ranking a region takes up to a millisecond at the design size and is asked for 10 times a second.
+CHOICE_CACHE_S = 1.0
 
 log = Log(source="membership")
 
@@ -64,6 +66,7 @@
         self._members_changes = 0
         self._members_built_at = 0.0
         self._store_down: tuple[int, bool] | None = None
+        self._chosen: dict[str, tuple[float, bool]] = {}
         self._listed_at: dict[str, float] = {}
         self._dead_since: dict[str, float] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -173,10 +176,17 @@
 
     def is_chosen(self, task: str, *, count: int) -> bool:
         """Tell whether the local node is among the `count` that do a task for its region."""
+        now = self._clock.monotonic()
+        known = self._chosen.get(task)
+        if known is not None and now - known[0] < CHOICE_CACHE_S:
+            return known[1]
         local = self._table.local
-        candidates = [entry for entry in self.members() if entry.region == local.region]
-        ranked = rank_members(f"{task}.{local.region}", candidates)
-        return local.vm in {entry.vm for entry in ranked[:count]}
+        records = self._table.records.values()
+        usable = [entry for entry in records if entry.is_usable and entry.region == local.region]
+        ranked = rank_members(f"{task}.{local.region}", usable)
+        chosen = local.vm in {entry.vm for entry in ranked[:count]}
+        self._chosen[task] = (now, chosen)
+        return chosen
 
     def _count_store_down(self) -> bool:
         known = self.known()
--- a/lentilring/membership/table.py
+++ b/lentilring/membership/table.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import replace
+from functools import lru_cache
 
 import xxhash
 
@@ -74,7 +75,7 @@
         """Return queued records that fit in `budget` bytes."""
 
         def measure(vm: str) -> int:
-            return estimate_size(self.records[vm])
+            return measure_member(self.records[vm])
 
         taken = self._queue.take(limit=self._limit(), budget=budget, measure=measure)
         return tuple(self.records[vm] for vm in taken)
@@ -120,6 +121,12 @@
         return True
 
 
+@lru_cache(maxsize=4096)
+def measure_member(member: Member) -> int:
+    """Return a member's size in bytes; the same records are measured for many datagrams."""
+    return estimate_size(member)
+
+
 def _merge_listing(record: Member, other: Member) -> Member:
     """Take the other's reading of the list if it is newer.
 
