Refuse on old outage reports, avoid silent gateways, name the limit settings alike

(2) each request paid a connect time-out of 1 s to a gateway that was cut off, until membership found it dead after about 6 s. (3) lentilctl stored the limit settings under another name than proxies read. Ruled out: for (1) counting only members heard in the last 3 s, since at 790 nodes a node hears about 36 of them in that time. Conclusion: a node needs a recent message of some peer and running peers' reports; a gateway that did not answer is tried last for 2 s.

--- a/lentilring/configuration/distribution.py
+++ b/lentilring/configuration/distribution.py
@@ -95,6 +95,7 @@
         self._fetching = False
         self._stopped = False
         self._store_failed_at = STORE_IS_REACHABLE
+        self.heard_at = -math.inf
         self._reported_down_at = -math.inf
         self._next_try_at = -math.inf
         self._retry_s = OWN_TRY_RETRY_S
@@ -210,8 +211,9 @@
             self._confirm(received.confirmed_revision, sent_at - received.age_s)
 
     def _note_peer(self, sender: Sender, revision: int, head: int, store_is_down: bool) -> None:
+        self.heard_at = self._clock.monotonic()
         if store_is_down:
-            self._reported_down_at = self._clock.monotonic()
+            self._reported_down_at = self.heard_at
         self.announced = max(self.announced, head)
         if revision > self.freshness.revision or head > self.registry.head:
             self._spawn(self._fetch_from(sender.address))
--- a/lentilring/configuration/service.py
+++ b/lentilring/configuration/service.py
@@ -111,10 +111,13 @@
         """Tell whether no change older than the withdrawal bound can be missing here.
 
         During an outage of the store there are no changes; a majority must agree that it is one.
+        A node that hears no peer any more does not know whether the outage goes on.
         """
-        age_s = self._clock.monotonic() - self._freshness.fresh_as_of
-        if age_s <= self._withdrawal_bound_s:
+        now = self._clock.monotonic()
+        if now - self._freshness.fresh_as_of <= self._withdrawal_bound_s:
             return True
+        if now - self._distributor.heard_at > self._withdrawal_bound_s:
+            return False
         has_everything = self.revision > 0 and not self._distributor.is_behind()
         return has_everything and self._membership.store_is_down()
 
--- a/lentilring/membership/service.py
+++ b/lentilring/membership/service.py
@@ -193,7 +193,10 @@
         if len(known) < 2:
             # A node that knows no other member cannot tell an outage from its own isolation.
             return False
-        down = sum(self._statuses.get(entry.key).store_is_down for entry in known)
+        # The last report of a member that is not heard of any more says nothing about the present.
+        down = sum(
+            entry.is_running and self._statuses.get(entry.key).store_is_down for entry in known
+        )
         return down * 2 > len(known)
 
     def _revisions_are_old(self) -> bool:
--- a/lentilring/operations/documents.py
+++ b/lentilring/operations/documents.py
@@ -7,6 +7,7 @@
 import yaml
 
 from ..configuration.parsing import CHANGE_ID_FIELD, parse_object
+from ..configuration.service import LIMIT_SETTINGS_NAME
 from ..errors import LentilringError
 from ..outcomes import JsonValue
 from ..platform.store import Kind, StoredObject
@@ -18,7 +19,6 @@
     Kind.FAILURE_DOMAIN,
     Kind.LIMIT_SETTINGS,
 )
-LIMIT_SETTINGS_NAME = "limits"
 FIELDS = frozenset({"kind", "version", "value"})
 
 
--- a/lentilring/routing/dispatch.py
+++ b/lentilring/routing/dispatch.py
@@ -16,6 +16,9 @@
 
 GATEWAYS_TRIED = 3
 CONNECT_MARGIN_S = 0.25
+# A gateway that did not answer is tried last for this time, since each try can cost a connect
+# time-out; membership needs several seconds to find it dead.
+AVOIDANCE_S = 2.0
 
 
 class Dispatcher:
@@ -39,6 +42,7 @@
         self._transport = transport
         self._clock = clock
         self._telemetry = telemetry
+        self._avoided_until: dict[str, float] = {}
 
     async def send(
         self, request: GatewayRequest, server: BackendServer, *, timeout_s: float
@@ -68,9 +72,14 @@
         ranked = self._rank(group, server)
         return ranked[0] if ranked else None
 
+    def is_avoided(self, vm: str) -> bool:
+        """Tell whether a gateway did not answer a short time ago."""
+        return self._avoided_until.get(vm, float("-inf")) > self._clock.monotonic()
+
     def _rank(self, group: str, server: BackendServer) -> tuple[Member, ...]:
         members = select_placeable(self._configuration, self._membership.members())
-        return rank_gateways(group, server, members).ranked
+        ranked = rank_gateways(group, server, members).ranked
+        return tuple(sorted(ranked, key=lambda member: self.is_avoided(member.vm)))
 
     async def _send_to(
         self, member: Member, request: GatewayRequest, remaining: float
@@ -93,9 +102,18 @@
                 member.address, request, timeout_s=timeout_s + CONNECT_MARGIN_S
             )
         except PeerUnreachable:
+            self._avoid(member.vm)
             return None
         except (PeerAnswerLost, PeerRejected) as error:
+            self._avoid(member.vm)
             return report_unknown(UncertaintyReason.GATEWAY_LOST, str(error))
         if isinstance(answer, GatewayReply):
             return answer
         return report_unknown(UncertaintyReason.GATEWAY_LOST, type(answer).__name__)
+
+    def _avoid(self, vm: str) -> None:
+        now = self._clock.monotonic()
+        self._avoided_until = {
+            name: until for name, until in self._avoided_until.items() if until > now
+        }
+        self._avoided_until[vm] = now + AVOIDANCE_S
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from lentilring.peers.tcp import CONNECT_TIMEOUT_S
 from lentilring.peers.transport import PeerAnswerLost, PeerRejected, PeerUnreachable, Sender
 
 
@@ -70,7 +71,7 @@
         network = self.network
         network.calls += 1
         if not network.reaches(self.address, address):
-            await asyncio.sleep(timeout_s)
+            await asyncio.sleep(min(timeout_s, CONNECT_TIMEOUT_S))
             raise PeerUnreachable(address=address)
         task = asyncio.ensure_future(self._deliver(address, request))
         done, _ = await asyncio.wait({task}, timeout=timeout_s)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -275,6 +275,28 @@
         for count in (1, 4):
             run_virtual(run(count))
 
+    def test_nodes_cut_off_during_an_outage_refuse(self) -> None:
+        """Guards against old reports of an outage after the store is back for the other nodes."""
+
+        async def run(count: int, limit_s: float) -> None:
+            fleet = Fleet(9, table=filled_table())
+            await fleet.start()
+            fleet.set_store_down(True)
+            await asyncio.sleep(30)
+            island = fleet.nodes[:count]
+            self.assertTrue(all(node.configuration.is_fresh() for node in island))
+            fleet.split(island, fleet.nodes[count:])
+            for node in fleet.nodes[count:]:
+                node.store.down = False
+            await asyncio.sleep(limit_s)
+            for _ in range(60):
+                self.assertFalse(any(node.configuration.is_fresh() for node in island))
+                await asyncio.sleep(1)
+
+        run_virtual(run(1, WITHDRAWAL_BOUND_S))
+        # Several nodes hear each other, so they go on until gossip takes the others for dead.
+        run_virtual(run(3, WITHDRAWAL_BOUND_S + 10))
+
     def test_node_that_lacks_an_announced_change_refuses_in_an_outage(self) -> None:
         """Guards against a node that an outage makes fresh without the newest change."""
 
