--- a/lentilring/limits/keeper.py
+++ b/lentilring/limits/keeper.py
@@ -65,6 +65,7 @@
         self._ranked_for: tuple[int, tuple[LimitMember, ...]] = (0, ())
         self._missing_since: dict[int, float] = {}
         self._attempt_at: dict[int, float] = {}
+        self._store_retry_at = 0.0
         self._busy: dict[int, asyncio.Task[None]] = {}
         self._announced_count = 0
         self._counts: frozenset[int] = frozenset()
@@ -135,7 +136,12 @@
             return
         entry = self._directory.find(share)
         gone = entry is None or self._membership.vm_is_gone(entry.vm, entry.incarnation)
-        if gone or now >= self._attempt_at.get(share, 0.0):
+        wait = (
+            self._store_retry_at
+            if gone
+            else max(self._store_retry_at, self._attempt_at.get(share, 0.0))
+        )
+        if now >= wait:
             self._begin(share, partial(self._attempt, share))
 
     def _begin(self, share: int, work: Callable[[], Coroutine[None, None, None]]) -> None:
@@ -153,6 +159,9 @@
         self._attempt_at[share] = self._clock.monotonic() + interval
         result = await lease.acquire()
         self._telemetry.count("limit_lease_attempts", result=result.value)
+        if result is AcquireResult.STORE_UNAVAILABLE:
+            # Otherwise an outage would bring calls of all contenders at every tick.
+            self._store_retry_at = self._clock.monotonic() + interval
         if result is AcquireResult.HELD_BY_OTHER:
             self._learn(lease.seen)
         if result is not AcquireResult.ACQUIRED:
@@ -184,9 +193,9 @@
             if self._clock.monotonic() >= end:
                 return
             await self._clock.sleep(RELEASE_POLL_S)
-        tenure = self._lender.tenures.pop(share)
-        record = tenure.lease.record
-        if record is None or not await tenure.lease.release():
+        tenure = self._lender.tenures.pop(share, None)
+        record = tenure.lease.record if tenure is not None else None
+        if tenure is None or record is None or not await tenure.lease.release():
             return
         holder = self._describe_record(share, record, vm="")
         self._directory.merge([holder])
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -420,6 +420,28 @@
 
         self.play(story, rate=30, burst=40)
 
+    def test_contenders_spare_a_store_that_is_down(self) -> None:
+        """Guards against an outage in which all contenders call the store at every tick."""
+
+        async def story(fleet: Fleet) -> None:
+            for proxy in fleet.proxies:
+                proxy.store.down = True
+            holder = self.find_holder(fleet)
+            held = len(holder.service.lender.tenures)
+            holder.kill()
+            fleet.unlist(holder.member)
+            calls = sum(fleet.table.calls.values())
+            await asyncio.sleep(60)
+            # Three contenders for each share, at least 4 s apart.
+            self.assertLess(sum(fleet.table.calls.values()) - calls, 3 * held * 60 / 4)
+            for proxy in fleet.proxies:
+                proxy.store.down = False
+            await asyncio.sleep(7)
+            taken = [s for p in fleet.proxies if p.running for s in p.service.lender.tenures]
+            self.assertEqual(list(range(8)), sorted(taken))
+
+        self.play(story)
+
     def test_clock_rates_that_differ(self) -> None:
         """Guards against clocks that run fast or slow by half a percent."""
 
