--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,12 +1,43 @@
 """Tests of the real programs as separate processes on loopback."""
 
 import asyncio
+import json
+import signal
+from bisect import insort
+from collections import Counter
 from collections.abc import Iterator, Sequence
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
 from itertools import count, cycle
 
 import pytest
-
-from .processes import KEY, POLL_S, Deployment, Lost, ProcessTestCase, Proxy, wait_for
+from aiohttp import ClientSession, TCPConnector, TraceConfig
+from testtools import TestCase
+
+from lentilring import __version__
+from lentilring.settings import ProxySettings, list_settings
+
+from .processes import (
+    ACCOUNT,
+    KEY,
+    LIMIT_S,
+    POLL_S,
+    SERVICE,
+    Answer,
+    Deployment,
+    Lost,
+    ProcessTestCase,
+    Proxy,
+    run_program,
+    wait_for,
+)
+
+LEASE_S = 5.0
+PAUSE_S = 6.0  # longer than the lease, so that it ends while its holder is paused
+OTHER_KEY = "planner-key-88d0"
+THIRD_KEY = "planner-key-c3a7"
+SERVICES = {"services": [SERVICE]}
+WAIT = ("--wait", f"{LIMIT_S:.0f}")
 
 pytestmark = pytest.mark.process
 
@@ -194,3 +225,345 @@
                 self.assertIsNone(absent.result)
 
         self.run_deployed(body)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Admission:
+    """Hold when an admitted request was sent and when its answer came."""
+
+    sent_at: float
+    answered_at: float
+
+
+def find_excess(admissions: Sequence[Admission], *, rate_per_s: float, burst: float) -> list[str]:
+    """Return the windows in which more was admitted than burst + rate * w.
+
+    A request is admitted between its sending and its answer, so it lies within every window that
+    holds both.
+    """
+    excess: list[str] = []
+    ends: list[float] = []
+    for entry in sorted(admissions, key=lambda entry: -entry.sent_at):
+        insort(ends, entry.answered_at)
+        for number, end in enumerate(ends, 1):
+            seconds = end - entry.sent_at
+            if number > burst + rate_per_s * seconds:
+                excess.append(f"{number} in {seconds:.3f} s")
+    return excess
+
+
+class LimitLoad:
+    """Send more than an account's rate to all proxies and log the admissions of each."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self.admissions: dict[str, list[Admission]] = {
+            proxy.program.name: [] for proxy in deployment.proxies
+        }
+        self._deployment = deployment
+        self._ending = False
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def all(self) -> list[Admission]:
+        """Return the admissions of all proxies."""
+        return [entry for entries in self.admissions.values() for entry in entries]
+
+    def start(self, *, callers: int) -> None:
+        """Start some callers at each proxy."""
+        for proxy in self._deployment.proxies:
+            for _ in range(callers):
+                self._tasks.append(asyncio.ensure_future(self._call(proxy)))
+
+    async def end(self) -> None:
+        """Let the callers finish their requests."""
+        self._ending = True
+        await asyncio.gather(*self._tasks)
+
+    async def wait_for_more(self, amount: int, vm: str) -> None:
+        """Wait until a proxy admitted some more requests."""
+        entries = self.admissions[vm]
+        goal = len(entries) + amount
+
+        async def is_reached() -> bool:
+            return len(entries) >= goal
+
+        await wait_for(f"{vm} admits {amount} more", is_reached)
+
+    async def _call(self, proxy: Proxy) -> None:
+        clock = asyncio.get_running_loop().time
+        while not self._ending:
+            sent_at = clock()
+            answer = await self._deployment.ask(proxy, "stock", get("tent"))
+            if answer.outcome != "not_run":
+                self.admissions[proxy.program.name].append(
+                    Admission(sent_at=sent_at, answered_at=clock())
+                )
+
+
+class PauseTests(FailureTestCase):
+    def test_paused_share_holder_admits_nothing_beyond_the_limit(self) -> None:
+        """Guards against grants under a lease that ended while its holder was paused (I7)."""
+        rate_per_s, burst = 40.0, 40.0
+
+        async def body(deployment: Deployment) -> None:
+            load = LimitLoad(deployment)
+            load.start(callers=8)
+            for vm in load.admissions:
+                await load.wait_for_more(10, vm)
+            held = Counter((await deployment.find_holders()).values())
+            vm = held.most_common(1)[0][0]
+            paused = next(p for p in deployment.proxies if p.program.name == vm)
+            paused.program.send(signal.SIGSTOP)
+            await asyncio.sleep(PAUSE_S)
+            paused.program.send(signal.SIGCONT)
+            for name in load.admissions:
+                await load.wait_for_more(40, name)
+            await load.end()
+            excess = find_excess(load.all, rate_per_s=rate_per_s, burst=burst)
+            self.assertEqual([], excess)
+
+        self.run_deployed(
+            body,
+            rate_per_s=rate_per_s,
+            burst=burst,
+            proxy_flags=("--lease-duration-s", str(LEASE_S)),
+        )
+
+
+class PlatformTests(ProcessTestCase):
+    def test_platform_outage_stops_neither_requests_nor_a_withdrawal(self) -> None:
+        """Guards against refusals, and keys that work again, while the store is down (I6, I14)."""
+
+        async def body(deployment: Deployment) -> None:
+            given = await deployment.control("keys", "give", ACCOUNT, "--key", OTHER_KEY, *WAIT)
+            self.assertEqual(0, given.returncode, given)
+            withdrawn = await deployment.control("keys", "withdraw", ACCOUNT, "--key", KEY, *WAIT)
+            self.assertEqual(0, withdrawn.returncode, withdrawn)
+            await deployment.set_faults(deployment.platform, outage=True)
+
+            async def is_down_everywhere() -> bool:
+                views = [await deployment.view(proxy, "status") for proxy in deployment.proxies]
+                return all(view["store_down"] for view in views)
+
+            await wait_for("all proxies report the outage", is_down_everywhere)
+            for index, proxy in enumerate(deployment.proxies):
+                item = f"tent-{index}"
+                put = {"op": "put", "key": item, "value": index}
+                written = await deployment.complete(proxy, "book", put, key=OTHER_KEY)
+                read = await deployment.complete(
+                    proxy, "stock", get(item), key=OTHER_KEY, session=written.session
+                )
+                self.assertEqual(index, read.result)
+                refused = await deployment.ask(proxy, "stock", get(item))
+                self.assertEqual(("not_run", "key_unknown"), (refused.outcome, refused.reason))
+            blocked = await deployment.control("keys", "give", ACCOUNT, "--key", THIRD_KEY)
+            self.assertEqual(4, blocked.returncode, blocked)
+            await deployment.set_faults(deployment.platform, outage=False)
+            given = await deployment.control("keys", "give", ACCOUNT, "--key", THIRD_KEY, *WAIT)
+            self.assertEqual(0, given.returncode, given)
+            for proxy in deployment.proxies:
+                await deployment.complete(proxy, "stock", get("tent-0"), key=THIRD_KEY)
+                refused = await deployment.ask(proxy, "stock", get("tent-0"))
+                self.assertEqual("key_unknown", refused.reason, refused.body)
+
+        self.run_deployed(body)
+
+
+class ShutdownTests(FailureTestCase):
+    def test_sigterm_cuts_no_request_on_open_connections(self) -> None:
+        """Guards against requests that are lost in a graceful stop (I13)."""
+
+        async def body(deployment: Deployment) -> None:
+            stopping = deployment.gateway_of(await deployment.find_primary())
+            async with AsyncExitStack() as stack:
+                clients = [await stack.enter_async_context(connect()) for _ in range(6)]
+                for client in clients:
+                    await deployment.complete(stopping, "stock", get("tent"), http=client)
+                await deployment.change_backends(statement_time_s=0.5)
+                calls = [
+                    asyncio.ensure_future(self._call(deployment, stopping, client, f"c{index}"))
+                    for index, client in enumerate(clients)
+                ]
+
+                async def are_in_flight() -> bool:
+                    view = await deployment.view(stopping, "pools")
+                    return sum(s["running"] + s["queued"] for s in view.values()) >= len(clients)
+
+                await wait_for("all requests are at the gateway", are_in_flight)
+                stopping.program.send(signal.SIGTERM)
+                told = await asyncio.gather(*calls)
+                for answers in told:
+                    self.assertEqual("completed", answers[0].outcome, answers[0].body)
+                    self.assertIn(answers[-1].outcome, ("completed", "not_run"), answers[-1].body)
+            code = await asyncio.to_thread(stopping.program.process.wait, LIMIT_S)
+            self.assertEqual(0, code)
+            await deployment.change_backends(statement_time_s=0.002)
+            other = deployment.others(stopping)[0]
+            for index, answers in enumerate(told):
+                done = [n for n, answer in enumerate(answers) if answer.outcome == "completed"]
+                stored = await deployment.complete(other, "stock", get(f"c{index}"))
+                self.assertEqual(done, stored.result)
+
+        self.run_deployed(body)
+
+    async def _call(
+        self, deployment: Deployment, proxy: Proxy, client: ClientSession, key: str
+    ) -> list[Answer]:
+        """Send one request after another until the proxy closes the connection with an answer."""
+        answers: list[Answer] = []
+        while not answers or not answers[-1].closes:
+            statement = append(key, len(answers))
+            answers.append(await deployment.ask(proxy, "book", statement, http=client))
+        return answers
+
+
+class KeyTests(ProcessTestCase):
+    def test_withdrawn_key_is_refused_on_open_connections(self) -> None:
+        """Guards against a key that is checked only when its connection opens (I6)."""
+
+        async def body(deployment: Deployment) -> None:
+            opened: list[str] = []
+            async with AsyncExitStack() as stack:
+                clients = [
+                    await stack.enter_async_context(connect(opened)) for _ in deployment.proxies
+                ]
+                pairs = list(zip(deployment.proxies, clients, strict=True))
+                for proxy, client in pairs:
+                    await deployment.complete(proxy, "stock", get("tent"), http=client)
+                done = await deployment.control("keys", "withdraw", ACCOUNT, "--key", KEY, *WAIT)
+                self.assertEqual(0, done.returncode, done)
+                for proxy, client in pairs:
+                    for route, statement in (("stock", get("t")), ("book", append("t", 1))):
+                        refused = await deployment.ask(proxy, route, statement, http=client)
+                        self.assertEqual((401, "key_unknown"), (refused.status, refused.reason))
+            self.assertEqual(len(pairs), len(opened))
+
+        self.run_deployed(body)
+
+
+class OperatorTests(ProcessTestCase):
+    def test_one_of_two_racing_changes_is_accepted(self) -> None:
+        """Guards against an operator's change that silently overwrites another's (I14)."""
+
+        async def body(deployment: Deployment) -> None:
+            rates = (1234, 4321)
+            files = [deployment.folder / f"{rate}.yaml" for rate in rates]
+            for rate, file in zip(rates, files, strict=True):
+                value = {"name": "standard", "rate_per_s": rate, "burst": 50}
+                file.write_text(
+                    json.dumps({"kind": "template", "version": 1, "value": value | SERVICES})
+                )
+            done = await asyncio.gather(
+                *(deployment.control("apply", str(file), *WAIT) for file in files)
+            )
+            codes = [entry.returncode for entry in done]
+            self.assertEqual([0, 3], sorted(codes), done)
+            self.assertIn("version 2", done[codes.index(0)].stdout)
+            for rate in rates:
+                self.assertIn(str(rate), done[codes.index(3)].stdout)
+            shown = await self._show(deployment)
+            self.assertEqual((2, rates[codes.index(0)]), self._pick(shown))
+            back = await deployment.control("rollback", "template", "standard", "--to", "1", *WAIT)
+            self.assertEqual(0, back.returncode, back)
+            self.assertEqual((3, 5000), self._pick(await self._show(deployment)))
+
+        self.run_deployed(body)
+
+    async def _show(self, deployment: Deployment) -> dict:
+        shown = await deployment.control("show", "template", "standard", "--json")
+        self.assertEqual(0, shown.returncode, shown)
+        return json.loads(shown.stdout)[0]
+
+    def _pick(self, shown: dict) -> tuple[int, float]:
+        return shown["version"], shown["value"]["rate_per_s"]
+
+
+class SilenceTests(FailureTestCase):
+    def test_requests_on_silent_connections_have_outcomes_and_later_ones_complete(self) -> None:
+        """Guards against callers that hang, or are told wrong, on silent connections (I9, I10)."""
+
+        async def body(deployment: Deployment) -> None:
+            appender = Appender(deployment, "deliveries")
+            appender.start(deployment.proxies, callers=9, repeats_unknown=False)
+            await appender.wait_for_more(30)
+            primary = await deployment.find_primary()
+            await deployment.set_faults(deployment.backends[primary].admin, silence="existing")
+            await appender.wait_for_more(100)
+            await appender.end()
+            for proxy in deployment.proxies:
+                self.assert_truthful(appender, await appender.read(proxy))
+
+        self.run_deployed(body)
+
+
+class ProgramTests(TestCase):
+    FLAGS = (
+        *("--vm", "vm-1", "--failure-domain", "casa-a", "--region", "casablanca"),
+        *("--platform-address", "127.0.0.1:7300", "--secret", "process-tests"),
+    )
+
+    def test_check_accepts_valid_settings(self) -> None:
+        """Guards against a check that starts the proxy or refuses what the start accepts."""
+        done = run_program("lentilring-proxy", *self.FLAGS, "--check")
+        self.assertEqual((0, "settings are valid\n"), (done.returncode, done.stdout), done)
+
+    def test_version_and_help_need_no_settings(self) -> None:
+        """Guards against flags that only work beside the required settings."""
+        for program in ("lentilring-proxy", "lentilctl", "lentilring-standin"):
+            version = run_program(program, "--version")
+            self.assertEqual(0, version.returncode, version)
+            self.assertIn(__version__, version.stdout)
+            usage = run_program(program, "--help")
+            self.assertEqual(0, usage.returncode, usage)
+        usage = run_program("lentilring-proxy", "--help")
+        for setting in list_settings(ProxySettings):
+            self.assertIn("--" + setting.name.replace("_", "-"), usage.stdout)
+            self.assertIn("LENTILRING_" + setting.name.upper(), usage.stdout)
+
+    def test_bad_setting_is_named_with_what_is_allowed(self) -> None:
+        """Guards against a message that leaves the operator to guess the mistake."""
+        cases = (
+            ("--http-threads", "LENTILRING_HTTP_THREADS", "1", "2"),
+            ("--lease-duration-s", "LENTILRING_LEASE_DURATION_S", "4.5", "5"),
+            ("--http-address", "LENTILRING_HTTP_ADDRESS", "localhost:80", r"\d"),
+            ("--vm", "LENTILRING_VM", "VM_1", "[a-z0-9]"),
+            ("--log-level", "LENTILRING_LOG_LEVEL", "loud", "warning"),
+            ("--http-threads", "LENTILRING_HTTP_THREADS", "many", "integer"),
+        )
+        for flag, variable, value, allowed in cases:
+            by_flag = run_program("lentilring-proxy", *self.FLAGS, flag, value, "--check")
+            flags = [entry for entry in pairwise_flags(self.FLAGS) if entry[0] != flag]
+            by_variable = run_program(
+                "lentilring-proxy",
+                *(text for entry in flags for text in entry),
+                "--check",
+                variables={variable: value},
+            )
+            for done in (by_flag, by_variable):
+                self.assertEqual(2, done.returncode, done)
+                for part in (flag, variable, value, allowed):
+                    self.assertIn(part, done.stderr)
+
+    def test_bad_secret_is_not_shown(self) -> None:
+        """Guards against a secret in the terminal or a log of the start."""
+        done = run_program("lentilring-proxy", *self.FLAGS, "--secret", "short7c", "--check")
+        self.assertEqual(2, done.returncode, done)
+        self.assertIn("--secret", done.stderr)
+        self.assertNotIn("short7c", done.stdout + done.stderr)
+
+
+def pairwise_flags(flags: Sequence[str]) -> list[tuple[str, str]]:
+    """Return flags with their values."""
+    return list(zip(flags[::2], flags[1::2], strict=True))
+
+
+def connect(opened: list[str] | None = None) -> ClientSession:
+    """Return a client that keeps one connection open; note each connection that it opens."""
+    tracing = TraceConfig()
+
+    async def note(*_: object) -> None:
+        if opened is not None:
+            opened.append("connection")
+
+    tracing.on_connection_create_end.append(note)
+    return ClientSession(connector=TCPConnector(limit=1), trace_configs=[tracing])
