Name the rejected text of numeric settings

Cause: typer converted numeric settings itself, and its message for a text that is not a number names the flag and the variable but not the text. Ruled out: bounds, patterns and choices; their messages show the value. Conclusion: all rejected values are reported in the same form.

--- a/lentilring/cli/options.py
+++ b/lentilring/cli/options.py
@@ -13,6 +13,8 @@
 
 S = TypeVar("S")
 
+NUMBER_METAVARS = {int: "INTEGER", float: "FLOAT"}
+
 
 class ExitCode(IntEnum):
     """Name the exit codes of all programs."""
@@ -87,8 +89,13 @@
         "--" + entry.name.replace("_", "-"),
         envvar=name_variable(entry.name),
         help=hint.replace("[", "\\["),
+        metavar=NUMBER_METAVARS.get(base),
     )
     default = entry.default if has_default(entry) else inspect.Parameter.empty
+    if base in NUMBER_METAVARS:
+        # typer's own message for a text that is not a number leaves out the text.
+        base = str
+        default = str(default) if has_default(entry) else default
     return inspect.Parameter(
         entry.name,
         inspect.Parameter.KEYWORD_ONLY,
