--- a/lentilring/membership/gossip.py
+++ b/lentilring/membership/gossip.py
@@ -21,9 +21,9 @@
 from ..telemetry.metrics import Telemetry
 from .member import UNKNOWN_INCARNATION, Member, MemberState
 from .messages import Gossip, IndirectProbe, Probe, ProbeAnswer, SyncReply, SyncRequest
-from .sizes import MAX_PAYLOAD_BYTES, estimate_size
+from .sizes import MAX_PAYLOAD_BYTES
 from .status import StatusTable
-from .table import MemberTable
+from .table import MemberTable, measure_member
 
 PROBE_INTERVAL_S = 1.0
 PROBE_TIMEOUT_S = 0.3
@@ -147,12 +147,12 @@
         reply = await self._transport.call(address, request, timeout_s=SYNC_TIMEOUT_S)
         if not isinstance(reply, SyncReply):
             raise PeerRejected(address=address, detail=type(reply).__name__)
-        self._merge(reply.members)
+        self.table.merge_table(reply.members, spread=True)
         self.statuses.merge_groups(reply.statuses)
         return reply
 
     async def _handle_sync(self, sender: Sender, request: SyncRequest) -> SyncReply:
-        self._merge(request.members)
+        self.table.merge_table(request.members, spread=True)
         differ = request.members_digest != self.table.digest()
         send_members = differ and request.members
         statuses_differ = request.statuses_digest != self.statuses.digest()
@@ -374,7 +374,7 @@
         for peer in self.choose_peers(1):
             share = 2 if self.statuses else 1
             updates = self.table.take(budget=MAX_PAYLOAD_BYTES // share)
-            used = sum(estimate_size(entry) for entry in updates)
+            used = sum(measure_member(entry) for entry in updates)
             statuses = self.statuses.take(
                 budget=MAX_PAYLOAD_BYTES - used, members=len(self.table.records)
             )
--- a/lentilring/membership/service.py
+++ b/lentilring/membership/service.py
@@ -1,7 +1,7 @@
 """The membership service: the platform's list of VMs joined with gossip."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import replace
 from random import Random
 
@@ -26,6 +26,8 @@
 HOUSEKEEPING_INTERVAL_S = 60.0
 # `members()` shows revisions that are at most this old; `revision_of` is always current.
 MEMBERS_CACHE_S = 1.0
+# Ranking a region takes up to a millisecond at the design size and is asked for 10 times a second.
+CHOICE_CACHE_S = 1.0
 
 log = Log(source="membership")
 
@@ -64,6 +66,7 @@
         self._members_changes = 0
         self._members_built_at = 0.0
         self._store_down: tuple[int, bool] | None = None
+        self._chosen: dict[str, tuple[float, bool]] = {}
         self._listed_at: dict[str, float] = {}
         self._dead_since: dict[str, float] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -173,10 +176,17 @@
 
     def is_chosen(self, task: str, *, count: int) -> bool:
         """Tell whether the local node is among the `count` that do a task for its region."""
+        now = self._clock.monotonic()
+        known = self._chosen.get(task)
+        if known is not None and now - known[0] < CHOICE_CACHE_S:
+            return known[1]
         local = self._table.local
-        candidates = [entry for entry in self.members() if entry.region == local.region]
-        ranked = rank_members(f"{task}.{local.region}", candidates)
-        return local.vm in {entry.vm for entry in ranked[:count]}
+        records = self._table.records.values()
+        usable = [entry for entry in records if entry.is_usable and entry.region == local.region]
+        ranked = rank_members(f"{task}.{local.region}", usable)
+        chosen = local.vm in {entry.vm for entry in ranked[:count]}
+        self._chosen[task] = (now, chosen)
+        return chosen
 
     def _count_store_down(self) -> bool:
         known = self.known()
@@ -216,7 +226,7 @@
                 log.error("callback_failed", vm=record.vm, error=repr(error))
 
     async def _find_addresses(self) -> list[str]:
-        await self._poll()
+        await self._poll(starting=True)
         listed = [entry.address for entry in self._gossip.lost_members()]
         self._random.shuffle(listed)
         return listed or [seed for seed in self._seeds if seed != self._table.local.address]
@@ -241,7 +251,7 @@
             if self.is_chosen("vm-list", count=POLLERS_PER_REGION):
                 await self._poll()
 
-    async def _poll(self) -> None:
+    async def _poll(self, *, starting: bool = False) -> None:
         sent_at = self._clock.monotonic()
         try:
             async with asyncio.timeout(LIST_TIMEOUT_S):
@@ -249,24 +259,29 @@
         except (StoreUnavailable, TimeoutError):
             self._telemetry.count("membership_list_failures")
             return
-        for entry in entries:
-            self._apply_entry(entry)
+        # A starting node learns what its peers know already, so it spreads nothing of its list.
+        claims = [self._read_entry(entry) for entry in entries]
+        if starting:
+            self._table.merge_table(claims, spread=False)
+        else:
+            self._merge(claims)
         self._apply_removals({entry.name for entry in entries}, sent_at)
 
-    def _apply_entry(self, entry: VmEntry) -> None:
+    def _merge(self, claims: Iterable[Member]) -> None:
+        for claim in claims:
+            self._table.merge(claim)
+
+    def _read_entry(self, entry: VmEntry) -> Member:
         listing = Listing.LEAVING if entry.state is VmState.LEAVING else Listing.LIVE
-        record = self._table.records.get(entry.name)
-        if record is None:
-            record = Member(
-                vm=entry.name,
-                address=entry.address,
-                failure_domain=entry.failure_domain,
-                region=entry.region,
-                incarnation=UNKNOWN_INCARNATION,
-                state=MemberState.DEAD,
-            )
-        if record.listing is not listing:
-            self._table.merge(relist(record, listing))
+        record = self._table.records.get(entry.name) or Member(
+            vm=entry.name,
+            address=entry.address,
+            failure_domain=entry.failure_domain,
+            region=entry.region,
+            incarnation=UNKNOWN_INCARNATION,
+            state=MemberState.DEAD,
+        )
+        return record if record.listing is listing else relist(record, listing)
 
     def _apply_removals(self, listed: set[str], sent_at: float) -> None:
         for record in list(self._table.records.values()):
