--- a/lentilring/configuration/models.py
+++ b/lentilring/configuration/models.py
@@ -65,7 +65,7 @@
 
 @dataclass(frozen=True, kw_only=True, config=STRICT)
 class BackendServer:
-    """Describe one instance of a database; a new connection takes `connect_s` seconds."""
+    """Describe one instance of a database."""
 
     name: Name
     address: AddressText
--- a/lentilring/settings.py
+++ b/lentilring/settings.py
@@ -88,7 +88,7 @@
     description, allowed = "", []
     for check in checks:
         description = getattr(check, "description", None) or description
-        allowed += [_format_constraint(entry) for entry in getattr(check, "metadata", [])]
+        allowed += [format_constraint(entry) for entry in getattr(check, "metadata", [])]
     if isinstance(base, type) and issubclass(base, StrEnum):
         allowed.append(", ".join(base))
     return base, description, "; ".join(allowed)
@@ -99,7 +99,8 @@
     return entry.default is not MISSING
 
 
-def _format_constraint(entry: object) -> str:
+def format_constraint(entry: object) -> str:
+    """Return one of a field's checks as text; empty for what is no constraint."""
     names = {
         "ge": "at least",
         "gt": "above",
