--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 bench: install
 	$(PYTHON) -m tests.bench_membership
 	$(PYTHON) -m tests.bench_faults
+	$(PYTHON) -m tests.bench_settle --size 243
 	$(PYTHON) -m tests.bench_state
 	$(PYTHON) -m tests.bench_processes size
 	$(PYTHON) -m tests.bench_processes fleet
--- a/tests/bench_faults.py
+++ b/tests/bench_faults.py
@@ -73,7 +73,7 @@
 
 
 async def inject_faults(size: int) -> None:
-    """Restart a node, lose a failure domain, cut a region off and let it return."""
+    """Change an object, restart a node, cut a region off and lose a failure domain."""
     fleet = Fleet(size)
     fleet.table.put(Kind.TEMPLATE, "standard", TEMPLATE, 0)
     await fleet.start(settle_s=SETTLE_S)
@@ -82,6 +82,13 @@
     await asyncio.sleep(STEADY_S)
     meter.print_row("steady", nodes=size)
 
+    changed = fleet.table.put(Kind.TEMPLATE, "standard", TEMPLATE, 1)
+    needed_s = await wait_until(
+        lambda: all(node.configuration.revision >= changed.revision for node in fleet.nodes),
+        limit_s=LIMIT_S,
+    )
+    meter.print_row("change, until in force everywhere", nodes=size, note=f"after {needed_s:.2f} s")
+
     await fleet.nodes[1].kill()
     fleet.nodes[1] = fleet.add(1, incarnation=2)
     meter.watch(fleet.nodes[1])
