--- /dev/null
+++ b/lentilring/cli/load.py
@@ -0,0 +1,131 @@
+"""The `lentilring-load` program: load, request log, checks and report."""
+
+import asyncio
+from dataclasses import asdict
+from pathlib import Path
+from typing import Annotated
+
+import aiohttp
+import typer
+
+from ..loadtest.checker import check_log
+from ..loadtest.findings import Finding
+from ..loadtest.records import LogInvalid, LogWriter, RequestLog, read_log
+from ..loadtest.report import draw_report
+from ..loadtest.runner import LoadRun
+from ..loadtest.scenario import Scenario, ScenarioInvalid, read_scenario
+from ..telemetry.log import write_logs
+from .options import VERSION_OPTION, ExitCode
+from .tables import print_json
+
+application = typer.Typer(
+    add_completion=True,
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    help="Send open-loop load to proxies, check the request log, draw a report. Exit codes: "
+    "0 done, 1 a check found violations, 2 wrong use or invalid file.",
+)
+
+ScenarioFile = Annotated[Path, typer.Argument(help="Scenario, YAML.")]
+LogFile = Annotated[Path, typer.Argument(help="Request log, JSON lines.")]
+
+
+@application.callback()
+def describe(version: VERSION_OPTION = False) -> None:
+    """Send open-loop load to proxies, check the request log, draw a report."""
+
+
+def main() -> None:
+    """Run the program."""
+    application()
+
+
+@application.command()
+def validate(scenario: ScenarioFile) -> None:
+    """Check a scenario file without sending anything."""
+    read = _read_scenario(scenario)
+    seconds = sum(phase.duration_s for phase in read.phases)
+    typer.echo(f"{scenario}: {read.name} is valid, {seconds:g} s")
+
+
+@application.command()
+def run(
+    scenario: ScenarioFile,
+    log: Annotated[
+        Path, typer.Option(envvar="LENTILRING_LOAD_LOG", help="Request log to write.")
+    ] = Path("requests.jsonl"),
+    work: Annotated[
+        Path,
+        typer.Option(
+            envvar="LENTILRING_LOAD_WORK", help="Directory with NAME.pid of processes for faults."
+        ),
+    ] = Path("."),
+    log_level: Annotated[
+        str, typer.Option(envvar="LENTILRING_LOAD_LOG_LEVEL", help="debug, info, warning or error.")
+    ] = "info",
+) -> None:
+    """Play a scenario and write the request log."""
+    read = _read_scenario(scenario)
+    with write_logs(level=log_level), log.open("wb") as stream:
+        asyncio.run(_play(read, LogWriter(stream=stream), work))
+
+
+@application.command()
+def check(
+    log: LogFile,
+    as_json: Annotated[bool, typer.Option("--json", help="Print JSON instead of text.")] = False,
+) -> None:
+    """Check a request log and print the measures; exit with 1 if a check finds violations."""
+    findings = check_log(_read_log(log))
+    if as_json:
+        print_json([asdict(finding) for finding in findings])
+    else:
+        for finding in findings:
+            _print_finding(finding)
+    if any(finding.violations for finding in findings):
+        raise typer.Exit(ExitCode.FAILURE)
+
+
+@application.command()
+def report(
+    log: LogFile,
+    output: Annotated[Path, typer.Option(help="Picture to write, PNG.")] = Path("report.png"),
+) -> None:
+    """Draw latency, failures, replica reads and faults over time."""
+    draw_report(_read_log(log), output)
+    typer.echo(f"wrote {output}")
+
+
+async def _play(scenario: Scenario, writer: LogWriter, work: Path) -> None:
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as http:
+        await LoadRun(scenario=scenario, http=http, writer=writer, work=work).play()
+
+
+def _print_finding(finding: Finding) -> None:
+    verdict = f"{len(finding.violations)} VIOLATIONS" if finding.violations else "no violation"
+    typer.echo(f"{finding.check}: {verdict}, {finding.examined} examined")
+    for name, value in finding.figures.items():
+        typer.echo(f"  {name}: {value}")
+    for violation in finding.violations:
+        typer.echo(f"  ! {violation}")
+
+
+def _read_scenario(file: Path) -> Scenario:
+    try:
+        return read_scenario(file)
+    except ScenarioInvalid as error:
+        typer.echo(f"error: {error}", err=True)
+        raise typer.Exit(ExitCode.USAGE) from error
+
+
+def _read_log(file: Path) -> RequestLog:
+    try:
+        return read_log(file)
+    except (LogInvalid, OSError) as error:
+        typer.echo(f"error: {error}", err=True)
+        raise typer.Exit(ExitCode.USAGE) from error
+
+
+if __name__ == "__main__":
+    main()
