--- a/lentilring/loadtest/consistency.py
+++ b/lentilring/loadtest/consistency.py
@@ -142,14 +142,14 @@
     events += [(time, 0, None) for time in first_sent.values()]
     events += [(r.answered, 1, r) for r in records if r.outcome is RequestOutcome.COMPLETED]
     possible, violations = 0, []
-    for _, _, record in sorted(events, key=lambda event: event[:2]):
-        if record is None:
+    for _, _, answer in sorted(events, key=lambda event: event[:2]):
+        if answer is None:
             possible += 1
             continue
-        value = read_sum(record)
+        value = read_sum(answer)
         if value is not None and value > possible:
             violations.append(
-                f"{counter}: request {record.request_id} got {value:g} when at most {possible} "
+                f"{counter}: request {answer.request_id} got {value:g} when at most {possible} "
                 "writes may have run"
             )
     return violations
--- a/lentilring/loadtest/faults.py
+++ b/lentilring/loadtest/faults.py
@@ -8,7 +8,7 @@
 
 import aiohttp
 
-from .scenario import PostJson, RunCommand, SendSignal
+from .scenario import RunCommand, SendHttp, SendSignal
 
 
 @singledispatch
@@ -25,8 +25,8 @@
 
 
 @do_action.register
-async def _(action: PostJson, http: aiohttp.ClientSession, work: Path) -> str:
-    async with http.post(action.url, json=action.body) as response:
+async def _(action: SendHttp, http: aiohttp.ClientSession, work: Path) -> str:
+    async with http.request(action.method, action.url, json=action.body) as response:
         return f"{response.status} {await response.text()}"
 
 
--- a/lentilring/loadtest/maxima.py
+++ b/lentilring/loadtest/maxima.py
@@ -4,7 +4,7 @@
 
 
 class MaximumTree:
-    """Keep the maximum of numbers under additions to all numbers from an index on, and the greatest of them."""
+    """Keep maxima of suffixes of a list of numbers under additions to suffixes."""
 
     def __init__(self, values: Sequence[float]) -> None:
         self._size = 1 << max(0, (len(values) - 1).bit_length())
--- a/lentilring/loadtest/scenario.py
+++ b/lentilring/loadtest/scenario.py
@@ -93,12 +93,13 @@
 
 
 @dataclass(frozen=True, kw_only=True, config=STRICT)
-class PostJson:
-    """Post a JSON object, such as to the fault switches of a stand-in."""
+class SendHttp:
+    """Send a JSON object, such as to the fault switches of a stand-in."""
 
-    kind: Literal["post"]
+    kind: Literal["http"]
     url: str
-    body: dict[str, bool | int | float | str]
+    method: Literal["POST", "PUT", "DELETE"] = "POST"
+    body: dict[str, bool | int | float | str] = Field(default_factory=dict)
 
 
 @dataclass(frozen=True, kw_only=True, config=STRICT)
@@ -109,7 +110,7 @@
     arguments: Annotated[tuple[str, ...], Field(min_length=1)]
 
 
-FaultAction = Annotated[SendSignal | PostJson | RunCommand, Field(discriminator="kind")]
+FaultAction = Annotated[SendSignal | SendHttp | RunCommand, Field(discriminator="kind")]
 
 
 @dataclass(frozen=True, kw_only=True, config=STRICT)
