--- a/lentilring/loadtest/operations.py
+++ b/lentilring/loadtest/operations.py
@@ -23,9 +23,10 @@
     gaps: dict[str, JsonValue] = {}
     violations = []
     marks = _marks(log, "primary_lost")
+    last = max((r.answered for r in log.requests), default=0.0)
     for mark in marks:
         writes = [r for r in log.requests if r.kind in WRITING and r.database == mark.target]
-        end = min(mark.began + GAP_WINDOW_S, max((r.answered for r in writes), default=0.0))
+        end = max(mark.began, min(mark.began + GAP_WINDOW_S, last))
         gap = measure_gap(writes, mark.began, end)
         failed = Counter(
             f"{r.outcome}/{r.reason}"
