Cut the primary by closed connections and silence; refusing connections is an experiment of its own

The stand-in's pause_replication only stops a replica's pulling, so a primary that refused connections still replicated. The supervisor counts a refused connection as a sign of life and did not promote within 20 s: measured as its own case.

--- a/extras/experiments/run.py
+++ b/extras/experiments/run.py
@@ -130,7 +130,11 @@
 
 
 def build_failover(deployment: Deployment) -> dict:
-    """Kill, silence and cut the primary of one database each, 20 s apart."""
+    """Kill, silence and cut the primary of one database each, 20 s apart.
+
+    A silenced primary keeps its connections and answers nothing. A cut one loses its connections
+    and answers nothing on new ones, as after a partition.
+    """
     first, second, third = deployment.user.databases
     killed = deployment.primary(first)
     silenced, cut = deployment.primary(second), deployment.primary(third)
@@ -138,11 +142,10 @@
     def url(server: str) -> str:
         return f"http://{deployment.servers()[server][0]}:5401/faults"
 
-    cutting = {"drop": True, "refuse_connections": True, "pause_replication": True}
     actions = [
         ("killed", first, {"kind": "signal", "process": killed, "signal": "SIGKILL"}),
-        ("silenced", second, post(url(silenced), silence="all", pause_replication=True)),
-        ("cut", third, post(url(cut), **cutting)),
+        ("silenced", second, post(url(silenced), silence="all")),
+        ("cut", third, post(url(cut), drop=True, silence="all")),
     ]
     faults = [
         {
@@ -158,6 +161,21 @@
     return build_base(deployment, phases, faults=faults, mix=WRITE_HEAVY)
 
 
+def build_refusing(deployment: Deployment) -> dict:
+    """Let a primary refuse all new connections, as one whose connections are used up."""
+    database = deployment.user.databases[0]
+    ip = deployment.servers()[deployment.primary(database)][0]
+    fault = {
+        "at_s": WARM_UP_S + 10,
+        "name": "primary refuses connections",
+        "event": "primary_lost",
+        "target": database,
+        "action": post(f"http://{ip}:5401/faults", drop=True, refuse_connections=True),
+    }
+    phases = [{"name": "refusing", "duration_s": 32}]
+    return build_base(deployment, phases, faults=[fault], mix=WRITE_HEAVY)
+
+
 def build_drain(deployment: Deployment) -> dict:
     """Drain the third failure domain and return it."""
     domain = list(deployment.user.domains)[2]
@@ -203,6 +221,7 @@
     "platform-down": build_platform_down,
     "noisy": build_noisy,
     "failover": build_failover,
+    "refusing": build_refusing,
     "drain": build_drain,
     "keys": build_keys,
 }
