--- a/lentilring/loadtest/admissions.py
+++ b/lentilring/loadtest/admissions.py
@@ -4,7 +4,7 @@
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
 
-from ..outcomes import RefusalReason
+from ..outcomes import JsonValue, RefusalReason
 from .findings import Finding
 from .maxima import MaximumTree
 from .records import AccountLimits, RequestLog, RequestOutcome, RequestRecord
@@ -84,34 +84,43 @@
 
 def check_refusals(log: RequestLog) -> Finding:
     """Count refusals by the rate limit of requests that one central bucket would admit."""
-    totals: dict[str, tuple[int, int]] = {}
-    sent: dict[str, int] = {}
+    by_account: dict[str, JsonValue] = {}
+    wrongful = within_rate = 0
+    measured = {id(entry) for entry in log.measured}
     for account, records in sorted(_group(log.requests).items()):
-        measured = {id(entry) for entry in log.measured}
-        wrongful, admitted = 0, 0
-        for record, due in replay_bucket(records, log.header.accounts[account]):
-            if due and id(record) in measured:
-                admitted += 1
-                wrongful += record.reason in LIMIT_REASONS
-        totals[account] = (wrongful, admitted)
-        sent[account] = sum(id(entry) in measured for entry in records)
-    wrongful = sum(entry[0] for entry in totals.values())
-    admitted = sum(entry[1] for entry in totals.values())
+        replayed = [
+            (record, due)
+            for record, due in replay_bucket(records, log.header.accounts[account])
+            if id(record) in measured
+        ]
+        due = sum(due for _, due in replayed)
+        missed = count_wrongful(replayed)
+        wrongful, within_rate = wrongful + missed, within_rate + due
+        by_account[account] = {"wrongful": missed, "within_rate": due, "sent": len(replayed)}
     return Finding(
         check="refusals",
-        examined=sum(sent.values()),
+        examined=within_rate,
         figures={
             "wrongful": wrongful,
-            "within_rate": admitted,
-            "share_percent": round(100 * wrongful / admitted, 4) if admitted else 0.0,
-            "by_account": {
-                name: {"wrongful": w, "within_rate": a, "sent": sent[name]}
-                for name, (w, a) in totals.items()
-            },
+            "within_rate": within_rate,
+            "share_percent": round(100 * wrongful / within_rate, 4) if within_rate else 0.0,
+            "by_account": by_account,
         },
     )
 
 
+def count_wrongful(replayed: Sequence[tuple[RequestRecord, bool]]) -> int:
+    """Return how many requests of an account were refused wrongly.
+
+    While the account stays within its rate, that is every refusal by the limit. Where the central
+    bucket refuses too, it and the fleet may admit different requests of the same moment, so only
+    the difference of their totals counts.
+    """
+    refused = sum(record.reason in LIMIT_REASONS for record, _ in replayed)
+    refused_by_bucket = sum(not due for _, due in replayed)
+    return max(0, refused - refused_by_bucket)
+
+
 def replay_bucket(
     records: Sequence[RequestRecord], limits: AccountLimits
 ) -> Iterable[tuple[RequestRecord, bool]]:
--- a/tests/test_load_checks.py
+++ b/tests/test_load_checks.py
@@ -149,6 +149,12 @@
         finding = check_refusals(build_log(*records))
         self.assertEqual((1, 5), (finding.figures["wrongful"], finding.figures["within_rate"]))
 
+    def test_order_of_refusals_over_the_rate_does_not_count(self) -> None:
+        """The fleet refuses the first of six requests at once, the central bucket the last."""
+        records = [build_refusal(0.0, 0, "rate_exceeded")]
+        records += [build_request(0.0, index) for index in range(1, 6)]
+        self.assertEqual(0, check_refusals(build_log(*records)).figures["wrongful"])
+
     def test_warm_up_is_not_counted_as_wrongful(self) -> None:
         """Buckets begin empty, so refusals during warm-up are expected."""
         refusal = build_refusal(0.0, 1, "limit_unavailable", phase="warm-up")
