--- a/extras/experiments/deployments.py
+++ b/extras/experiments/deployments.py
@@ -13,6 +13,7 @@
 import yaml
 
 START_TIMEOUT_S = 60.0
+STOP_TIMEOUT_S = 40.0
 STATEMENT_TIME_S = 0.002
 REPLICATION_LAG_S = 0.05
 LARGE_RATE, LARGE_OFFERED = 80.0, 50.0
@@ -147,6 +148,12 @@
             "--peer-address", f"{ip}:7400",
         )  # fmt: skip
 
+    def restart_proxy(self, vm: str) -> None:
+        """Stop a proxy gracefully and start it again."""
+        self.processes[vm].send_signal(signal.SIGTERM)
+        self.processes[vm].wait(timeout=STOP_TIMEOUT_S)
+        self.start_proxy(vm)
+
     def stop(self) -> None:
         """End the processes that were started here."""
         for process in self.processes.values():
--- a/extras/experiments/run.py
+++ b/extras/experiments/run.py
@@ -21,6 +21,8 @@
 WRITE_HEAVY = {"read": 0.4, "write": 0.35, "repeatable_write": 0.2, "transaction": 0.05}
 NOISY_FACTOR = 5.0
 VM_REMOVED_AFTER_S = 5.0
+SPREAD_TIMEOUT_S = 30.0
+SPREAD_SETTLE_S = 8.0
 
 
 def build_base(deployment: Deployment, phases: list[dict], **extra: object) -> dict:
@@ -81,9 +83,9 @@
 
 def build_holder_killed(deployment: Deployment) -> dict:
     """Kill the proxy with the most shares; the platform removes its VM 5 s later."""
-    shares = deployment.view("vm-1", "shares")["shares"]
-    holder = Counter(entry["vm"] for entry in shares if entry["vm"]).most_common(1)[0][0]
-    print(f"shares: {[(entry['share'], entry['vm']) for entry in shares]}; killing {holder}")
+    counts = count_shares(deployment)
+    holder = counts.most_common(1)[0][0]
+    print(f"shares {dict(counts)}; killing {holder}")
     at_s = WARM_UP_S + 10
     faults = [
         {
@@ -106,6 +108,31 @@
     return build_base(deployment, [{"name": "holder-killed", "duration_s": 50}], faults=faults)
 
 
+def build_holder_killed_spread(deployment: Deployment) -> dict:
+    """Kill a share holder after the shares were spread.
+
+    The first proxy to start takes all shares, so it is restarted gracefully, which releases them.
+    """
+    first = count_shares(deployment).most_common(1)[0][0]
+    deployment.restart_proxy(first)
+    end = time.monotonic() + SPREAD_TIMEOUT_S
+    while time.monotonic() < end and len(count_shares(deployment)) < 2:
+        time.sleep(0.5)
+    time.sleep(SPREAD_SETTLE_S)
+    return build_holder_killed(deployment)
+
+
+def count_shares(deployment: Deployment) -> Counter[str]:
+    """Return how many shares each proxy holds, as vm-1 or vm-2 knows."""
+    for vm in ("vm-1", "vm-2"):
+        try:
+            shares = deployment.view(vm, "shares")["shares"]
+        except OSError:
+            continue
+        return Counter(entry["vm"] for entry in shares if entry["vm"])
+    return Counter()
+
+
 def build_platform_down(deployment: Deployment) -> dict:
     """Stop the platform's answers for 2 minutes."""
     url = f"http://{deployment.platform}/faults"
@@ -218,6 +245,7 @@
     "even": build_even,
     "one-proxy": build_one_proxy,
     "holder-killed": build_holder_killed,
+    "holder-killed-spread": build_holder_killed_spread,
     "platform-down": build_platform_down,
     "noisy": build_noisy,
     "failover": build_failover,
