Measure operators' changes from their acceptance

The log now has the time of a command's first output, and the checks of drains and keys count from it.

--- a/lentilring/loadtest/operations.py
+++ b/lentilring/loadtest/operations.py
@@ -61,16 +61,16 @@
     marks = _marks(log, "domain_drained")
     for mark in marks:
         returned = [m.began for m in _marks(log, "domain_returned") if m.target == mark.target]
-        end = min((time for time in returned if time > mark.began), default=float("inf"))
-        during = [r for r in log.requests if mark.began <= r.sent < end]
+        end = min((time for time in returned if time > mark.effective), default=float("inf"))
+        during = [r for r in log.requests if mark.effective <= r.sent < end]
         servers = _names(log.header.backend_servers, mark.target)
         proxies = _names(log.header.proxies, mark.target)
         served = [r for r in during if r.served_by in servers]
         taken = [r for r in during if r.proxy in proxies and _is_work(r)]
-        last = max((r.sent - mark.began for r in [*served, *taken]), default=0.0)
-        around = [r for r in log.requests if r.sent >= mark.began]
+        last = max((r.sent - mark.effective for r in [*served, *taken]), default=0.0)
+        around = [r for r in log.requests if r.sent >= mark.effective]
         failed = Counter(f"{r.outcome}/{r.reason}" for r in around if _is_failure(r))
-        figures[f"{mark.target} at {mark.began:.1f}"] = {
+        figures[f"{mark.target} at {mark.effective:.1f}"] = {
             "last_served_by_domain_s": _last(served, mark),
             "last_taken_by_proxy_s": _last(taken, mark),
             "requests_after": len(around),
@@ -84,15 +84,15 @@
 
 
 def check_keys(log: RequestLog) -> Finding:
-    """Measure how long a withdrawn key was accepted, from the begin of the withdrawal."""
+    """Measure how long a withdrawn key was accepted, from its acceptance."""
     figures: dict[str, JsonValue] = {}
     violations = []
     marks = _marks(log, "key_withdrawn")
     for mark in marks:
-        used = [r for r in log.requests if r.key_id == mark.target and r.sent >= mark.began]
+        used = [r for r in log.requests if r.key_id == mark.target and r.sent >= mark.effective]
         accepted = [r for r in used if r.outcome is RequestOutcome.COMPLETED]
-        last = max((r.sent - mark.began for r in accepted), default=0.0)
-        figures[f"{mark.target} at {mark.began:.1f}"] = {
+        last = max((r.sent - mark.effective for r in accepted), default=0.0)
+        figures[f"{mark.target} at {mark.effective:.1f}"] = {
             "last_accepted_s": round(last, 3),
             "requests_after": len(used),
         }
@@ -122,5 +122,5 @@
 
 
 def _last(records: Iterable[RequestRecord], mark: FaultMark) -> float | None:
-    times = [record.sent - mark.began for record in records]
+    times = [record.sent - mark.effective for record in records]
     return round(max(times), 3) if times else None
--- a/lentilring/loadtest/records.py
+++ b/lentilring/loadtest/records.py
@@ -81,15 +81,24 @@
 
 
 class FaultMark(msgspec.Struct, frozen=True, kw_only=True, tag="fault"):
-    """Mark a fault; its action began and ended at these seconds."""
+    """Mark a fault; its action began and ended at these seconds.
+
+    A command's first output says that its change was accepted, after the start of its process.
+    """
 
     began: float
     ended: float
     name: str
     event: str
     target: str
+    first_output: float | None = None
     output: str = ""
 
+    @property
+    def effective(self) -> float:
+        """Return since when the change is in effect."""
+        return self.began if self.first_output is None else self.first_output
+
 
 class JournalEntry(msgspec.Struct, frozen=True, kw_only=True, tag="journal"):
     """Repeat what a stand-in's journal says that it ran."""
--- a/lentilring/loadtest/runner.py
+++ b/lentilring/loadtest/runner.py
@@ -13,7 +13,7 @@
 from .arrivals import Arrival, schedule_arrivals
 from .balancer import Balancer
 from .client import Answer, Call, ProxyCaller, read_position
-from .faults import do_action
+from .faults import ActionResult, do_action
 from .journals import JournalReader
 from .records import (
     AccountLimits,
@@ -137,19 +137,22 @@
         await asyncio.sleep(max(0.0, fault.at_s - self._now()))
         began = self._now()
         try:
-            output = await do_action(fault.action, self._http, self._work)
+            result = await do_action(fault.action, self._http, self._work)
         except (OSError, ValueError, aiohttp.ClientError) as error:
-            output = f"failed: {error!r}"
+            result = ActionResult(output=f"failed: {error!r}")
         mark = FaultMark(
             began=began,
             ended=self._now(),
             name=fault.name,
             event=fault.event,
             target=fault.target,
-            output=output,
+            first_output=(
+                result.first_output_at - self._started if result.first_output_at else None
+            ),
+            output=result.output,
         )
         self._writer.write(mark)
-        log.info("fault", name=fault.name, target=fault.target, output=output)
+        log.info("fault", name=fault.name, target=fault.target, output=result.output)
 
     async def _operate(self, arrival: Arrival) -> None:
         session = self._random.choice(self._sessions[arrival.account])
--- a/tests/test_load_checks.py
+++ b/tests/test_load_checks.py
@@ -261,6 +261,16 @@
             finding = check_drains(build_log(late, after_return, drain, back))
             self.assertEqual(1, len(finding.violations))
 
+    def test_time_until_an_operators_change_is_accepted_does_not_count(self) -> None:
+        """A slow start of the operator's program is not the deployment's delay."""
+        slow = msgspec.structs.replace(
+            build_mark("domain_drained", "fes-a", 10.0), first_output=14.0
+        )
+        early = build_request(14.5, 1, proxy="vm-3")
+        self.assertEqual((), check_drains(build_log(early, slow)).violations)
+        late = build_request(17.5, 2, proxy="vm-3")
+        self.assertEqual(1, len(check_drains(build_log(late, slow)).violations))
+
     def test_failed_requests_of_a_drain_are_counted(self) -> None:
         drain = build_mark("domain_drained", "fes-a", 10.0)
         finding = check_drains(build_log(build_refusal(11.0, 1, "no_primary"), drain))
