--- a/lentilring/loadtest/operations.py
+++ b/lentilring/loadtest/operations.py
@@ -60,8 +60,7 @@
     violations = []
     marks = _marks(log, "domain_drained")
     for mark in marks:
-        returned = [m.began for m in _marks(log, "domain_returned") if m.target == mark.target]
-        end = min((time for time in returned if time > mark.effective), default=float("inf"))
+        end = _find_end(log, mark, "domain_returned")
         during = [r for r in log.requests if mark.effective <= r.sent < end]
         servers = _names(log.header.backend_servers, mark.target)
         proxies = _names(log.header.proxies, mark.target)
@@ -73,6 +72,7 @@
         figures[f"{mark.target} at {mark.effective:.1f}"] = {
             "last_served_by_domain_s": _last(served, mark),
             "last_taken_by_proxy_s": _last(taken, mark),
+            "since_begin_s": round(last + mark.effective - mark.began, 3),
             "requests_after": len(around),
             "failed": dict(failed),
         }
@@ -89,11 +89,15 @@
     violations = []
     marks = _marks(log, "key_withdrawn")
     for mark in marks:
-        used = [r for r in log.requests if r.key_id == mark.target and r.sent >= mark.effective]
+        end = _find_end(log, mark, "key_given")
+        used = [
+            r for r in log.requests if r.key_id == mark.target and mark.effective <= r.sent < end
+        ]
         accepted = [r for r in used if r.outcome is RequestOutcome.COMPLETED]
         last = max((r.sent - mark.effective for r in accepted), default=0.0)
         figures[f"{mark.target} at {mark.effective:.1f}"] = {
             "last_accepted_s": round(last, 3),
+            "since_begin_s": round(last + mark.effective - mark.began, 3),
             "requests_after": len(used),
         }
         if last > MAX_KEY_ACCEPTANCE_S:
@@ -105,6 +109,12 @@
     return [mark for mark in log.faults if mark.event == event]
 
 
+def _find_end(log: RequestLog, mark: FaultMark, event: str) -> float:
+    """Return when an operator began to undo a change; infinity if nobody did."""
+    undone = [m.began for m in _marks(log, event) if m.target == mark.target]
+    return min((time for time in undone if time > mark.began), default=float("inf"))
+
+
 def _names(places: dict[str, str], failure_domain: str) -> set[str]:
     return {name for name, place in places.items() if place == failure_domain}
 
--- a/lentilring/loadtest/scenario.py
+++ b/lentilring/loadtest/scenario.py
@@ -119,13 +119,13 @@
 
     `event` says which check the mark belongs to, `target` what it concerns: a database for
     `primary_lost`, a failure domain for `domain_drained` and `domain_returned`, a key id for
-    `key_withdrawn`.
+    `key_withdrawn` and `key_given`.
     """
 
     at_s: Annotated[float, Field(ge=0)]
     name: str
     event: Literal[
-        "primary_lost", "domain_drained", "domain_returned", "key_withdrawn", "other"
+        "primary_lost", "domain_drained", "domain_returned", "key_withdrawn", "key_given", "other"
     ] = "other"
     target: str = ""
     action: FaultAction
--- a/tests/test_load_checks.py
+++ b/tests/test_load_checks.py
@@ -281,6 +281,8 @@
         early, late = build_request(12.0, 1), build_request(13.5, 2)
         self.assertEqual((), check_keys(build_log(early, mark)).violations)
         self.assertEqual(1, len(check_keys(build_log(early, late, mark)).violations))
+        given = build_mark("key_given", "crew-1", 13.0)
+        self.assertEqual((), check_keys(build_log(early, late, mark, given)).violations)
         other = build_request(13.5, 2, key_id="crew-2")
         self.assertEqual((), check_keys(build_log(other, mark)).violations)
 
