--- a/lentilring/limits/keeper.py
+++ b/lentilring/limits/keeper.py
@@ -188,10 +188,9 @@
             self._missing_since.pop(share, None)
             return
         missing_since = self._missing_since.setdefault(share, now)
-        rank = self._ranks.get(share)
         if share in self._offered:
             self._offered.discard(share)
-        elif rank is None or now < self._given_up.get(share, 0.0) or now - missing_since < rank * CONTENDER_PATIENCE_S:
+        elif now < self._find_turn(share, missing_since):
             return
         entry = self._directory.find(share)
         gone = entry is None or self._membership.vm_is_gone(entry.vm, entry.incarnation)
@@ -203,6 +202,13 @@
         if now >= wait:
             self._begin(share, partial(self._attempt, share))
 
+    def _find_turn(self, share: int, missing_since: float) -> float:
+        """Return from when on this proxy may contend for a share without a holder."""
+        rank = self._ranks.get(share)
+        if rank is None:
+            return float("inf")
+        return max(self._given_up.get(share, 0.0), missing_since + rank * CONTENDER_PATIENCE_S)
+
     def _begin(self, share: int, work: Callable[[], Coroutine[None, None, None]]) -> None:
         if share in self._busy:
             return
