Close connections when the response says so; test the HTTP entry

Cause: cheroot does not act on a 'Connection: close' header that the application sets. A refused slow body was read to its end (a caller sending 20 bytes/s held a thread for over 30 s), and a leaving proxy kept its connections. Conclusion: the request class sets close_connection from the response's headers.

--- a/lentilring/http/server.py
+++ b/lentilring/http/server.py
@@ -5,7 +5,7 @@
 
 import cherrypy
 from cheroot import wsgi
-from cheroot.server import HTTPConnection
+from cheroot.server import HTTPConnection, HTTPRequest
 from cherrypy.process.servers import ServerAdapter
 
 from ..clock import Clock
@@ -26,9 +26,25 @@
 log = Log(source="http")
 
 
+class ClosingRequest(HTTPRequest):
+    """Close the connection when the response says so."""
+
+    def send_headers(self) -> None:
+        """Send the status and headers.
+
+        Without this, cheroot keeps the connection and first reads the rest of a refused body.
+        """
+        connection = [value for name, value in self.outheaders if name.lower() == b"connection"]
+        if b"close" in connection:
+            self.close_connection = True
+        super().send_headers()
+
+
 class TimedConnection(HTTPConnection):
     """Limit the time between the bytes of a request more strictly than between requests."""
 
+    RequestHandlerClass = ClosingRequest
+
     def communicate(self) -> bool:
         """Read and answer one request; return True to keep the connection."""
         self.socket.settimeout(REQUEST_TIMEOUT_S)
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,228 @@
+"""The callers' HTTP interface on a real CherryPy server: bad input, slow bodies, readiness."""
+
+import asyncio
+import json
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import testtools
+
+from lentilring.clock import SystemClock
+from lentilring.http.callers import CallerInterface
+from lentilring.http.readiness import LEAVING_GRACE_S, Readiness
+from lentilring.http.server import HttpServer
+from lentilring.kernel import Kernel
+from lentilring.outcomes import Completed, NotRun, Outcome, RefusalReason
+from lentilring.routing.request import CallerRequest
+from lentilring.telemetry.metrics import Telemetry
+
+from .virtual_time import run_virtual
+
+MAX_BODY_BYTES = 2048
+BODY_TIMEOUT_S = 0.5
+GOOD = b'{"statement": {"op": "get", "key": "a"}}'
+
+
+class Echo:
+    """Stand in for routing: answer with the statement, or fail."""
+
+    def __init__(self) -> None:
+        self.requests: list[CallerRequest] = []
+        self.failure: Exception | None = None
+
+    async def handle(self, request: CallerRequest) -> Outcome:
+        self.requests.append(request)
+        if self.failure is not None:
+            raise self.failure
+        return Completed(result=request.statement)
+
+
+class HttpTest(testtools.TestCase):
+    def serve(self, work: Callable[[int, Echo, Readiness], Awaitable[None]]) -> None:
+        """Run some work beside a server on a free port."""
+
+        async def run() -> None:
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", 0))
+                port = probe.getsockname()[1]
+            echo, readiness = Echo(), Readiness(clock=SystemClock())
+            callers = CallerInterface(
+                routing=echo,  # type: ignore[arg-type]
+                readiness=readiness,
+                telemetry=Telemetry(),
+                default_deadline_s=1.0,
+            )
+            server = HttpServer(
+                kernel=Kernel(),
+                host="127.0.0.1",
+                port=port,
+                handle=callers.handle,
+                threads=8,
+                max_body_bytes=MAX_BODY_BYTES,
+                body_timeout_s=BODY_TIMEOUT_S,
+                clock=SystemClock(),
+            )
+            await server.start()
+            try:
+                await asyncio.wait_for(work(port, echo, readiness), 30)
+            finally:
+                await server.stop()
+
+        asyncio.run(run())
+
+    def test_bad_input_gets_a_typed_refusal(self) -> None:
+        """Guards against stack traces and server errors for what callers send."""
+        cases: list[tuple[str, dict[str, str], bytes, int, str]] = [
+            ("/v1/s/d/r", {}, b"{", 400, "request_malformed"),
+            ("/v1/s/d/r", {}, b"[1]", 400, "request_malformed"),
+            ("/v1/s/d/r", {}, b"\xff\xfe", 400, "request_malformed"),
+            ("/v1/s/d/r", {}, b"[" * 2000, 400, "request_malformed"),
+            ("/v1/s/d/r", {}, b'{"statement": 1, "key": 2}', 400, "request_malformed"),
+            ("/v1/s/d/r", {"Lentilring-Deadline-Ms": "0"}, GOOD, 400, "request_malformed"),
+            ("/v1/s/d/r", {"Idempotency-Key": "k" * 300}, GOOD, 400, "request_malformed"),
+            ("/v1/s/d/r", {}, b" " * (MAX_BODY_BYTES + 1), 413, "body_too_large"),
+            ("/v1/s/d", {}, GOOD, 404, "route_unknown"),
+            ("/v1/../x/d/r", {}, GOOD, 404, "route_unknown"),
+            ("/v1/s/d/transactions/a b", {}, GOOD, 404, "route_unknown"),
+            ("/nothing", {}, GOOD, 404, "route_unknown"),
+            ("/v1/s/d/r", {"Authorization": "Basic eDp5"}, GOOD, 401, "key_missing"),
+        ]
+
+        async def work(port: int, echo: Echo, readiness: Readiness) -> None:
+            for path, headers, body, status, reason in cases:
+                path = path.replace(" ", "%20")
+                found, content = await post(port, path, body, headers)
+                self.assertEqual((status, reason), (found, content.get("reason")), (path, body))
+                self.assertEqual("not_run", content["outcome"])
+            self.assertEqual([], echo.requests)
+
+        self.serve(work)
+
+    def test_failure_of_a_service_shows_no_stack_trace(self) -> None:
+        """Guards against internals in answers, and against 'not run' for what may have run."""
+
+        async def work(port: int, echo: Echo, readiness: Readiness) -> None:
+            echo.failure = ValueError("secret detail")
+            status, content = await post(port, "/v1/s/d/r", GOOD, {})
+            self.assertEqual((500, "outcome_unknown"), (status, content["outcome"]))
+            self.assertNotIn("secret", json.dumps(content))
+
+        self.serve(work)
+
+    def test_slow_body_is_refused_at_its_deadline(self) -> None:
+        """Guards against a thread that a caller holds by sending a byte now and then."""
+
+        async def work(port: int, echo: Echo, readiness: Readiness) -> None:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"POST /v1/s/d/r HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n")
+
+            async def drip() -> None:
+                while True:
+                    writer.write(b" ")
+                    await asyncio.sleep(0.05)
+
+            dripping = asyncio.create_task(drip())
+            head = await reader.readuntil(b"\r\n\r\n")
+            dripping.cancel()
+            self.assertTrue(head.startswith(b"HTTP/1.1 408"), head)
+            self.assertEqual([], echo.requests)
+            writer.close()
+
+        self.serve(work)
+
+    def test_key_and_headers_reach_routing_only(self) -> None:
+        """Guards against headers that are lost or answered to the caller."""
+
+        async def work(port: int, echo: Echo, readiness: Readiness) -> None:
+            headers = {
+                "Authorization": "Bearer secret-key",
+                "Idempotency-Key": "i-1",
+                "Lentilring-Session": "token",
+                "X-Request-Id": "caller-7",
+            }
+            status, content = await post(port, "/v1/s/d/r", GOOD, headers)
+            request = echo.requests[0]
+            self.assertEqual(200, status)
+            self.assertEqual(
+                ("secret-key", "i-1", "token", "caller-7"),
+                (request.key, request.idempotency_key, request.session, request.request_id),
+            )
+            self.assertNotIn("secret-key", json.dumps(content))
+
+        self.serve(work)
+
+    def test_many_connections_stay_open(self) -> None:
+        """Guards against the server's default limit of ten kept connections."""
+
+        async def work(port: int, echo: Echo, readiness: Readiness) -> None:
+            connections = [await asyncio.open_connection("127.0.0.1", port) for _ in range(60)]
+            for _ in range(2):
+                for reader, writer in connections:
+                    status, _ = await exchange(reader, writer, "/v1/s/d/r", GOOD, {})
+                    self.assertEqual(200, status)
+            for _, writer in connections:
+                writer.close()
+
+        self.serve(work)
+
+
+class ReadinessTest(testtools.TestCase):
+    def test_leaving_proxy_serves_for_a_grace_and_then_refuses(self) -> None:
+        """Guards against cut requests at a drain, and against new work after it."""
+
+        async def scenario() -> None:
+            class LoopTime:
+                def monotonic(self) -> float:
+                    return asyncio.get_running_loop().time()
+
+                async def sleep(self, seconds: float) -> None:
+                    await asyncio.sleep(seconds)
+
+            drained = False
+            readiness = Readiness(clock=LoopTime())
+            readiness.watch_drain(lambda: drained)
+            self.assertEqual(([], False, None), _state(readiness))
+            drained = True
+            self.assertEqual((["failure_domain_drained"], True, None), _state(readiness))
+            await asyncio.sleep(LEAVING_GRACE_S + 0.1)
+            refusal = readiness.refuse_work()
+            assert isinstance(refusal, NotRun)
+            self.assertIs(RefusalReason.DRAINING, refusal.reason)
+            drained = False
+            self.assertEqual(([], False, None), _state(readiness))
+
+        run_virtual(scenario())
+
+
+def _state(readiness: Readiness) -> tuple[list[str], bool, NotRun | None]:
+    return readiness.list_obstacles(), readiness.leaving, readiness.refuse_work()
+
+
+async def post(port: int, path: str, body: bytes, headers: dict[str, str]) -> tuple[int, Any]:
+    """Send a request on a connection of its own."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    try:
+        return await exchange(reader, writer, path, body, headers)
+    finally:
+        writer.close()
+
+
+async def exchange(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    path: str,
+    body: bytes,
+    headers: dict[str, str],
+) -> tuple[int, Any]:
+    """Send a request and read the response."""
+    lines = [f"POST {path} HTTP/1.1", "Host: x", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    length = next(
+        int(line.split(":")[1])
+        for line in head.splitlines()
+        if line.lower().startswith("content-length")
+    )
+    return int(head.split()[1]), json.loads(await reader.readexactly(length))
