--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -100,9 +100,10 @@
             self._tasks.append(asyncio.ensure_future(self._call(turn, repeats_unknown)))
 
     async def end(self) -> None:
-        """Let the callers finish their requests."""
+        """Let the callers finish their requests; repeats that never complete raise TimeoutError."""
         self._ending = True
-        await asyncio.gather(*self._tasks)
+        async with asyncio.timeout(2 * LIMIT_S):
+            await asyncio.gather(*self._tasks)
 
     async def wait_for_more(self, amount: int) -> None:
         """Wait until some more values completed."""
