--- a/tests/bench_state.py
+++ b/tests/bench_state.py
@@ -198,6 +198,7 @@
 def time_work(kernel: Any, objects: Objects) -> None:
     """Print the processor time of each repeated piece of work."""
     from lentilring.configuration.service import ConfigurationService
+    from lentilring.failover.assignment import SupervisorTable
     from lentilring.failover.service import GroupService
     from lentilring.limits.service import LimitService
     from lentilring.membership.service import MembershipService
@@ -211,6 +212,10 @@
     def assign(present: Any) -> None:
         asyncio.run(groups._table.update(sorted(groups.groups()), present))
 
+    def assign_anew() -> None:
+        groups._table = SupervisorTable()
+        assign(members)
+
     def lose_and_regain() -> None:
         assign(members[:400] + members[401:])
         assign(members)
@@ -241,6 +246,7 @@
     print()
     print(f"{'work':<58} {'ms of processor time':>21}")
     rows: list[tuple[str, Callable[[], Any]]] = [
+        ("assign supervisors of all groups, at the start", assign_anew),
         ("assign supervisors, nothing changed (every 0.25 s)", lambda: assign(members)),
         ("assign supervisors, one member leaves, then joins", lose_and_regain),
         ("rebuild the list of members (after a change, at most 1/s)", rebuild_members),
