Assign supervisors only after a change; require room beside control connections

Cause: docs/CAPACITY.md: the assignment looked at all groups four times a second without a change, and a backend server's connection limit could be below the 5 that are reserved for control. Tests of failover and golden sessions pass.

--- a/lentilring/configuration/models.py
+++ b/lentilring/configuration/models.py
@@ -72,7 +72,7 @@
     failure_domain: Name
     region: Name
     slots: Annotated[int, Field(ge=1, le=1000)] = 2
-    connections: Annotated[int, Field(ge=4, le=10_000)] = 15
+    connections: Annotated[int, Field(ge=8, le=10_000)] = 15
     state: DrainState = DrainState.IN_SERVICE
 
 
--- a/lentilring/failover/service.py
+++ b/lentilring/failover/service.py
@@ -103,6 +103,8 @@
         self._groups: dict[str, Group] | None = None
         self._records: dict[str, tuple[int, GroupRecord | None]] = {}
         self._hinted_at: dict[str, float] = {}
+        self._assigned_groups: dict[str, Group] | None = None
+        self._assigned_members: frozenset[tuple[str, str, float]] = frozenset()
         self._task: asyncio.Task[None] | None = None
         configuration.subscribe(self._note_change)
         transport.handle_datagram(SuspectPrimary, self._take_hint)
@@ -212,13 +214,25 @@
 
     async def _run(self) -> None:
         while True:
-            members = self._membership.members()
-            live = [member for member in members if member.state == SUPERVISING_STATE]
-            await self._table.update(sorted(self.groups()), live)
-            self._assign()
+            await self._update_assignment()
             self._controls.close_idle()
             await self._clock.sleep(ASSIGN_INTERVAL_S)
 
+    async def _update_assignment(self) -> None:
+        """Choose supervisors again if the groups or the supervising members have changed.
+
+        Members also change with every configuration revision, which does not matter here.
+        """
+        groups = self.groups()
+        members = self._membership.members()
+        live = [member for member in members if member.state == SUPERVISING_STATE]
+        present = frozenset((member.vm, member.address, member.weight) for member in live)
+        if groups is self._assigned_groups and present == self._assigned_members:
+            return
+        await self._table.update(sorted(groups), live)
+        self._assign()
+        self._assigned_groups, self._assigned_members = groups, present
+
     def _assign(self) -> None:
         local = self._membership.local.vm
         mine = {
