--- a/lentilring/limits/requester.py
+++ b/lentilring/limits/requester.py
@@ -374,8 +374,13 @@
 
     def _note_failure(self, address: str, error: Exception) -> None:
         self._telemetry.count("limit_call_failures", reason=type(error).__name__)
-        wait = min(MAX_HOLDER_RETRY_S, 2 * self._silent.get(address, (0.0, HOLDER_RETRY_S / 2))[1])
-        self._silent[address] = (self._clock.monotonic() + wait, wait)
+        now = self._clock.monotonic()
+        until, last_wait = self._silent.get(address, (0.0, HOLDER_RETRY_S / 2))
+        if now < until:
+            # Calls of several accounts that fail together are one failure of the holder.
+            return
+        wait = min(MAX_HOLDER_RETRY_S, 2 * last_wait)
+        self._silent[address] = (now + wait, wait)
 
     def _mark_unreported(self, pool: Pool, loan: Loan) -> None:
         waiting = self._unreported.setdefault(loan.lender, {})
--- /dev/null
+++ b/lentilring/routing/dispatch.py
@@ -0,0 +1,119 @@
+"""Sends a statement or transaction step to the gateway that can run it."""
+
+from ..clock import Clock
+from ..configuration.models import BackendServer
+from ..database.messages import Action
+from ..membership.member import Member
+from ..outcomes import RefusalReason, UncertaintyReason
+from ..peers.transport import PeerAnswerLost, PeerRejected, PeerTransport, PeerUnreachable
+from ..pool.messages import GatewayReply, GatewayRequest
+from ..pool.replies import refuse, report_unknown
+from ..pool.service import GatewayService, MembershipView
+from ..telemetry.metrics import Telemetry
+from ..transactions.messages import TransactionRequest
+from ..transactions.service import TransactionService
+from .topology import ConfigurationView, rank_gateways, select_placeable
+
+GATEWAYS_TRIED = 3
+CONNECT_MARGIN_S = 0.25
+# A gateway that did not answer is tried last for this time, since each try can cost a connect
+# time-out; membership needs several seconds to find it dead.
+AVOIDANCE_S = 2.0
+
+
+class Dispatcher:
+    """Call the local gateway directly and others through the peer transport."""
+
+    def __init__(
+        self,
+        *,
+        configuration: ConfigurationView,
+        membership: MembershipView,
+        gateway: GatewayService,
+        transactions: TransactionService,
+        transport: PeerTransport,
+        clock: Clock,
+        telemetry: Telemetry,
+    ) -> None:
+        self._configuration = configuration
+        self._membership = membership
+        self._gateway = gateway
+        self._transactions = transactions
+        self._transport = transport
+        self._clock = clock
+        self._telemetry = telemetry
+        self._avoided_until: dict[str, float] = {}
+
+    async def send(
+        self, request: GatewayRequest, server: BackendServer, *, timeout_s: float
+    ) -> GatewayReply:
+        """Run a statement at a gateway of a server; try the next one if nothing was sent."""
+        deadline = self._clock.monotonic() + timeout_s
+        for member in self._rank(request.group, server)[:GATEWAYS_TRIED]:
+            remaining = deadline - self._clock.monotonic()
+            if remaining <= 0:
+                break
+            reply = await self._send_to(member, request, remaining)
+            if reply is not None:
+                return reply
+            self._telemetry.count("retries", reason="gateway_unreachable")
+        return refuse(RefusalReason.GATEWAY_UNREACHABLE, server.name)
+
+    async def send_step(
+        self, request: TransactionRequest, member: Member, *, timeout_s: float
+    ) -> GatewayReply | None:
+        """Take a transaction step at a gateway; return None if nothing was sent."""
+        if member.vm == self._membership.local.vm:
+            return await self._transactions.execute(request, timeout_s=timeout_s)
+        return await self._call(member, request, timeout_s)
+
+    def find_gateway(self, group: str, server: BackendServer) -> Member | None:
+        """Return the first gateway of a server."""
+        ranked = self._rank(group, server)
+        return ranked[0] if ranked else None
+
+    def is_avoided(self, vm: str) -> bool:
+        """Tell whether a gateway did not answer a short time ago."""
+        return self._avoided_until.get(vm, float("-inf")) > self._clock.monotonic()
+
+    def _rank(self, group: str, server: BackendServer) -> tuple[Member, ...]:
+        members = select_placeable(self._configuration, self._membership.members())
+        ranked = rank_gateways(group, server, members).ranked
+        return tuple(sorted(ranked, key=lambda member: self.is_avoided(member.vm)))
+
+    async def _send_to(
+        self, member: Member, request: GatewayRequest, remaining: float
+    ) -> GatewayReply | None:
+        if member.vm == self._membership.local.vm:
+            return await self._gateway.execute(request, timeout_s=remaining)
+        reply = await self._call(member, request, remaining)
+        lost = reply is not None and reply.reason == UncertaintyReason.GATEWAY_LOST
+        if lost and request.action is Action.READ:
+            # A read changes nothing, so it may run again elsewhere.
+            return None
+        return reply
+
+    async def _call(
+        self, member: Member, request: GatewayRequest | TransactionRequest, timeout_s: float
+    ) -> GatewayReply | None:
+        try:
+            # The gateway answers within the request's own time-out; the margin is for the way.
+            answer = await self._transport.call(
+                member.address, request, timeout_s=timeout_s + CONNECT_MARGIN_S
+            )
+        except PeerUnreachable:
+            self._avoid(member.vm)
+            return None
+        except (PeerAnswerLost, PeerRejected) as error:
+            self._avoid(member.vm)
+            return report_unknown(UncertaintyReason.GATEWAY_LOST, str(error))
+        if isinstance(answer, GatewayReply):
+            return answer
+        return report_unknown(UncertaintyReason.GATEWAY_LOST, type(answer).__name__)
+
+    def _avoid(self, vm: str) -> None:
+        now = self._clock.monotonic()
+        self._avoided_until = {
+            name: until for name, until in self._avoided_until.items() if until > now
+        }
+        self._avoided_until[vm] = now + AVOIDANCE_S
