Take back a share whose release the store did not confirm

Cause: a share that was released while the store was down left the holder's tenures, but its record and the directory went on naming the live process, so nobody contended for it. Before: the new test finds no holder 10 s after the store is back. After: the process takes it again.

--- a/lentilring/limits/keeper.py
+++ b/lentilring/limits/keeper.py
@@ -80,6 +80,7 @@
         self._rebalance_at = float("inf")
         self._given_up: dict[int, float] = {}
         self._offered: set[int] = set()
+        self._unreleased: set[int] = set()
         self.stopping = False
 
     def share_counts(self) -> frozenset[int]:
@@ -190,7 +191,7 @@
         missing_since = self._missing_since.setdefault(share, now)
         if share in self._offered:
             self._offered.discard(share)
-        elif now < self._find_turn(share, missing_since):
+        elif share not in self._unreleased and now < self._find_turn(share, missing_since):
             return
         entry = self._directory.find(share)
         gone = entry is None or self._membership.vm_is_gone(entry.vm, entry.incarnation)
@@ -227,6 +228,8 @@
         if result is AcquireResult.STORE_UNAVAILABLE:
             # Otherwise an outage would bring calls of all contenders at every tick.
             self._store_retry_at = self._clock.monotonic() + interval
+        else:
+            self._unreleased.discard(share)
         if result is AcquireResult.HELD_BY_OTHER:
             self._learn(lease.seen)
         if result is not AcquireResult.ACQUIRED:
@@ -260,10 +263,15 @@
             await self._clock.sleep(RELEASE_POLL_S)
         tenure = self._lender.tenures.pop(share, None)
         record = tenure.lease.record if tenure is not None else None
-        if tenure is None or record is None or not await tenure.lease.release():
+        if tenure is None or record is None:
             return
+        released = await tenure.lease.release()
         holder = self._describe_record(share, record, vm="")
         self._directory.merge([holder])
+        if not released:
+            # The record still names this live process, so only it can take the share again soon.
+            self._unreleased.add(share)
+            return
         self._send(holder)
         self._log.info("share_released", share=share)
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -346,6 +346,23 @@
 
         self.play(story)
 
+    def test_release_that_fails_is_made_good(self) -> None:
+        """Guards against a share whose live holder neither holds nor released it."""
+
+        async def story(fleet: Fleet) -> None:
+            holder = self.find_holder(fleet)
+            share = next(iter(holder.service.lender.tenures))
+            holder.service.lender.tenures[share].closing = True
+            holder.store.down = True
+            await holder.service.keeper._release(share, holder.service._clock.monotonic() + 1)
+            self.assertNotIn(share, holder.service.lender.tenures)
+            await asyncio.sleep(20)
+            holder.store.down = False
+            await asyncio.sleep(10)
+            self.assertIs(holder, fleet.find_holder(share))
+
+        self.play(story)
+
     def test_lost_answers_create_no_tokens(self) -> None:
         """Guards against tokens that lender and borrower both count as theirs."""
 
