--- a/tests/processes.py
+++ b/tests/processes.py
@@ -33,12 +33,13 @@
 DOMAINS = ("casa-a", "mrk-a", "fes-a")
 REGIONS = ("casablanca", "marrakech", "fes")
 SERVICE = "rental-core"
+MAX_STALENESS_S = 3600
 GROUP = f"{SERVICE}.tents"
 ACCOUNT = "planner"
 KEY = "planner-key-5f1c"
 ROUTES = (
     {"name": "stock", "kind": "read", "repeatable": True},
-    {"name": "catalogue", "kind": "read", "repeatable": True, "max_staleness_s": 3600},
+    {"name": "catalogue", "kind": "read", "repeatable": True, "max_staleness_s": MAX_STALENESS_S},
     {"name": "book", "kind": "write"},
     {"name": "transactions", "kind": "transaction"},
 )
@@ -465,7 +466,13 @@
         ),
         (
             Kind.TEMPLATE,
-            {"name": "standard", "rate_per_s": rate_per_s, "burst": burst, "services": [SERVICE]},
+            {
+                "name": "standard",
+                "rate_per_s": rate_per_s,
+                "burst": burst,
+                "max_staleness_s": MAX_STALENESS_S,
+                "services": [SERVICE],
+            },
         ),
         (
             Kind.CLIENT_ACCOUNT,
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -67,6 +67,7 @@
             for name in set(deployment.backends) - {primary}:
                 reader = deployment.gateway_of(name)
                 admin = deployment.backends[name].admin
+                await self._wait_for_replica(deployment, reader, name)
                 await deployment.set_faults(admin, pause_replication=True)
                 for index, writer in enumerate(deployment.others(reader)):
                     item = f"{name}-{index}"
@@ -84,6 +85,15 @@
 
         self.run_deployed(body)
 
+    async def _wait_for_replica(self, deployment: Deployment, proxy: Proxy, name: str) -> None:
+        """Wait until a proxy's reads without a session come from a replica."""
+
+        async def is_used() -> bool:
+            answer = await deployment.ask(proxy, "catalogue", get("tent"))
+            return answer.body.get("served_by") == name
+
+        await wait_for(f"{proxy.program.name} reads from {name}", is_used)
+
 
 class Appender:
     """Append numbered values with idempotency keys and remember what each caller was told."""
