Give no address to two processes of the tests

Cause: the system may offer a port again before the process that it was chosen for binds it; a caller's address was then the peer address of another proxy. Ruled out: addresses of other test workers; each deployment has its own host. After: chosen addresses are remembered.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -47,6 +47,7 @@
 
 T = TypeVar("T")
 _hosts = count(1)
+_given: set[str] = set()
 
 
 class Lost(Exception):
@@ -366,7 +367,11 @@
                 datagrams.bind((host, port))
             except OSError:
                 continue
-            return f"{host}:{port}"
+            address = f"{host}:{port}"
+        # The system may offer a port again before the process that it was chosen for binds it.
+        if address not in _given:
+            _given.add(address)
+            return address
 
 
 def choose_host() -> str:
