--- a/tests/processes.py
+++ b/tests/processes.py
@@ -33,11 +33,13 @@
 DOMAINS = ("casa-a", "mrk-a", "fes-a")
 REGIONS = ("casablanca", "marrakech", "fes")
 SERVICE = "rental-core"
+MAX_STALENESS_S = 3600
 GROUP = f"{SERVICE}.tents"
 ACCOUNT = "planner"
 KEY = "planner-key-5f1c"
 ROUTES = (
     {"name": "stock", "kind": "read", "repeatable": True},
+    {"name": "catalogue", "kind": "read", "repeatable": True, "max_staleness_s": MAX_STALENESS_S},
     {"name": "book", "kind": "write"},
     {"name": "transactions", "kind": "transaction"},
 )
@@ -45,6 +47,7 @@
 
 T = TypeVar("T")
 _hosts = count(1)
+_given: set[str] = set()
 
 
 class Lost(Exception):
@@ -364,7 +367,11 @@
                 datagrams.bind((host, port))
             except OSError:
                 continue
-            return f"{host}:{port}"
+            address = f"{host}:{port}"
+        # The system may offer a port again before the process that it was chosen for binds it.
+        if address not in _given:
+            _given.add(address)
+            return address
 
 
 def choose_host() -> str:
@@ -464,7 +471,13 @@
         ),
         (
             Kind.TEMPLATE,
-            {"name": "standard", "rate_per_s": rate_per_s, "burst": burst, "services": [SERVICE]},
+            {
+                "name": "standard",
+                "rate_per_s": rate_per_s,
+                "burst": burst,
+                "max_staleness_s": MAX_STALENESS_S,
+                "services": [SERVICE],
+            },
         ),
         (
             Kind.CLIENT_ACCOUNT,
