--- a/lentilring/assembly.py
+++ b/lentilring/assembly.py
@@ -121,7 +121,6 @@
     )
     kernel.register("transactions", transactions)
     dispatcher = Dispatcher(
-        configuration=configuration,
         membership=membership,
         gateway=gateway,
         transactions=transactions,
--- a/lentilring/configuration/parsing.py
+++ b/lentilring/configuration/parsing.py
@@ -52,6 +52,7 @@
 
     def __init__(self, *, telemetry: Telemetry) -> None:
         self.head = 0
+        self.changes = 0
         self._telemetry = telemetry
         self._stored: dict[tuple[str, str], StoredObject] = {}
         self._models: dict[str, dict[str, Any]] = {}
@@ -65,6 +66,7 @@
         if current is not None and changed.version <= current.version:
             return False
         self._stored[key] = changed
+        self.changes += 1
         self.head = max(self.head, changed.revision)
         self._put_in_force(changed)
         return True
--- a/lentilring/configuration/service.py
+++ b/lentilring/configuration/service.py
@@ -61,6 +61,11 @@
         """Return the revision up to which the local node has all changes."""
         return self._freshness.revision
 
+    @property
+    def changes(self) -> int:
+        """Return how many versions of objects were applied; users of caches compare it."""
+        return self._registry.changes
+
     async def start(self) -> None:
         """Load the configuration and begin to follow its changes."""
         await self._distributor.start()
--- a/lentilring/http/server.py
+++ b/lentilring/http/server.py
@@ -44,6 +44,7 @@
     """Limit the time between the bytes of a request more strictly than between requests."""
 
     RequestHandlerClass = ClosingRequest
+    has_waited = False
 
     def communicate(self) -> bool:
         """Read and answer one request; return True to keep the connection."""
@@ -51,6 +52,24 @@
         return bool(super().communicate())
 
 
+class IdleFirstServer(wsgi.Server):
+    """Give a new connection a thread only once its first bytes are there.
+
+    cheroot hands new connections to threads at once, so callers that connect and send nothing
+    would hold all threads.
+    """
+
+    ConnectionClass = TimedConnection
+
+    def process_conn(self, conn: TimedConnection) -> None:
+        """Watch a new connection for data; queue one that has data."""
+        if conn.has_waited:
+            super().process_conn(conn)
+        else:
+            conn.has_waited = True
+            self._connections.put(conn)  # type: ignore[attr-defined]
+
+
 class HttpServer(Service):
     """Serve one WSGI callable, grafted onto a CherryPy tree, on one address."""
 
@@ -76,7 +95,7 @@
         self._body_timeout_s = body_timeout_s
         self._clock = clock
         self._is_idle = is_idle
-        self._server: wsgi.Server | None = None
+        self._server: IdleFirstServer | None = None
         self._adapter: ServerAdapter | None = None
 
     async def start(self) -> None:
@@ -90,7 +109,7 @@
         )
         tree = cherrypy._cptree.Tree()
         tree.graft(bridge, "")
-        server = wsgi.Server(
+        server = IdleFirstServer(
             (self._host, self._port),
             tree,
             numthreads=self._threads,
@@ -101,7 +120,6 @@
         )
         server.max_request_header_size = MAX_HEADER_BYTES
         server.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
-        server.ConnectionClass = TimedConnection
         self._server = server
         self._adapter = ServerAdapter(self._kernel.bus, server, (self._host, self._port))
         await asyncio.to_thread(self._adapter.start)
--- a/lentilring/membership/service.py
+++ b/lentilring/membership/service.py
@@ -63,6 +63,7 @@
         )
         self._callbacks: list[Callable[[], None]] = []
         self._members: tuple[Member, ...] | None = None
+        self._local: tuple[Member, int, Member] | None = None
         self._members_changes = 0
         self._members_built_at = 0.0
         self._store_down: tuple[int, bool] | None = None
@@ -75,7 +76,11 @@
     @property
     def local(self) -> Member:
         """Return the local member."""
-        return self._describe(self._table.local)
+        record = self._table.local
+        revision = self.revision_of(record)
+        if self._local is None or self._local[0] is not record or self._local[1] != revision:
+            self._local = (record, revision, self._describe(record))
+        return self._local[2]
 
     async def start(self) -> None:
         """Read the platform's list once, join through a few peers and begin gossip."""
--- a/lentilring/pool/sampling.py
+++ b/lentilring/pool/sampling.py
@@ -12,7 +12,7 @@
 from ..clock import Clock
 from ..failover.record import GroupState
 from ..peers.transport import PeerAnswerLost, PeerRejected, PeerTransport, PeerUnreachable
-from ..routing.topology import find_database, find_server, rank_gateways, select_placeable
+from ..routing.topology import find_database, find_server
 from .coverage import PositionSample, find_entry_term
 from .messages import PrimarySample, SamplePrimary
 from .server import GatewayServer
@@ -126,8 +126,7 @@
         primary = find_server(database, record.primary)
         if primary is None:
             return UNKNOWN_SAMPLE
-        members = select_placeable(gateway.configuration, gateway.membership.members())
-        for member in rank_gateways(group, primary, members).ranked[:2]:
+        for member in gateway.ranking.rank(group, primary).ranked[:2]:
             if member.vm == gateway.membership.local.vm:
                 return await self.answer(group)
             try:
--- a/lentilring/pool/service.py
+++ b/lentilring/pool/service.py
@@ -10,15 +10,14 @@
 from ..database.messages import Action, Role, ServerStatus, StatementReply, StatementRequest
 from ..failover.record import GroupRecord, GroupState
 from ..kernel import Service
-from ..membership.member import Member
 from ..outcomes import RefusalReason, UncertaintyReason
 from ..peers.transport import PeerTransport, Sender
 from ..routing.topology import (
     ConfigurationView,
+    GatewayRanking,
+    MembershipView,
     find_database,
     find_server,
-    rank_gateways,
-    select_placeable,
 )
 from ..telemetry.log import Log, request_id
 from ..telemetry.metrics import Telemetry
@@ -40,23 +39,6 @@
 log = Log(source="gateway")
 
 
-class MembershipView(Protocol):
-    """Name what the gateway reads of the membership."""
-
-    @property
-    def local(self) -> Member:
-        """Return this proxy."""
-        ...
-
-    def members(self) -> tuple[Member, ...]:
-        """Return the usable members."""
-        ...
-
-    def find(self, vm: str) -> Member | None:
-        """Return a member by its VM's name."""
-        ...
-
-
 class GroupsView(Protocol):
     """Name what the gateway needs of the failover service."""
 
@@ -96,6 +78,7 @@
     ) -> None:
         self.configuration = configuration
         self.membership = membership
+        self.ranking = GatewayRanking(configuration=configuration, membership=membership)
         self.groups = groups
         self.clock = clock
         self.servers: dict[tuple[str, str], GatewayServer] = {}
@@ -347,8 +330,7 @@
         server = find_server(database, name) if database is not None else None
         if server is None:
             return 1
-        members = select_placeable(self.configuration, self.membership.members())
-        first = rank_gateways(group, server, members).first
+        first = self.ranking.rank(group, server).first
         is_gateway = first is not None and first.vm == self.membership.local.vm
         return split_connections(server.connections, is_gateway=is_gateway)
 
--- a/lentilring/routing/dispatch.py
+++ b/lentilring/routing/dispatch.py
@@ -8,11 +8,11 @@
 from ..peers.transport import PeerAnswerLost, PeerRejected, PeerTransport, PeerUnreachable
 from ..pool.messages import GatewayReply, GatewayRequest
 from ..pool.replies import refuse, report_unknown
-from ..pool.service import GatewayService, MembershipView
+from ..pool.service import GatewayService
 from ..telemetry.metrics import Telemetry
 from ..transactions.messages import TransactionRequest
 from ..transactions.service import TransactionService
-from .topology import ConfigurationView, rank_gateways, select_placeable
+from .topology import MembershipView
 
 GATEWAYS_TRIED = 3
 CONNECT_MARGIN_S = 0.25
@@ -27,7 +27,6 @@
     def __init__(
         self,
         *,
-        configuration: ConfigurationView,
         membership: MembershipView,
         gateway: GatewayService,
         transactions: TransactionService,
@@ -35,7 +34,6 @@
         clock: Clock,
         telemetry: Telemetry,
     ) -> None:
-        self._configuration = configuration
         self._membership = membership
         self._gateway = gateway
         self._transactions = transactions
@@ -77,8 +75,7 @@
         return self._avoided_until.get(vm, float("-inf")) > self._clock.monotonic()
 
     def _rank(self, group: str, server: BackendServer) -> tuple[Member, ...]:
-        members = select_placeable(self._configuration, self._membership.members())
-        ranked = rank_gateways(group, server, members).ranked
+        ranked = self._gateway.ranking.rank(group, server).ranked
         return tuple(sorted(ranked, key=lambda member: self.is_avoided(member.vm)))
 
     async def _send_to(
--- a/lentilring/routing/service.py
+++ b/lentilring/routing/service.py
@@ -24,7 +24,7 @@
 )
 from ..pool.messages import GatewayReply, GatewayRequest, OutcomeTag
 from ..pool.replies import build_outcome, refuse
-from ..pool.service import GroupsView, MembershipView
+from ..pool.service import GroupsView
 from ..telemetry.metrics import Telemetry
 from ..transactions.identity import parse_id
 from ..transactions.messages import Step, TransactionRequest
@@ -35,7 +35,7 @@
 from .request import CallerRequest
 from .retries import RetryBudget
 from .sessions import SessionTokenInvalid, decode_token, keep_larger
-from .topology import ConfigurationView, find_database, find_server
+from .topology import ConfigurationView, MembershipView, find_database, find_server
 
 READ_ATTEMPT_TIMEOUT_S = 1.0
 # Covers the way to a holder of tokens in another region. Requests over the rate must not wait for
--- a/lentilring/routing/topology.py
+++ b/lentilring/routing/topology.py
@@ -12,6 +12,11 @@
 class ConfigurationView(Protocol):
     """Name what routing reads of the configuration."""
 
+    @property
+    def changes(self) -> int:
+        """Return how many versions of objects were applied."""
+        ...
+
     def service(self, name: str) -> Service | None:
         """Return a service."""
         ...
@@ -33,6 +38,23 @@
         return self.ranked[0] if self.ranked else None
 
 
+class MembershipView(Protocol):
+    """Name what routing reads of the membership."""
+
+    @property
+    def local(self) -> Member:
+        """Return this proxy."""
+        ...
+
+    def members(self) -> tuple[Member, ...]:
+        """Return the usable members."""
+        ...
+
+    def find(self, vm: str) -> Member | None:
+        """Return a member by its VM's name."""
+        ...
+
+
 def name_group(service: str, database: str) -> str:
     """Return the name of a database's group."""
     return f"{service}.{database}"
@@ -85,3 +107,26 @@
         return Gateways(ranked=tuple(ranked))
     others = [member for member in ranked if member not in (first, standby)]
     return Gateways(ranked=(first, standby, *others))
+
+
+class GatewayRanking:
+    """Rank gateways, and keep the rankings while members and configuration stay the same."""
+
+    def __init__(self, *, configuration: ConfigurationView, membership: MembershipView) -> None:
+        self._configuration = configuration
+        self._membership = membership
+        self._members: tuple[Member, ...] = ()
+        self._changes = -1
+        self._ranked: dict[tuple[str, str], Gateways] = {}
+
+    def rank(self, group: str, server: BackendServer) -> Gateways:
+        """Return the gateways of a backend server, without those in drained failure domains."""
+        members, changes = self._membership.members(), self._configuration.changes
+        if members is not self._members or changes != self._changes:
+            self._members, self._changes = members, changes
+            self._ranked.clear()
+        key = (group, server.name)
+        if key not in self._ranked:
+            placeable = select_placeable(self._configuration, members)
+            self._ranked[key] = rank_gateways(group, server, placeable)
+        return self._ranked[key]
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -152,6 +152,18 @@
 
         self.serve(work)
 
+    def test_connections_that_send_nothing_hold_no_thread(self) -> None:
+        """Guards against callers that connect and stay silent stopping all others."""
+
+        async def work(port: int, echo: Echo, readiness: Readiness) -> None:
+            silent = [await asyncio.open_connection("127.0.0.1", port) for _ in range(200)]
+            status, _ = await post(port, "/v1/s/d/r", GOOD, {})
+            self.assertEqual(200, status)
+            for _, writer in silent:
+                writer.close()
+
+        self.serve(work)
+
     def test_many_connections_stay_open(self) -> None:
         """Guards against the server's default limit of ten kept connections."""
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -137,6 +137,7 @@
 
         class States:
             drained = (DOMAINS[0],)
+            changes = 1
 
             def failure_domain_state(self, name: str) -> DrainState:
                 return DrainState.DRAINED if name in self.drained else DrainState.IN_SERVICE
