--- a/Makefile
+++ b/Makefile
@@ -13,8 +13,8 @@
 	touch $(STAMP)
 
 lint: install
-	$(VENV)/bin/black --check --quiet lentilring tests
-	$(VENV)/bin/ruff check --quiet lentilring tests
+	$(VENV)/bin/black --check --quiet lentilring tests bench extras
+	$(VENV)/bin/ruff check --quiet lentilring tests bench extras
 	$(VENV)/bin/mypy
 
 test: install
@@ -27,13 +27,13 @@
 	PATH="$(CURDIR)/$(VENV)/bin:$$PATH" bash extras/demo.sh up
 
 bench: install
-	$(PYTHON) -m tests.bench_membership
-	$(PYTHON) -m tests.bench_faults
-	$(PYTHON) -m tests.bench_settle --size 243
-	$(PYTHON) -m tests.bench_state
-	$(PYTHON) -m tests.bench_processes size
-	$(PYTHON) -m tests.bench_processes fleet
-	$(PYTHON) -m tests.bench_processes connections
+	$(PYTHON) -m bench.membership
+	$(PYTHON) -m bench.faults
+	$(PYTHON) -m bench.settle --size 243
+	$(PYTHON) -m bench.state
+	$(PYTHON) -m bench.processes size
+	$(PYTHON) -m bench.processes fleet
+	$(PYTHON) -m bench.processes connections
 
 clean:
 	rm -rf $(VENV) var
--- a/tests/bench_faults.py
+++ b/bench/faults.py
@@ -1,4 +1,4 @@
-"""Measures what faults do to membership and configuration: `python -m tests.bench_faults`.
+"""Measures what faults do to membership and configuration: `python -m bench.faults`.
 
 Nodes are in memory and on virtual time. Bytes include the transport's envelope, per node that runs.
 A region that is cut off reaches neither the other regions nor the store.
@@ -8,10 +8,10 @@
 from collections import Counter
 
 from lentilring.platform.store import Kind
+from tests.fleet import Fleet, FleetNode, wait_until
+from tests.virtual_time import run_virtual
 
-from .bench_membership import record_traffic
-from .fleet import Fleet, FleetNode, wait_until
-from .virtual_time import run_virtual
+from .membership import record_traffic
 
 SIZES = (27, 81)
 SETTLE_S = 15.0
--- a/tests/bench_limits.py
+++ b/bench/limits.py
@@ -1,4 +1,4 @@
-"""Measure wrongful refusals and over-admissions: `python -m tests.bench_limits`."""
+"""Measure wrongful refusals and over-admissions: `python -m bench.limits`."""
 
 import argparse
 import asyncio
@@ -13,9 +13,8 @@
 
 from lentilring.limits import shares
 from lentilring.limits.lender import Lender
-
-from .limit_fleet import Fleet, make_account
-from .virtual_time import run_virtual
+from tests.limit_fleet import Fleet, make_account
+from tests.virtual_time import run_virtual
 
 RATES = (10, 20, 30, 50, 80, 120, 200, 300)
 BURST_S = 0.5  # an account's burst in seconds of its rate
--- a/tests/bench_membership.py
+++ b/bench/membership.py
@@ -11,9 +11,8 @@
 from lentilring.peers.codec import encode, encode_struct
 from lentilring.peers.envelope import Envelope, EnvelopeKind
 from lentilring.platform.store import Kind
-
-from .fleet import Fleet, FleetNode
-from .virtual_time import run_virtual
+from tests.fleet import Fleet, FleetNode
+from tests.virtual_time import run_virtual
 
 SIZES = (3, 9, 27, 81, 243)
 SETTLE_S = 15.0
--- a/tests/bench_processes.py
+++ b/bench/processes.py
@@ -1,4 +1,4 @@
-"""Measures real proxy processes: `python -m tests.bench_processes size|fleet|connections`.
+"""Measures real proxy processes: `python -m bench.processes size|fleet|connections`.
 
 Starts a platform stand-in, backend servers and proxies on loopback addresses, and reads their
 resident memory and processor time from /proc. All databases of `size` share three backend servers
--- a/tests/bench_settle.py
+++ b/bench/settle.py
@@ -1,4 +1,4 @@
-"""Measures how long a fleet takes to settle: `python -m tests.bench_settle --size 243`.
+"""Measures how long a fleet takes to settle: `python -m bench.settle --size 243`.
 
 All nodes start in one moment; the rows show the traffic of each interval after that, and then how
 long a change takes to be in force everywhere. 790 nodes take several minutes of processor time.
@@ -9,10 +9,10 @@
 import typer
 
 from lentilring.platform.store import Kind
+from tests.fleet import Fleet, wait_until
+from tests.virtual_time import run_virtual
 
-from .bench_faults import LIMIT_S, TEMPLATE, Meter
-from .fleet import Fleet, wait_until
-from .virtual_time import run_virtual
+from .faults import LIMIT_S, TEMPLATE, Meter
 
 INTERVAL_S = 5.0
 
--- a/tests/bench_state.py
+++ b/bench/state.py
@@ -1,4 +1,4 @@
-"""Measures memory and processor time of control at the design size: `python -m tests.bench_state`.
+"""Measures memory and processor time of control at the design size: `python -m bench.state`.
 
 The process imports and creates parts one after another and prints how much its resident memory
 grew by each; then it times the work that control repeats. Nothing is sent, and no time passes.
@@ -145,9 +145,8 @@
     from lentilring.membership.member import Member
     from lentilring.standin.objects import LocalStore, ObjectTable
     from lentilring.telemetry.metrics import Telemetry
-
-    from .fakes import FakeNetwork, FakeTransport
-    from .fakes_database import BackendNetwork, FakeBackends
+    from tests.fakes import FakeNetwork, FakeTransport
+    from tests.fakes_database import BackendNetwork, FakeBackends
 
     local = Member(
         vm="vm-0",
--- a/tests/bench_transport.py
+++ b/bench/transport.py
@@ -1,4 +1,4 @@
-"""Measures the peer transport: `python -m tests.bench_transport --seconds 5`.
+"""Measures the peer transport: `python -m bench.transport --seconds 5`.
 
 Both ends run on one loop of one process, over the loopback address.
 """
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -9,6 +9,7 @@
 import logbook
 import testtools
 
+from bench.limits import measure
 from lentilring.limits import lender
 from lentilring.limits.bucket import GRANT_LIFETIME_S
 from lentilring.limits.messages import (
@@ -22,7 +23,6 @@
 from lentilring.outcomes import RefusalReason
 from lentilring.platform.store import StoreUnavailable
 
-from .bench_limits import measure
 from .limit_fleet import Fleet, Proxy, make_account
 from .virtual_time import run_virtual
 
