Pass one admitted request through routing; share the stand-ins' exit codes and address check

Cause: five methods of routing/service.py repeated the same four parameters; the two stand-in programs each had their own exit codes and address check beside those of cli/options.py; two names were unused. Ruled out: one look-up of the primary for writes and for the begin of a transaction, because their refusals differ.

--- a/lentilring/cli/options.py
+++ b/lentilring/cli/options.py
@@ -69,6 +69,13 @@
         raise typer.Exit(ExitCode.USAGE) from error
 
 
+def check_address(text: str, option: str) -> None:
+    """Raise BadParameter unless a text is ip:port."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal() or int(port) > 65535:
+        raise typer.BadParameter(f"{text!r} is not IP:PORT", param_hint=option)
+
+
 def show_version(value: bool) -> None:
     """Print the version and exit."""
     if value:
--- a/lentilring/cli/standin.py
+++ b/lentilring/cli/standin.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import signal
-from enum import IntEnum
 from importlib.metadata import version
 from typing import Annotated
 
@@ -14,6 +13,7 @@
 from ..standin.platform import PlatformServer
 from ..telemetry.log import Log, write_logs
 from . import standin_database
+from .options import ExitCode, check_address
 
 DRAIN_DEADLINE_S = 2.0
 
@@ -28,13 +28,6 @@
 application.add_typer(standin_database.app)
 
 
-class ExitCode(IntEnum):
-    """Say how the program ended."""
-
-    STOPPED = 0
-    CANNOT_LISTEN = 1
-
-
 def main() -> None:
     """Run the program."""
     application()
@@ -112,11 +105,11 @@
         await kernel.start()
     except OSError as error:
         log.error("cannot_listen", address=listen, detail=error)
-        return ExitCode.CANNOT_LISTEN
+        return ExitCode.FAILURE
     await stopped.wait()
     await kernel.drain(deadline_s=DRAIN_DEADLINE_S)
     await kernel.stop()
-    return ExitCode.STOPPED
+    return ExitCode.OK
 
 
 def parse_vm(text: str) -> VmEntry:
@@ -131,12 +124,5 @@
     return VmEntry(name=name, address=parts[0], failure_domain=parts[1], region=parts[2])
 
 
-def check_address(text: str, option: str) -> None:
-    """Raise BadParameter unless a text is ip:port."""
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal() or int(port) > 65535:
-        raise typer.BadParameter(f"{text!r} is not IP:PORT", param_hint=option)
-
-
 if __name__ == "__main__":
     main()
--- a/lentilring/cli/standin_database.py
+++ b/lentilring/cli/standin_database.py
@@ -3,7 +3,6 @@
 import asyncio
 import signal
 from dataclasses import dataclass
-from enum import IntEnum
 from pathlib import Path
 from typing import Annotated
 
@@ -17,6 +16,7 @@
 from ..standin.storage import StateFile
 from ..telemetry.log import Log, write_logs
 from ..telemetry.metrics import Telemetry
+from .options import ExitCode, check_address
 
 DRAIN_DEADLINE_S = 5.0
 PREFIX = "LENTILRING_STANDIN_"
@@ -25,13 +25,6 @@
 log = Log(source="standin")
 
 
-class ExitCode(IntEnum):
-    """Say how the program ended."""
-
-    STOPPED = 0
-    CANNOT_LISTEN = 1
-
-
 @dataclass(frozen=True, kw_only=True)
 class DatabaseOptions:
     """Hold what the flags and environment variables say."""
@@ -133,7 +126,7 @@
     """
     for address, flag in ((listen, "--listen"), (admin, "--admin"), (primary, "--primary")):
         if address or flag != "--primary":
-            _check_address(address, flag)
+            check_address(address, flag)
     options = DatabaseOptions(
         name=name,
         listen=listen,
@@ -164,11 +157,11 @@
         await kernel.start()
     except OSError as error:
         log.error("cannot_listen", address=options.listen, admin=options.admin, detail=error)
-        return ExitCode.CANNOT_LISTEN
+        return ExitCode.FAILURE
     await stopped.wait()
     await kernel.drain(deadline_s=DRAIN_DEADLINE_S)
     await kernel.stop()
-    return ExitCode.STOPPED
+    return ExitCode.OK
 
 
 def _build_kernel(options: DatabaseOptions) -> Kernel:
@@ -187,10 +180,3 @@
     kernel.register("admin", DatabaseAdmin(server=server, address=options.admin))
     kernel.register("database", DatabaseListener(server=server, address=options.listen))
     return kernel
-
-
-def _check_address(text: str, flag: str) -> None:
-    """Raise BadParameter unless a text is ip:port."""
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal() or int(port) > 65535:
-        raise typer.BadParameter(f"{text!r} is not IP:PORT", param_hint=flag)
--- a/lentilring/operations/changes.py
+++ b/lentilring/operations/changes.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ..configuration.editing import Applied, ChangeResult, Conflict, apply_change
+from ..configuration.editing import ChangeResult, Conflict, apply_change
 from ..configuration.models import DrainState, hash_key
 from ..errors import LentilringError
 from ..platform.store import Kind, Store
@@ -135,8 +135,3 @@
         if entry.get("name") == name:
             return entry
     raise ObjectMissing(kind=kind, name=name)
-
-
-def revision_of(result: ChangeResult) -> int | None:
-    """Return the store's revision of a change that was made."""
-    return result.stored.revision if isinstance(result, Applied) else None
--- a/lentilring/pool/service.py
+++ b/lentilring/pool/service.py
@@ -82,7 +82,6 @@
         self.groups = groups
         self.clock = clock
         self.servers: dict[tuple[str, str], GatewayServer] = {}
-        self.draining = False
         self.running = 0
         self._transport = transport
         self._connector = connector
@@ -99,7 +98,6 @@
 
     async def drain(self, *, deadline_s: float) -> None:
         """Wait until no statement runs."""
-        self.draining = True
         end = self.clock.monotonic() + deadline_s
         while self.running and self.clock.monotonic() < end:
             await self.clock.sleep(0.02)
--- a/lentilring/routing/service.py
+++ b/lentilring/routing/service.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 import msgspec
@@ -66,6 +66,16 @@
     """Name what routing reads of the configuration."""
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Work:
+    """Hold an admitted request while it is served; `deadline` is a time of the clock."""
+
+    request: CallerRequest
+    admitted: Admitted
+    session: SessionPosition | None
+    deadline: float
+
+
 class RoutingService(Service):
     """Admit requests, choose backend servers, retry what did not run, keep sessions."""
 
@@ -120,25 +130,21 @@
             session = self._read_session(request)
         except SessionTokenInvalid as error:
             return NotRun(reason=RefusalReason.SESSION_INVALID, detail=str(error))
+        work = _Work(request=request, admitted=admitted, session=session, deadline=deadline)
         name = admitted.account.name
         if self._per_account[name] >= MAX_IN_FLIGHT_PER_ACCOUNT:
             return NotRun(reason=RefusalReason.QUEUE_FULL, detail="in flight", retry_after_s=0.1)
         with _counted(self._per_account, name):
-            return await self._admit(request, admitted, session, deadline)
+            return await self._admit(work)
 
     def _read_session(self, request: CallerRequest) -> SessionPosition | None:
         if not request.session:
             return None
         return decode_token(request.session, _database_name(request))
 
-    async def _admit(
-        self,
-        request: CallerRequest,
-        admitted: Admitted,
-        session: SessionPosition | None,
-        deadline: float,
-    ) -> Outcome:
-        wait_s = min(TOKEN_WAIT_S, self._left(deadline))
+    async def _admit(self, work: _Work) -> Outcome:
+        request, admitted = work.request, work.admitted
+        wait_s = min(TOKEN_WAIT_S, self._left(work.deadline))
         refusal = await self._limits.acquire(admitted.account, timeout_s=wait_s)
         if refusal is None:
             refusal = check_still_allowed(admitted, request, self._configuration)
@@ -146,40 +152,24 @@
             return refusal
         self._retries.record_request()
         if request.step is not None:
-            return await self._run_step(request, admitted, session, deadline)
+            return await self._run_step(work)
         if admitted.route.kind is RouteKind.READ:
-            return await self._read(request, admitted, session, deadline)
+            return await self._read(work)
         key = RequestKey(
             client_account=admitted.account.name,
             group=admitted.group,
             idempotency_key=request.idempotency_key,
         )
         content = f"{request.route} {_encode(request)}"
-        return await self._coalescer.run(
-            key, content, lambda: self._write(request, admitted, session, deadline)
-        )
+        return await self._coalescer.run(key, content, lambda: self._write(work))
 
-    async def _read(
-        self,
-        request: CallerRequest,
-        admitted: Admitted,
-        session: SessionPosition | None,
-        deadline: float,
-    ) -> Outcome:
-        async def attempt() -> GatewayReply:
-            return await self._read_once(request, admitted, session, deadline)
-
-        reply = await self._retry(request, admitted, attempt, deadline, repeatable=True)
-        return self._finish(request, reply, session)
-
-    async def _read_once(
-        self,
-        request: CallerRequest,
-        admitted: Admitted,
-        session: SessionPosition | None,
-        deadline: float,
-    ) -> GatewayReply:
+    async def _read(self, work: _Work) -> Outcome:
+        reply = await self._retry(work, self._read_once, repeatable=True)
+        return self._finish(work, reply)
+
+    async def _read_once(self, work: _Work) -> GatewayReply:
         """Try the servers in order of preference, each for a part of the time that is left."""
+        admitted, session = work.admitted, work.session
         database = find_database(self._configuration, admitted.group)
         record = self._groups.record(admitted.group)
         if database is None:
@@ -202,12 +192,10 @@
             if self._hints.is_behind(admitted.group, server.name, now, position, limit)
         ]
         for server in [s for s in servers if s not in behind] or servers:
-            attempt_s = min(READ_ATTEMPT_TIMEOUT_S, self._left(deadline))
+            attempt_s = min(READ_ATTEMPT_TIMEOUT_S, self._left(work.deadline))
             if attempt_s <= 0:
                 return refuse(RefusalReason.DEADLINE_EXCEEDED)
-            gateway_request = self._build_request(
-                request, admitted, session, server.name, Action.READ, attempt_s
-            )
+            gateway_request = self._build_request(work, server.name, Action.READ, attempt_s)
             reply = await self._dispatcher.send(gateway_request, server, timeout_s=attempt_s)
             if not _is_passing(reply, repeatable=True):
                 self._hints.forget(admitted.group, server.name)
@@ -218,29 +206,14 @@
             )
         return reply
 
-    async def _write(
-        self,
-        request: CallerRequest,
-        admitted: Admitted,
-        session: SessionPosition | None,
-        deadline: float,
-    ) -> Outcome:
-        async def attempt() -> GatewayReply:
-            return await self._write_once(request, admitted, session, deadline)
-
-        repeatable = admitted.route.repeatable
-        reply = await self._retry(request, admitted, attempt, deadline, repeatable=repeatable)
-        return self._finish(request, reply, session)
-
-    async def _write_once(
-        self,
-        request: CallerRequest,
-        admitted: Admitted,
-        session: SessionPosition | None,
-        deadline: float,
-    ) -> GatewayReply:
-        database = find_database(self._configuration, admitted.group)
-        record = self._groups.record(admitted.group)
+    async def _write(self, work: _Work) -> Outcome:
+        repeatable = work.admitted.route.repeatable
+        reply = await self._retry(work, self._write_once, repeatable=repeatable)
+        return self._finish(work, reply)
+
+    async def _write_once(self, work: _Work) -> GatewayReply:
+        database = find_database(self._configuration, work.admitted.group)
+        record = self._groups.record(work.admitted.group)
         if database is None:
             return refuse(RefusalReason.ROUTE_UNKNOWN)
         if record is None or record.primary is None:
@@ -248,21 +221,14 @@
         server = find_server(database, record.primary)
         if server is None:
             return refuse(RefusalReason.CONFIGURATION_MISSING, record.primary)
-        left = self._left(deadline)
-        gateway_request = self._build_request(
-            request, admitted, session, server.name, Action.WRITE, left
-        )
+        left = self._left(work.deadline)
+        gateway_request = self._build_request(work, server.name, Action.WRITE, left)
         return await self._dispatcher.send(gateway_request, server, timeout_s=left)
 
     def _build_request(
-        self,
-        request: CallerRequest,
-        admitted: Admitted,
-        session: SessionPosition | None,
-        server: str,
-        action: Action,
-        timeout_s: float,
+        self, work: _Work, server: str, action: Action, timeout_s: float
     ) -> GatewayRequest:
+        request, admitted, session = work.request, work.admitted, work.session
         return GatewayRequest(
             request_id=request.request_id,
             group=admitted.group,
@@ -280,10 +246,8 @@
 
     async def _retry(
         self,
-        request: CallerRequest,
-        admitted: Admitted,
-        attempt: Callable[[], Awaitable[GatewayReply]],
-        deadline: float,
+        work: _Work,
+        attempt: Callable[[_Work], Awaitable[GatewayReply]],
         *,
         repeatable: bool,
     ) -> GatewayReply:
@@ -291,22 +255,20 @@
         backoff = FIRST_BACKOFF_S
         unknown: GatewayReply | None = None
         while True:
-            reply = await attempt()
+            reply = await attempt(work)
             if reply.tag is OutcomeTag.OUTCOME_UNKNOWN:
                 unknown = reply
             if not _is_passing(reply, repeatable=repeatable):
                 break
             pause = backoff * self._random.uniform(0.5, 1.0)
-            refusal = self._refuse_retry(
-                admitted, pause, deadline, first=backoff == FIRST_BACKOFF_S
-            )
+            refusal = self._refuse_retry(work, pause, first=backoff == FIRST_BACKOFF_S)
             if refusal is not None:
                 self._telemetry.count("retries_refused", reason=refusal.value)
                 break
             self._telemetry.count("retries", reason=reply.reason)
-            with _counted(self._waiting, admitted.group):
+            with _counted(self._waiting, work.admitted.group):
                 await self._clock.sleep(pause)
-            withdrawn = check_still_allowed(admitted, request, self._configuration)
+            withdrawn = check_still_allowed(work.admitted, work.request, self._configuration)
             if withdrawn is not None:
                 reply = refuse(withdrawn.reason, withdrawn.detail)
                 break
@@ -317,51 +279,36 @@
             return unknown
         return reply
 
-    def _refuse_retry(
-        self, admitted: Admitted, pause: float, deadline: float, *, first: bool
-    ) -> RefusalReason | None:
+    def _refuse_retry(self, work: _Work, pause: float, *, first: bool) -> RefusalReason | None:
         """Return why a request may not wait for another attempt."""
-        if self._left(deadline) <= pause:
+        if self._left(work.deadline) <= pause:
             return RefusalReason.DEADLINE_EXCEEDED
-        if self._waiting[admitted.group] >= MAX_WAITING_PER_GROUP:
+        if self._waiting[work.admitted.group] >= MAX_WAITING_PER_GROUP:
             return RefusalReason.QUEUE_FULL
         if first and not self._retries.spend():
             return RefusalReason.RETRY_BUDGET_EXHAUSTED
         return None
 
-    async def _run_step(
-        self,
-        request: CallerRequest,
-        admitted: Admitted,
-        session: SessionPosition | None,
-        deadline: float,
-    ) -> Outcome:
-        if request.step is Step.BEGIN:
-
-            async def attempt() -> GatewayReply:
-                return await self._begin_once(request, admitted, deadline)
-
-            reply = await self._retry(request, admitted, attempt, deadline, repeatable=False)
-        else:
-            reply = await self._continue_transaction(request, admitted, deadline)
-        if reply.tag is OutcomeTag.COMPLETED and request.step is Step.BEGIN:
+    async def _run_step(self, work: _Work) -> Outcome:
+        if work.request.step is not Step.BEGIN:
+            return self._finish(work, await self._continue_transaction(work))
+        reply = await self._retry(work, self._begin_once, repeatable=False)
+        if reply.tag is OutcomeTag.COMPLETED:
             return Completed(result=reply.transaction_id, served_by=reply.server)
-        return self._finish(request, reply, session)
+        return self._finish(work, reply)
 
-    async def _begin_once(
-        self, request: CallerRequest, admitted: Admitted, deadline: float
-    ) -> GatewayReply:
-        database = find_database(self._configuration, admitted.group)
-        record = self._groups.record(admitted.group)
+    async def _begin_once(self, work: _Work) -> GatewayReply:
+        database = find_database(self._configuration, work.admitted.group)
+        record = self._groups.record(work.admitted.group)
         if database is None or record is None or record.primary is None:
             return refuse(RefusalReason.NO_PRIMARY)
         server = find_server(database, record.primary)
-        member = self._dispatcher.find_gateway(admitted.group, server) if server else None
+        member = self._dispatcher.find_gateway(work.admitted.group, server) if server else None
         if member is None:
             return refuse(RefusalReason.GATEWAY_UNREACHABLE)
-        left = self._left(deadline)
+        left = self._left(work.deadline)
         reply = await self._dispatcher.send_step(
-            self._build_step(request, admitted, left), member, timeout_s=left
+            self._build_step(work, left), member, timeout_s=left
         )
         if reply is None:
             return refuse(RefusalReason.GATEWAY_UNREACHABLE, member.vm)
@@ -370,20 +317,18 @@
             return refuse(RefusalReason.GATEWAY_UNREACHABLE, member.vm)
         return reply
 
-    async def _continue_transaction(
-        self, request: CallerRequest, admitted: Admitted, deadline: float
-    ) -> GatewayReply:
-        identity = parse_id(request.transaction_id)
-        if identity is None or identity.client_account != admitted.account.name:
+    async def _continue_transaction(self, work: _Work) -> GatewayReply:
+        identity = parse_id(work.request.transaction_id)
+        if identity is None or identity.client_account != work.admitted.account.name:
             return refuse(RefusalReason.TRANSACTION_UNKNOWN)
         member = self._membership.find(identity.vm)
-        left = self._left(deadline)
+        left = self._left(work.deadline)
         if member is None or member.incarnation != identity.incarnation:
-            return self._refuse_lost(request)
+            return self._refuse_lost(work.request)
         reply = await self._dispatcher.send_step(
-            self._build_step(request, admitted, left), member, timeout_s=left
+            self._build_step(work, left), member, timeout_s=left
         )
-        return reply if reply is not None else self._refuse_lost(request)
+        return reply if reply is not None else self._refuse_lost(work.request)
 
     def _refuse_lost(self, request: CallerRequest) -> GatewayReply:
         """Return the reply for a transaction whose gateway is gone.
@@ -397,9 +342,8 @@
             )
         return refuse(RefusalReason.TRANSACTION_LOST, "its gateway is gone")
 
-    def _build_step(
-        self, request: CallerRequest, admitted: Admitted, timeout_s: float
-    ) -> TransactionRequest:
+    def _build_step(self, work: _Work, timeout_s: float) -> TransactionRequest:
+        request, admitted = work.request, work.admitted
         assert request.step is not None
         return TransactionRequest(
             request_id=request.request_id,
@@ -413,15 +357,13 @@
             timeout_s=timeout_s,
         )
 
-    def _finish(
-        self, request: CallerRequest, reply: GatewayReply, session: SessionPosition | None
-    ) -> Outcome:
-        outcome = build_outcome(reply, database=_database_name(request))
+    def _finish(self, work: _Work, reply: GatewayReply) -> Outcome:
+        outcome = build_outcome(reply, database=_database_name(work.request))
         if not isinstance(outcome, Completed):
             return outcome
-        position = session
+        position = work.session
         if outcome.position is not None:
-            position = keep_larger(session, outcome.position)
+            position = keep_larger(position, outcome.position)
         return replace(outcome, position=position)
 
     def _left(self, deadline: float) -> float:
