--- /dev/null
+++ b/lentilring/catalog/fleet.py
@@ -0,0 +1,158 @@
+"""The service `fleet`: the proxies that registered in the store, and which of them answer."""
+
+import asyncio
+from dataclasses import dataclass, replace
+from random import Random
+
+from ..clock import SuspensionClock
+from ..kernel import Service
+from ..platform.store import StoreUnavailable
+from ..telemetry.log import Log
+from ..telemetry.metrics import Telemetry
+from .follower import Follower
+from .source import ProxyEntry, Record, RecordKind, Records, RecordSource
+
+REGISTER_RETRY_S = 0.5
+# A peer that missed an answer gets no new work for this time, doubled with each further miss.
+SUSPICION_S = 0.5
+MAX_SUSPICION_S = 4.0
+
+log = Log(source="fleet")
+
+
+@dataclass(frozen=True, kw_only=True)
+class Suspicion:
+    """Say until when a peer gets no work, and how long the next suspicion lasts."""
+
+    until: float
+    next_s: float
+
+
+class FleetService(Service):
+    """Register this process and know the others; implements LimitMembership."""
+
+    def __init__(
+        self,
+        *,
+        local: ProxyEntry,
+        source: RecordSource,
+        clock: SuspensionClock,
+        random: Random,
+        telemetry: Telemetry,
+    ) -> None:
+        self._local, self._source, self._clock = local, source, clock
+        self._telemetry = telemetry
+        self._entries: dict[str, ProxyEntry] = {}
+        self._members: tuple[ProxyEntry, ...] = (local,)
+        self._suspicions: dict[str, Suspicion] = {}
+        self._revision: int | None = None
+        self._follower = Follower(
+            kind=RecordKind.PROXIES,
+            source=source,
+            clock=clock,
+            random=random,
+            telemetry=telemetry,
+            replace_all=self._replace,
+            apply_changes=self._change,
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def local(self) -> ProxyEntry:
+        """Return this process as a member."""
+        return self._local
+
+    @property
+    def is_synchronized(self) -> bool:
+        """Tell whether the other proxies were read at least once."""
+        return self._follower.is_synchronized
+
+    async def start(self) -> None:
+        """Register and follow the registrations of others."""
+        self._tasks = [
+            asyncio.ensure_future(self._register()),
+            asyncio.ensure_future(self._follower.run()),
+        ]
+
+    async def stop(self) -> None:
+        """End background work."""
+        for task in self._tasks:
+            task.cancel()
+
+    def leave(self) -> None:
+        """Register that this process takes no new work."""
+        self._local = replace(self._local, is_leaving=True)
+        self._rebuild()
+        self._tasks.append(asyncio.ensure_future(self._register()))
+
+    def members(self) -> tuple[ProxyEntry, ...]:
+        """Return the proxies that take work, with the local one unless it leaves."""
+        return self._members
+
+    def find(self, vm: str) -> ProxyEntry | None:
+        """Return the registration of a VM."""
+        return self._local if vm == self._local.vm else self._entries.get(vm)
+
+    def vm_is_gone(self, vm: str, incarnation: int) -> bool:
+        """Tell whether a later process of a VM has registered."""
+        entry = self.find(vm)
+        return entry is not None and entry.incarnation > incarnation
+
+    def is_suspect(self, vm: str) -> bool:
+        """Tell whether a peer recently missed an answer."""
+        suspicion = self._suspicions.get(vm)
+        return suspicion is not None and self._clock.monotonic() < suspicion.until
+
+    def note_answer(self, vm: str) -> None:
+        """End the suspicion of a peer."""
+        if self._suspicions.pop(vm, None) is not None:
+            log.info("peer_regained", peer=vm)
+
+    def note_silence(self, vm: str, detail: str) -> None:
+        """Suspect a peer that did not answer."""
+        known = self._suspicions.get(vm)
+        if known is not None and self._clock.monotonic() < known.until:
+            return
+        wait_s = SUSPICION_S if known is None else known.next_s
+        self._suspicions[vm] = Suspicion(
+            until=self._clock.monotonic() + wait_s, next_s=min(MAX_SUSPICION_S, 2 * wait_s)
+        )
+        self._telemetry.count("peers_suspected")
+        log.warning("peer_lost", peer=vm, for_s=wait_s, detail=detail)
+
+    async def _register(self) -> None:
+        while True:
+            try:
+                self._revision = await self._source.register(self._local, revision=self._revision)
+                log.info("proxy_registered", vm=self._local.vm, leaving=self._local.is_leaving)
+                return
+            except StoreUnavailable as error:
+                log.info("registration_failed", detail=error.detail)
+                await asyncio.sleep(REGISTER_RETRY_S)
+
+    def _replace(self, found: Records) -> None:
+        self._entries = {}
+        self._change(found)
+
+    def _change(self, found: Records) -> None:
+        for record in found.records:
+            self._put(record)
+        self._rebuild()
+
+    def _put(self, record: Record) -> None:
+        entry = record.value
+        if record.name == self._local.vm:
+            return
+        if not isinstance(entry, ProxyEntry):
+            self._entries.pop(record.name, None)
+            return
+        known = self._entries.get(record.name)
+        if known is None or known.incarnation != entry.incarnation:
+            self._suspicions.pop(record.name, None)
+            log.info("peer_registered", peer=entry.vm, incarnation=entry.incarnation)
+        self._entries[record.name] = entry
+
+    def _rebuild(self) -> None:
+        known = [self._local, *self._entries.values()]
+        usable = [entry for entry in known if not entry.is_leaving]
+        self._members = tuple(sorted(usable, key=lambda entry: entry.vm))
--- /dev/null
+++ b/lentilring/catalog/follower.py
@@ -0,0 +1,88 @@
+"""Follows one kind of record by listing once and watching from there on."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+
+from ..clock import SuspensionClock
+from ..platform.store import StoreUnavailable
+from ..telemetry.log import Log
+from ..telemetry.metrics import Telemetry
+from .source import HistoryForgotten, RecordKind, Records, RecordSource
+
+# One call in this time confirms a kind that does not change; calls are priced and rate-limited.
+WATCH_WAIT_S = 8.0
+# A watch that waited this part of its time was answered then, not when it was sent.
+WAITED_FRACTION = 0.9
+RETRY_S = 0.3
+MAX_RETRY_S = 1.2
+RETRY_JITTER = 0.3
+
+log = Log(source="catalog")
+
+
+class Follower:
+    """Pass all records, then changed ones, to functions; know when they were last confirmed."""
+
+    def __init__(
+        self,
+        *,
+        kind: RecordKind,
+        source: RecordSource,
+        clock: SuspensionClock,
+        random: Random,
+        telemetry: Telemetry,
+        replace_all: Callable[[Records], None],
+        apply_changes: Callable[[Records], None],
+        wait_s: float = WATCH_WAIT_S,
+    ) -> None:
+        self.kind = kind
+        self.confirmed_at = float("-inf")
+        self.failed_at = float("-inf")
+        self._source, self._clock, self._random = source, clock, random
+        self._telemetry = telemetry
+        self._replace_all, self._apply_changes = replace_all, apply_changes
+        self._wait_s = wait_s
+        self._revision: int | None = None
+        self._retry_s = RETRY_S
+
+    @property
+    def is_synchronized(self) -> bool:
+        """Tell whether all records were read at least once."""
+        return self._revision is not None
+
+    def confirmation_age_s(self) -> float:
+        """Return how long ago the store certainly had nothing newer; suspensions count."""
+        return self._clock.boottime() - self.confirmed_at
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            try:
+                await self._step()
+                self._retry_s = RETRY_S
+            except HistoryForgotten:
+                log.info("history_forgotten", kind=self.kind, revision=self._revision)
+                self._revision = None
+            except StoreUnavailable as error:
+                self.failed_at = self._clock.boottime()
+                self._telemetry.count("catalog_store_failures", kind=self.kind)
+                log.info("watch_failed", kind=self.kind, detail=error.detail)
+                factor = self._random.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER)
+                await asyncio.sleep(self._retry_s * factor)
+                self._retry_s = min(MAX_RETRY_S, 2 * self._retry_s)
+
+    async def _step(self) -> None:
+        sent_at = self._clock.boottime()
+        if self._revision is None:
+            found = await self._source.list(self.kind)
+            self._replace_all(found)
+        else:
+            found = await self._source.watch(
+                self.kind, after_revision=self._revision, wait_s=self._wait_s
+            )
+            self._apply_changes(found)
+        self._revision = max(found.revision, self._revision or 0)
+        waited = self._clock.boottime() - sent_at
+        certain_wait = self._wait_s * WAITED_FRACTION if waited >= self._wait_s else 0.0
+        self.confirmed_at = max(self.confirmed_at, sent_at + certain_wait)
--- /dev/null
+++ b/lentilring/catalog/model.py
@@ -0,0 +1,111 @@
+"""Routes, client accounts and backend servers as one immutable snapshot."""
+
+from dataclasses import dataclass, field, replace
+from enum import StrEnum, unique
+
+from ..configuration.models import ClientAccount
+
+
+@unique
+class Consistency(StrEnum):
+    """Say what a route's reads may miss."""
+
+    PRIMARY = "primary"
+    BOUNDED = "bounded"
+    OWN_WRITES = "own_writes"
+
+
+@unique
+class ServerRole(StrEnum):
+    """Say how a backend server sees itself."""
+
+    PRIMARY = "primary"
+    REPLICA = "replica"
+
+
+@dataclass(frozen=True, kw_only=True)
+class DatabaseRoute:
+    """Describe a route: callers name its database, statements go to its service; times in s."""
+
+    name: str
+    database: str
+    service: str
+    consistency: Consistency
+    statement_timeout_s: float
+    objective_s: float
+    priority: int
+    max_staleness_s: float
+    is_open: bool
+    regions: tuple[str, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class DatabaseService:
+    """Describe a service: one primary and its replicas."""
+
+    name: str
+    max_connections: int
+    synchronous_replicas: int
+    cold_requests_per_s: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Manifest:
+    """Hold one version of the operator's configuration."""
+
+    version: int
+    routes: dict[str, DatabaseRoute]
+    services: dict[str, DatabaseService]
+    accounts: dict[str, ClientAccount]
+    account_regions: dict[str, tuple[str, ...]]
+    accounts_by_key: dict[str, str]
+    max_line_bytes: int
+    transaction_idle_s: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class ServerEntry:
+    """Describe a registered backend server; `revision` counts the store's changes."""
+
+    id: str
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    is_draining: bool
+    role: ServerRole
+    cold_s: float
+    born_ms: int
+    revision: int
+    version: str = ""
+
+
+@dataclass(frozen=True, kw_only=True)
+class ServerTable:
+    """Hold the registered backend servers by id."""
+
+    entries: dict[str, ServerEntry] = field(default_factory=dict)
+    by_service: dict[str, tuple[ServerEntry, ...]] = field(default_factory=dict)
+
+    def put(self, entry: ServerEntry) -> "ServerTable":
+        """Return the table with one entry added or replaced."""
+        return build_server_table({**self.entries, entry.id: entry})
+
+    def remove(self, server: str) -> "ServerTable":
+        """Return the table without one entry."""
+        kept = {key: entry for key, entry in self.entries.items() if key != server}
+        return build_server_table(kept)
+
+
+def build_server_table(entries: dict[str, ServerEntry]) -> ServerTable:
+    """Return a table with an index by service."""
+    services: dict[str, list[ServerEntry]] = {}
+    for entry in sorted(entries.values(), key=lambda entry: entry.id):
+        services.setdefault(entry.service, []).append(entry)
+    indexed = {name: tuple(found) for name, found in services.items()}
+    return ServerTable(entries=entries, by_service=indexed)
+
+
+def with_role(entry: ServerEntry, role: ServerRole) -> ServerEntry:
+    """Return an entry with another role."""
+    return replace(entry, role=role)
--- /dev/null
+++ b/lentilring/catalog/service.py
@@ -0,0 +1,218 @@
+"""The service `catalog`: the newest configuration and registrations, and whether they are fresh."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+
+from ..clock import SuspensionClock
+from ..configuration.models import ClientAccount, hash_key
+from ..kernel import Service
+from ..telemetry.log import Log
+from ..telemetry.metrics import Telemetry
+from .follower import Follower
+from .leadership import Leadership
+from .model import DatabaseRoute, Manifest, ServerEntry, ServerTable
+from .source import Evacuation, Record, RecordKind, Records, RecordSource
+
+# Registrations that lapsed during an outage of the store are back within 2 s of its return.
+REMOVAL_DELAY_S = 2.5
+
+log = Log(source="catalog")
+
+
+class CatalogService(Service):
+    """Answer what is configured and registered; versions of the configuration never go back."""
+
+    def __init__(
+        self,
+        *,
+        source: RecordSource,
+        clock: SuspensionClock,
+        random: Random,
+        telemetry: Telemetry,
+        max_age_s: float,
+    ) -> None:
+        self.manifest: Manifest | None = None
+        self.servers = ServerTable()
+        self.evacuated: frozenset[str] = frozenset()
+        self.leadership = Leadership()
+        self._clock, self._max_age_s = clock, max_age_s
+        self._leaving: dict[str, asyncio.TimerHandle] = {}
+        self._callbacks: list[Callable[[], None]] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+        def follow(
+            kind: RecordKind,
+            replace_all: Callable[[Records], None],
+            apply_changes: Callable[[Records], None],
+        ) -> Follower:
+            return Follower(
+                kind=kind,
+                source=source,
+                clock=clock,
+                random=random,
+                telemetry=telemetry,
+                replace_all=replace_all,
+                apply_changes=apply_changes,
+            )
+
+        self._manifests = follow(RecordKind.MANIFEST, self._take_manifests, self._take_manifests)
+        self._registrations = follow(
+            RecordKind.SERVERS, self._replace_servers, self._change_servers
+        )
+        self._evacuations = follow(
+            RecordKind.EVACUATIONS, self._replace_evacuations, self._change_evacuations
+        )
+
+    async def start(self) -> None:
+        """Begin to follow the store."""
+        followers = (self._manifests, self._registrations, self._evacuations)
+        self._tasks = [asyncio.ensure_future(entry.run()) for entry in followers]
+
+    async def stop(self) -> None:
+        """End following."""
+        for task in self._tasks:
+            task.cancel()
+        for timer in self._leaving.values():
+            timer.cancel()
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call back after each change."""
+        self._callbacks.append(callback)
+
+    def is_complete(self) -> bool:
+        """Tell whether a configuration, registrations and evacuations are known."""
+        followers = (self._registrations, self._evacuations)
+        return self.manifest is not None and all(entry.is_synchronized for entry in followers)
+
+    def is_fresh(self) -> bool:
+        """Tell whether no configuration older than the greatest age can be in use."""
+        return self.manifest is not None and self.manifest_age_s() <= self._max_age_s
+
+    def manifest_age_s(self) -> float:
+        """Return how long ago the store confirmed the configuration."""
+        return self._manifests.confirmation_age_s()
+
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration in use, 0 without one."""
+        return 0 if self.manifest is None else self.manifest.version
+
+    def find_route(self, database: str) -> DatabaseRoute | None:
+        """Return the route of a database."""
+        return None if self.manifest is None else self.manifest.routes.get(database)
+
+    def find_account_by_key(self, key: str) -> ClientAccount | None:
+        """Return the client account that holds a key."""
+        if self.manifest is None:
+            return None
+        return self.account(self.manifest.accounts_by_key.get(hash_key(key), ""))
+
+    def account(self, name: str) -> ClientAccount | None:
+        """Return a client account."""
+        return None if self.manifest is None else self.manifest.accounts.get(name)
+
+    def accounts(self) -> tuple[ClientAccount, ...]:
+        """Return all client accounts."""
+        return () if self.manifest is None else tuple(self.manifest.accounts.values())
+
+    def find_primary(self, service: str) -> ServerEntry | None:
+        """Return the server that most probably leads a service."""
+        return self.leadership.find(service, self.servers)
+
+    def is_evacuated(self, server: ServerEntry) -> bool:
+        """Tell whether a server's failure domain takes no new work."""
+        return server.failure_domain in self.evacuated
+
+    def _take_manifests(self, found: Records) -> None:
+        for record in found.records:
+            manifest = record.value
+            if not isinstance(manifest, Manifest):
+                continue
+            if self.manifest is not None and manifest.version <= self.manifest.version:
+                continue
+            self.manifest = manifest
+            log.info(
+                "manifest_taken",
+                version=manifest.version,
+                revision=record.revision,
+                routes=len(manifest.routes),
+                accounts=len(manifest.accounts),
+            )
+            self._announce()
+
+    def _replace_servers(self, found: Records) -> None:
+        listed = {record.name for record in found.records if record.value is not None}
+        for server in list(self.servers.entries):
+            if server not in listed:
+                self._remove_later(server)
+        self._change_servers(found)
+
+    def _change_servers(self, found: Records) -> None:
+        for record in found.records:
+            if isinstance(record.value, ServerEntry):
+                self._put_server(record.value)
+            elif record.name in self.servers.entries:
+                self._remove_later(record.name)
+        if found.records:
+            self._announce()
+
+    def _put_server(self, entry: ServerEntry) -> None:
+        timer = self._leaving.pop(entry.id, None)
+        if timer is not None:
+            timer.cancel()
+        previous = self.servers.entries.get(entry.id)
+        self.leadership.note_registration(entry, previous)
+        self.servers = self.servers.put(entry)
+        log.info(
+            "server_registered",
+            server=entry.id,
+            service=entry.service,
+            domain=entry.failure_domain,
+            role=entry.role,
+            draining=entry.is_draining,
+            revision=entry.revision,
+        )
+
+    def _remove_later(self, server: str) -> None:
+        """Remove a server; one that did not announce it may only have lapsed in the store."""
+        if self.servers.entries[server].is_draining:
+            self._remove(server)
+        elif server not in self._leaving:
+            loop = asyncio.get_running_loop()
+            self._leaving[server] = loop.call_later(REMOVAL_DELAY_S, self._remove, server)
+            log.info("server_registration_missing", server=server)
+
+    def _remove(self, server: str) -> None:
+        self._leaving.pop(server, None)
+        if server in self.servers.entries:
+            self.servers = self.servers.remove(server)
+            log.info("server_removed", server=server)
+            self._announce()
+
+    def _replace_evacuations(self, found: Records) -> None:
+        self._set_evacuated(frozenset(entry.name for entry in found.records if _is_set(entry)))
+
+    def _change_evacuations(self, found: Records) -> None:
+        changed = set(self.evacuated)
+        for record in found.records:
+            if _is_set(record):
+                changed.add(record.name)
+            else:
+                changed.discard(record.name)
+        self._set_evacuated(frozenset(changed))
+
+    def _set_evacuated(self, evacuated: frozenset[str]) -> None:
+        if evacuated == self.evacuated:
+            return
+        log.info("evacuations_taken", domains=",".join(sorted(evacuated)) or "none")
+        self.evacuated = evacuated
+        self._announce()
+
+    def _announce(self) -> None:
+        for callback in self._callbacks:
+            callback()
+
+
+def _is_set(record: Record) -> bool:
+    return isinstance(record.value, Evacuation)
--- /dev/null
+++ b/lentilring/catalog/source.py
@@ -0,0 +1,78 @@
+"""The catalog's view of the store that holds configuration and registrations."""
+
+from dataclasses import dataclass
+from enum import StrEnum, unique
+from typing import Protocol, TypeAlias
+
+from .model import Manifest, ServerEntry
+
+
+@unique
+class RecordKind(StrEnum):
+    """Name the kinds of records that a proxy follows."""
+
+    MANIFEST = "manifest"
+    SERVERS = "servers"
+    EVACUATIONS = "evacuations"
+    PROXIES = "proxies"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Evacuation:
+    """Say that a failure domain's backend servers take no new work."""
+
+    failure_domain: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class ProxyEntry:
+    """Describe a registered proxy process; `address` is that of its peer transport."""
+
+    vm: str
+    address: str
+    failure_domain: str
+    region: str
+    incarnation: int
+    weight: float
+    is_leaving: bool = False
+
+
+RecordValue: TypeAlias = Manifest | ServerEntry | Evacuation | ProxyEntry
+
+
+@dataclass(frozen=True, kw_only=True)
+class Record:
+    """Hold one record; `value` is None when it was deleted or cannot be read."""
+
+    name: str
+    revision: int
+    value: RecordValue | None
+    is_deleted: bool = False
+
+
+@dataclass(frozen=True, kw_only=True)
+class Records:
+    """Hold records and the store's revision up to which they are complete."""
+
+    records: tuple[Record, ...]
+    revision: int
+
+
+class RecordSource(Protocol):
+    """Read and follow records; calls raise StoreUnavailable, a watch also HistoryForgotten."""
+
+    async def list(self, kind: RecordKind) -> Records:
+        """Return all records of a kind."""
+        ...
+
+    async def watch(self, kind: RecordKind, *, after_revision: int, wait_s: float) -> Records:
+        """Return the records changed after a revision; wait for the first for `wait_s`."""
+        ...
+
+    async def register(self, entry: ProxyEntry, *, revision: int | None) -> int:
+        """Create or replace the entry of a proxy and return its revision."""
+        ...
+
+
+class HistoryForgotten(Exception):
+    """Report that changes after a revision are no longer available; list again."""
--- a/lentilring/clock.py
+++ b/lentilring/clock.py
@@ -39,3 +39,19 @@
     async def sleep(self, seconds: float) -> None:
         """Wait for a number of seconds of loop time."""
         await asyncio.sleep(seconds)
+
+
+class SuspensionClock(Clock, Protocol):
+    """Measure time that also passes while the VM is suspended."""
+
+    def boottime(self) -> float:
+        """Return the seconds since the VM booted, suspensions included."""
+        ...
+
+
+class BootClock(SystemClock):
+    """Read the operating system's monotonic and boot clocks."""
+
+    def boottime(self) -> float:
+        """Return the seconds since the VM booted, suspensions included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/lentilring/gateways/gateway.py
@@ -0,0 +1,378 @@
+"""The gateway of one backend server: its connections, slots and open transactions."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from ..catalog.model import ServerEntry
+from ..clock import SuspensionClock
+from ..statements.model import (
+    Done,
+    Failed,
+    Failure,
+    Position,
+    PreparedStatement,
+    StatementOutcome,
+    TransactionState,
+)
+from ..telemetry.log import Log
+from ..telemetry.metrics import Telemetry
+from .messages import Opening, RunStatement, Work
+from .pool import CONTROL_TIMEOUT_S, ConnectionPool, PooledConnection, apply_session
+from .positions import PositionHistory
+from .server import ServerConnector, ServerLost, ServerRefused, ServerReply, ServerUnreachable
+from .slots import IN_TRANSACTION, SlotQueue, SlotRefusal
+
+# Two connections of a server stay free for supervision and for a second gateway.
+RESERVED_CONNECTIONS = 2
+# A caller's proxy that disappears leaves its transactions open; this much after its own limit.
+ABANDONED_MARGIN_S = 1.0
+
+log = Log(source="gateway")
+
+
+@dataclass(kw_only=True, eq=False)
+class OpenTransaction:
+    """Hold the connection of a transaction; only one statement runs at a time."""
+
+    id: str
+    connection: PooledConnection
+    proves_lead: bool
+    is_busy: bool = False
+    timer: asyncio.TimerHandle | None = None
+
+
+@dataclass(frozen=True, kw_only=True)
+class RunResult:
+    """Hold the outcome of a statement and the transaction that stays open after it."""
+
+    outcome: StatementOutcome
+    transaction: str = ""
+    age_s: float | None = None
+
+
+@dataclass(kw_only=True)
+class _Attempt:
+    """Collect what a statement's steps learn."""
+
+    request: RunStatement
+    deadline: float
+    transaction: OpenTransaction | None = None
+    connection: PooledConnection | None = None
+    age_s: float | None = None
+    was_sent: bool = False
+    cost_s: float = field(default=0.0)
+
+
+class ServerGateway:
+    """Run statements on one backend server."""
+
+    def __init__(
+        self,
+        *,
+        server: ServerEntry,
+        max_connections: int,
+        connector: ServerConnector,
+        history: PositionHistory,
+        clock: SuspensionClock,
+        telemetry: Telemetry,
+        make_transaction_id: Callable[[], str],
+        refuse_new_work: Callable[[ServerEntry], Failed | None],
+        transaction_idle_s: Callable[[], float],
+        refresh_positions: Callable[[], Awaitable[None]],
+        note_interest: Callable[[], None],
+    ) -> None:
+        self.server = server
+        self.history = history
+        self.slots = SlotQueue(clock=clock, slots=server.slots)
+        self.pool = ConnectionPool(
+            server=server,
+            connector=connector,
+            limit=max(1, max_connections - RESERVED_CONNECTIONS),
+            clock=clock,
+            telemetry=telemetry,
+        )
+        self.transactions: dict[str, OpenTransaction] = {}
+        self._clock, self._telemetry = clock, telemetry
+        self._make_transaction_id = make_transaction_id
+        self._refuse_new_work = refuse_new_work
+        self._transaction_idle_s = transaction_idle_s
+        self._refresh_positions, self._note_interest = refresh_positions, note_interest
+
+    async def run(self, request: RunStatement) -> RunResult:
+        """Run one statement and tell truthfully whether it can have run."""
+        attempt = _Attempt(request=request, deadline=self._clock.monotonic() + request.timeout_s)
+        if request.transaction:
+            attempt.transaction = self._claim(request.transaction)
+            if attempt.transaction is None:
+                return _fail(Failure.ABORTED, "the transaction has ended")
+        elif (refusal := self._refuse_new_work(self.server)) is not None:
+            return RunResult(outcome=refusal)
+        rank = IN_TRANSACTION if request.transaction else 1 + request.priority
+        refused = await self.slots.acquire(
+            request.account, rank=rank, patience_s=min(request.patience_s, request.timeout_s)
+        )
+        if refused is not None:
+            return self._refuse_slot(attempt, refused)
+        started_at = self._clock.monotonic()
+        try:
+            return await self._run_in_slot(attempt)
+        finally:
+            cost_s = self._clock.monotonic() - started_at
+            self.slots.release(request.account, rank=rank, cost_s=cost_s)
+
+    async def end_transaction(self, transaction_id: str) -> bool:
+        """Roll a transaction back; False if it is not open."""
+        transaction = self._claim(transaction_id)
+        if transaction is None:
+            return False
+        await self._abandon(transaction)
+        return True
+
+    async def prove_lead(self, account: str) -> Position | None:
+        """Return a position that the server proved as the primary, or None if it is not."""
+        try:
+            connection = await self.pool.take(account, timeout_s=CONTROL_TIMEOUT_S)
+        except (ServerUnreachable, ServerRefused):
+            return None
+        try:
+            reply = await self._begin(connection, read_only=False, after=None)
+            await connection.session.roll_back(timeout_s=CONTROL_TIMEOUT_S)
+        except (ServerLost, ServerUnreachable):
+            self.pool.discard(connection)
+            return None
+        self.pool.give(connection)
+        return reply.outcome.position if isinstance(reply.outcome, Done) else None
+
+    def close(self) -> None:
+        """End all transactions and close all connections."""
+        for transaction in list(self.transactions.values()):
+            self._forget(transaction)
+            self.pool.discard(transaction.connection)
+        self.pool.close()
+
+    def _claim(self, transaction_id: str) -> OpenTransaction | None:
+        transaction = self.transactions.get(transaction_id)
+        if transaction is None or transaction.is_busy:
+            return None
+        transaction.is_busy = True
+        if transaction.timer is not None:
+            transaction.timer.cancel()
+        return transaction
+
+    def _refuse_slot(self, attempt: _Attempt, refused: SlotRefusal) -> RunResult:
+        self._telemetry.count("gateway_refusals", reason="slots")
+        log.info(
+            "statement_refused",
+            request=attempt.request.request_id,
+            server=self.server.id,
+            reason="slots",
+            queued=len(self.slots),
+            expected_wait_s=round(refused.expected_wait_s, 4),
+        )
+        if attempt.transaction is not None:
+            self._forget(attempt.transaction)
+            self.pool.discard(attempt.transaction.connection)
+            return _fail(Failure.ABORTED, "no slot of the server became free in time")
+        return RunResult(
+            outcome=Failed(
+                failure=Failure.OVERLOADED,
+                detail="the server's slots are taken",
+                retry_after_s=refused.expected_wait_s,
+            )
+        )
+
+    async def _run_in_slot(self, attempt: _Attempt) -> RunResult:
+        try:
+            outcome, state = await self._run_steps(attempt)
+        except (ServerRefused, ServerUnreachable) as error:
+            failure = error.failure if isinstance(error, ServerRefused) else Failure.OVERLOADED
+            return self._end_broken(attempt, failure, error.detail)
+        except ServerLost as error:
+            return self._end_broken(attempt, self._name_loss(attempt, error), error.detail)
+        except BaseException:
+            self._end_broken(attempt, Failure.ABORTED, "cancelled")
+            raise
+        return await self._finish(attempt, outcome, state)
+
+    async def _run_steps(self, attempt: _Attempt) -> tuple[StatementOutcome, TransactionState]:
+        request = attempt.request
+        connection = await self._prepare_connection(attempt)
+        if attempt.transaction is None:
+            # The wait for the slot or the connection may have outlasted the permission.
+            refusal = self._refuse_new_work(self.server)
+            if refusal is not None:
+                return refusal, TransactionState.IDLE
+        after, refusal = await self._find_freshness(attempt)
+        if refusal is not None:
+            return refusal, TransactionState.IDLE
+        if request.opening is not Opening.NONE or request.proves_lead:
+            read_only = request.opening is Opening.READ_ONLY
+            reply = await self._begin(connection, read_only=read_only, after=after)
+            if not isinstance(reply.outcome, Done):
+                return reply.outcome, reply.state
+            after = None
+        attempt.was_sent = True
+        sent_at = self._clock.boottime()
+        reply = await connection.session.run(
+            request.request_id, request.text, after=after, timeout_s=self._remaining(attempt)
+        )
+        if request.work in (Work.WRITE, Work.COMMIT) and reply.state is TransactionState.IDLE:
+            self._note_lead(reply, sent_at)
+        if not request.proves_lead:
+            return reply.outcome, reply.state
+        ended = await connection.session.roll_back(timeout_s=CONTROL_TIMEOUT_S)
+        return reply.outcome, ended.state
+
+    async def _prepare_connection(self, attempt: _Attempt) -> PooledConnection:
+        request = attempt.request
+        if attempt.transaction is not None:
+            connection = attempt.transaction.connection
+        else:
+            connection = await self.pool.take(
+                request.account, timeout_s=min(request.patience_s, self._remaining(attempt))
+            )
+        attempt.connection = connection
+        prepared = None
+        if request.prepared_name:
+            prepared = PreparedStatement(
+                name=request.prepared_name,
+                writes=request.prepared_writes,
+                shape=request.prepared_shape,
+            )
+        await apply_session(connection, request.values, prepared)
+        return connection
+
+    async def _find_freshness(self, attempt: _Attempt) -> tuple[Position | None, Failed | None]:
+        """Return the position that a read must include, as of now."""
+        request = attempt.request
+        if request.max_staleness_s is None or attempt.transaction is not None:
+            return None, None
+        self._note_interest()
+        now = self._clock.boottime()
+        sample = self.history.find(max_staleness_s=request.max_staleness_s, now=now)
+        if sample is None:
+            await self._refresh_positions()
+            now = self._clock.boottime()
+            sample = self.history.find(max_staleness_s=request.max_staleness_s, now=now)
+        if sample is None:
+            return None, Failed(failure=Failure.BEHIND, detail="no recent position is known")
+        attempt.age_s = now - sample.taken_at
+        own = Position(term=request.after_term, number=request.after_number)
+        return max(own, sample.position), None
+
+    async def _begin(
+        self, connection: PooledConnection, *, read_only: bool, after: Position | None
+    ) -> ServerReply:
+        sent_at = self._clock.boottime()
+        reply = await connection.session.begin(
+            read_only=read_only, after=after, timeout_s=CONTROL_TIMEOUT_S
+        )
+        if not read_only:
+            self._note_lead(reply, sent_at)
+        return reply
+
+    def _note_lead(self, reply: ServerReply, sent_at: float) -> None:
+        if isinstance(reply.outcome, Done) and reply.outcome.position is not None:
+            self.history.note(reply.outcome.position, sent_at)
+
+    def _remaining(self, attempt: _Attempt) -> float:
+        return max(0.001, attempt.deadline - self._clock.monotonic())
+
+    def _name_loss(self, attempt: _Attempt, error: ServerLost) -> Failure:
+        """Return what a missing answer means: a transaction is rolled back with its connection."""
+        request = attempt.request
+        if request.work is Work.COMMIT or (request.work is Work.WRITE and not _is_open(attempt)):
+            return Failure.UNCERTAIN if attempt.was_sent else Failure.ABORTED
+        if _is_open(attempt):
+            return Failure.ABORTED
+        return Failure.TIMED_OUT if error.timed_out else Failure.ABORTED
+
+    def _end_broken(self, attempt: _Attempt, failure: Failure, detail: str) -> RunResult:
+        if attempt.transaction is not None:
+            self._forget(attempt.transaction)
+            if failure is not Failure.UNCERTAIN:
+                failure = Failure.ABORTED
+        if attempt.connection is not None:
+            self.pool.discard(attempt.connection)
+        self._telemetry.count("gateway_statements_broken", failure=failure)
+        log.warning(
+            "statement_broken",
+            request=attempt.request.request_id,
+            server=self.server.id,
+            failure=failure,
+            sent=attempt.was_sent,
+            detail=detail,
+        )
+        return _fail(failure, detail)
+
+    async def _finish(
+        self, attempt: _Attempt, outcome: StatementOutcome, state: TransactionState
+    ) -> RunResult:
+        connection = attempt.connection
+        assert connection is not None
+        if state is TransactionState.OPEN and isinstance(outcome, Done):
+            return RunResult(
+                outcome=outcome,
+                transaction=self._keep_open(attempt, connection),
+                age_s=attempt.age_s,
+            )
+        if attempt.transaction is not None:
+            self._forget(attempt.transaction)
+        if state is not TransactionState.IDLE:
+            await self._roll_back(connection)
+        else:
+            self.pool.give(connection)
+        return RunResult(outcome=outcome, age_s=attempt.age_s)
+
+    def _keep_open(self, attempt: _Attempt, connection: PooledConnection) -> str:
+        transaction = attempt.transaction
+        if transaction is None:
+            transaction = OpenTransaction(
+                id=self._make_transaction_id(),
+                connection=connection,
+                proves_lead=attempt.request.opening is Opening.READ_WRITE,
+            )
+            self.transactions[transaction.id] = transaction
+        transaction.is_busy = False
+        loop = asyncio.get_running_loop()
+        idle_s = self._transaction_idle_s() + ABANDONED_MARGIN_S
+        transaction.timer = loop.call_later(idle_s, self._end_idle, transaction)
+        return transaction.id
+
+    def _end_idle(self, transaction: OpenTransaction) -> None:
+        if transaction.is_busy:
+            return
+        log.info("transaction_abandoned", transaction=transaction.id, server=self.server.id)
+        self._forget(transaction)
+        self.pool.discard(transaction.connection)
+
+    def _forget(self, transaction: OpenTransaction) -> None:
+        self.transactions.pop(transaction.id, None)
+        if transaction.timer is not None:
+            transaction.timer.cancel()
+
+    async def _abandon(self, transaction: OpenTransaction) -> None:
+        self._forget(transaction)
+        await self._roll_back(transaction.connection)
+
+    async def _roll_back(self, connection: PooledConnection) -> None:
+        """Return a connection to the pool outside of its transaction, or close it."""
+        try:
+            reply = await connection.session.roll_back(timeout_s=CONTROL_TIMEOUT_S)
+        except (ServerLost, ServerUnreachable):
+            self.pool.discard(connection)
+            return
+        if reply.state is TransactionState.IDLE:
+            self.pool.give(connection)
+        else:
+            self.pool.discard(connection)
+
+
+def _is_open(attempt: _Attempt) -> bool:
+    opens = attempt.request.opening is not Opening.NONE
+    return attempt.transaction is not None or opens or attempt.request.proves_lead
+
+
+def _fail(failure: Failure, detail: str) -> RunResult:
+    return RunResult(outcome=Failed(failure=failure, detail=detail))
--- /dev/null
+++ b/lentilring/gateways/sampling.py
@@ -0,0 +1,93 @@
+"""Keeps the proven positions of the primaries young where replicas serve reads."""
+
+import asyncio
+
+from ..catalog.service import CatalogService
+from ..clock import SuspensionClock
+from ..kernel import Service
+from ..statements.model import Position
+from ..telemetry.log import Log
+from ..telemetry.metrics import Telemetry
+from .dispatch import Dispatcher
+from .service import GatewayService
+
+# A fifth of the shortest usual staleness bound, so that several samples stand within it.
+SAMPLE_INTERVAL_S = 0.3
+SAMPLE_TIMEOUT_S = 0.5
+# Services without reads for this long are no longer sampled.
+INTEREST_S = 5.0
+
+log = Log(source="positions")
+
+
+class PositionSampler(Service):
+    """Ask the gateways of primaries for positions while reads need them."""
+
+    def __init__(
+        self,
+        *,
+        catalog: CatalogService,
+        gateways: GatewayService,
+        dispatcher: Dispatcher,
+        clock: SuspensionClock,
+        telemetry: Telemetry,
+    ) -> None:
+        self._catalog, self._gateways, self._dispatcher = catalog, gateways, dispatcher
+        self._clock, self._telemetry = clock, telemetry
+        self._wanted_at: dict[str, float] = {}
+        self._running: dict[str, asyncio.Task[None]] = {}
+        self._task: asyncio.Task[None] | None = None
+        gateways.refresh_positions = self.refresh
+        gateways.note_interest = self.note_interest
+
+    async def start(self) -> None:
+        """Begin to sample."""
+        self._task = asyncio.ensure_future(self._run())
+
+    async def stop(self) -> None:
+        """End sampling."""
+        for task in [*self._running.values(), *([self._task] if self._task else [])]:
+            task.cancel()
+
+    def note_interest(self, service: str) -> None:
+        """Sample a service for the next seconds."""
+        self._wanted_at[service] = self._clock.monotonic()
+
+    async def refresh(self, service: str) -> None:
+        """Take one sample of a service now; calls at one time share it."""
+        self.note_interest(service)
+        await asyncio.shield(self._begin(service))
+
+    async def _run(self) -> None:
+        while True:
+            await self._clock.sleep(SAMPLE_INTERVAL_S)
+            oldest = self._clock.monotonic() - INTEREST_S
+            for service, wanted_at in list(self._wanted_at.items()):
+                if wanted_at < oldest:
+                    del self._wanted_at[service]
+                else:
+                    self._begin(service)
+
+    def _begin(self, service: str) -> asyncio.Task[None]:
+        """Return the running sample of a service, or begin one."""
+        task = self._running.get(service)
+        if task is None:
+            task = asyncio.ensure_future(self._sample(service))
+            self._running[service] = task
+            task.add_done_callback(lambda _: self._running.pop(service, None))
+        return task
+
+    async def _sample(self, service: str) -> None:
+        primary = self._catalog.find_primary(service)
+        if primary is None:
+            return
+        sent_at = self._clock.boottime()
+        proven = await self._dispatcher.ask_position(primary, timeout_s=SAMPLE_TIMEOUT_S)
+        if proven is None or proven.term == 0:
+            self._telemetry.count("position_samples", result="missing")
+            log.info("position_missing", service=service, primary=primary.id)
+            return
+        position = Position(term=proven.term, number=proven.number)
+        # The answer was written after it was asked for, so its age counts from then.
+        self._gateways.history(service).note(position, sent_at - proven.age_s)
+        self._telemetry.count("position_samples", result="taken")
--- /dev/null
+++ b/lentilring/gateways/server.py
@@ -0,0 +1,122 @@
+"""A session on a backend server as gateways see it, and how it fails."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from ..catalog.model import ServerEntry, ServerRole
+from ..errors import LentilringError
+from ..statements.model import (
+    Failure,
+    Position,
+    PreparedStatement,
+    StatementOutcome,
+    TransactionState,
+)
+
+
+@dataclass(kw_only=True, eq=False)
+class ServerUnreachable(LentilringError):
+    """Report that nothing was sent to a backend server."""
+
+    server: str
+    detail: str
+
+
+@dataclass(kw_only=True, eq=False)
+class ServerRefused(LentilringError):
+    """Report that a backend server refused a connection."""
+
+    server: str
+    failure: Failure
+    detail: str
+
+
+@dataclass(kw_only=True, eq=False)
+class ServerLost(LentilringError):
+    """Report that a statement was sent and its answer did not arrive; it may have run."""
+
+    server: str
+    detail: str
+    timed_out: bool = False
+
+
+@dataclass(frozen=True, kw_only=True)
+class ServerReply:
+    """Hold the outcome of one statement and the state of the session after it."""
+
+    outcome: StatementOutcome
+    state: TransactionState
+
+
+@dataclass(frozen=True, kw_only=True)
+class ServerStatus:
+    """Hold what a backend server says of itself; `received` may be ahead of what reads see."""
+
+    role: ServerRole
+    term: int
+    received: Position
+
+
+class ServerSession(Protocol):
+    """Run one statement at a time; each call raises ServerLost when no answer arrives."""
+
+    position: Position | None
+
+    @property
+    def is_closed(self) -> bool:
+        """Tell whether either end has closed the connection."""
+        ...
+
+    async def run(
+        self, request_id: str, text: str, *, after: Position | None, timeout_s: float
+    ) -> ServerReply:
+        """Run a caller's statement; reads wait for no position, they fail if it is missing."""
+        ...
+
+    async def begin(
+        self, *, read_only: bool, after: Position | None, timeout_s: float
+    ) -> ServerReply:
+        """Open a transaction; other than read-only it proves that the server is the primary."""
+        ...
+
+    async def roll_back(self, *, timeout_s: float) -> ServerReply:
+        """Roll the open transaction back."""
+        ...
+
+    async def reset(self, *, timeout_s: float) -> ServerReply:
+        """Drop session values and prepared statements."""
+        ...
+
+    async def set_value(self, name: str, value: str, *, timeout_s: float) -> ServerReply:
+        """Set a session value."""
+        ...
+
+    async def prepare(self, prepared: PreparedStatement, *, timeout_s: float) -> ServerReply:
+        """Prepare a statement."""
+        ...
+
+    async def read_status(self, *, timeout_s: float) -> ServerStatus | Failure:
+        """Return what the server says of itself."""
+        ...
+
+    async def pause(self, *, term: int, timeout_s: float) -> ServerStatus | Failure:
+        """Stop a replica from receiving commits of terms below `term`."""
+        ...
+
+    async def resume(self, *, timeout_s: float) -> ServerStatus | Failure:
+        """Let a paused replica receive again."""
+        ...
+
+    def close(self) -> None:
+        """Close the connection; an open transaction is rolled back."""
+        ...
+
+
+class ServerConnector(Protocol):
+    """Open sessions on backend servers."""
+
+    async def connect(
+        self, server: ServerEntry, *, account: str, timeout_s: float
+    ) -> ServerSession:
+        """Open a session; raise ServerUnreachable or ServerRefused."""
+        ...
--- /dev/null
+++ b/lentilring/gateways/service.py
@@ -0,0 +1,243 @@
+"""The service `gateways`: the gateways of this proxy, for its own callers and for its peers."""
+
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from ..catalog.model import ServerEntry
+from ..catalog.service import CatalogService
+from ..clock import SuspensionClock
+from ..kernel import Service
+from ..peers.transport import PeerTransport, Sender
+from ..statements.model import Done, Failed, Failure, Position
+from ..telemetry.log import Log
+from ..telemetry.metrics import Telemetry
+from .gateway import RunResult, ServerGateway
+from .messages import (
+    AskPosition,
+    EndTransaction,
+    ProvenPosition,
+    RunStatement,
+    StatementAnswer,
+    TransactionEnded,
+)
+from .positions import PositionHistory
+from .server import ServerConnector
+
+# A primary's position is proved again when a younger one is asked for.
+PROOF_AGE_S = 0.15
+DEFAULT_CONNECTIONS = 4
+
+log = Log(source="gateway")
+
+
+class GatewayService(Service):
+    """Own the gateways that callers' proxies chose this proxy for."""
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        incarnation: int,
+        catalog: CatalogService,
+        connector: ServerConnector,
+        transport: PeerTransport,
+        clock: SuspensionClock,
+        random: Random,
+        telemetry: Telemetry,
+    ) -> None:
+        self._catalog, self._connector, self._transport = catalog, connector, transport
+        self._clock, self._random, self._telemetry = clock, random, telemetry
+        self._gateways: dict[str, ServerGateway] = {}
+        self._histories: dict[str, PositionHistory] = {}
+        self._owners: dict[str, ServerGateway] = {}
+        self._proofs: dict[str, asyncio.Task[None]] = {}
+        self._transaction_numbers = itertools.count(1)
+        self._transaction_prefix = f"{vm}.{incarnation}."
+        self.refresh_positions: Callable[[str], Awaitable[None]] = _refresh_nothing
+        self.note_interest: Callable[[str], None] = _ignore_interest
+        catalog.subscribe(self._drop_replaced)
+
+    async def start(self) -> None:
+        """Answer peers."""
+        self._transport.handle(RunStatement, self._handle_run)
+        self._transport.handle(EndTransaction, self._handle_end)
+        self._transport.handle(AskPosition, self._handle_ask)
+
+    async def stop(self) -> None:
+        """Close all connections to backend servers."""
+        for gateway in self._gateways.values():
+            gateway.close()
+
+    def history(self, service: str) -> PositionHistory:
+        """Return the proven positions of a service's primary."""
+        return self._histories.setdefault(service, PositionHistory())
+
+    def served(self) -> list[ServerEntry]:
+        """Return the servers that this proxy is the gateway of at present."""
+        return [gateway.server for gateway in self._gateways.values()]
+
+    async def run(self, request: RunStatement) -> StatementAnswer:
+        """Run a statement on a backend server through its gateway here."""
+        server = self._catalog.servers.entries.get(request.server)
+        if server is None and not request.transaction:
+            return _refuse(Failure.WRONG_SERVER, "the server is not registered")
+        if request.transaction:
+            gateway = self._owners.get(request.transaction)
+        else:
+            assert server is not None
+            gateway = self._open_gateway(server)
+        if gateway is None:
+            return _refuse(Failure.ABORTED, "the transaction has ended")
+        result = await gateway.run(request)
+        self._note_transaction(gateway, request.transaction, result.transaction)
+        wait_s = gateway.slots.expected_wait_s(request.account, 1 + request.priority)
+        return build_answer(result, wait_s=wait_s)
+
+    async def end_transaction(self, transaction: str) -> bool:
+        """Roll a transaction back; False if it is not open here."""
+        gateway = self._owners.pop(transaction, None)
+        return gateway is not None and await gateway.end_transaction(transaction)
+
+    async def ask_position(self, request: AskPosition) -> ProvenPosition:
+        """Return a position of a primary, proved again if the known one is old."""
+        server = self._catalog.servers.entries.get(request.server)
+        if server is None or server.service != request.service:
+            return ProvenPosition()
+        history = self.history(request.service)
+        newest = history.newest()
+        if newest is None or self._clock.boottime() - newest.taken_at > PROOF_AGE_S:
+            await self._prove(server)
+            newest = history.newest()
+        if newest is None:
+            return ProvenPosition()
+        return ProvenPosition(
+            term=newest.position.term,
+            number=newest.position.number,
+            age_s=self._clock.boottime() - newest.taken_at,
+        )
+
+    async def _prove(self, server: ServerEntry) -> None:
+        """Prove a primary's position; calls at one time share the proof."""
+        task = self._proofs.get(server.id)
+        if task is None:
+            task = asyncio.ensure_future(self._prove_now(server))
+            self._proofs[server.id] = task
+            task.add_done_callback(lambda _: self._proofs.pop(server.id, None))
+        await asyncio.shield(task)
+
+    async def _prove_now(self, server: ServerEntry) -> None:
+        accounts = self._catalog.accounts()
+        if not accounts:
+            return
+        position = await self._open_gateway(server).prove_lead(accounts[0].name)
+        self._note_proof(server, position)
+
+    def _note_proof(self, server: ServerEntry, position: Position | None) -> None:
+        if position is None:
+            self._telemetry.count("position_proofs", result="failed")
+            return
+        self._telemetry.count("position_proofs", result="proved")
+        if self._catalog.leadership.note_lead(server.service, server.id, position.term):
+            log.info("lead_proved", service=server.service, server=server.id, position=position)
+
+    def _open_gateway(self, server: ServerEntry) -> ServerGateway:
+        gateway = self._gateways.get(server.id)
+        if gateway is None:
+            manifest = self._catalog.manifest
+            service = None if manifest is None else manifest.services.get(server.service)
+            gateway = self._gateways[server.id] = ServerGateway(
+                server=server,
+                max_connections=DEFAULT_CONNECTIONS if service is None else service.max_connections,
+                connector=self._connector,
+                history=self.history(server.service),
+                clock=self._clock,
+                telemetry=self._telemetry,
+                make_transaction_id=self._make_transaction_id,
+                refuse_new_work=self._refuse_new_work,
+                transaction_idle_s=self._transaction_idle_s,
+                refresh_positions=lambda: self.refresh_positions(server.service),
+                note_interest=lambda: self.note_interest(server.service),
+            )
+            log.info("gateway_opened", server=server.id, limit=gateway.pool.limit)
+        return gateway
+
+    def _refuse_new_work(self, server: ServerEntry) -> Failed | None:
+        """Refuse what may not start on a server now."""
+        entry = self._catalog.servers.entries.get(server.id)
+        if entry is None:
+            return Failed(failure=Failure.WRONG_SERVER, detail="the server is gone")
+        if self._catalog.is_evacuated(entry):
+            return Failed(failure=Failure.OVERLOADED, detail="the failure domain is evacuated")
+        primary = self._catalog.find_primary(entry.service)
+        if entry.is_draining and (primary is None or primary.id != entry.id):
+            return Failed(failure=Failure.OVERLOADED, detail="the server is leaving")
+        return None
+
+    def _drop_replaced(self) -> None:
+        """Close gateways of servers that are gone or that started again."""
+        for server in list(self._gateways):
+            entry = self._catalog.servers.entries.get(server)
+            known = self._gateways[server].server
+            if entry is None or (entry.born_ms, entry.address) != (known.born_ms, known.address):
+                log.info("gateway_closed", server=server, reason="gone" if entry is None else "new")
+                self._gateways.pop(server).close()
+
+    def _note_transaction(self, gateway: ServerGateway, before: str, after: str) -> None:
+        if before and before != after:
+            self._owners.pop(before, None)
+        if after:
+            self._owners[after] = gateway
+
+    def _make_transaction_id(self) -> str:
+        secret = self._random.getrandbits(64)
+        return f"{self._transaction_prefix}{next(self._transaction_numbers)}.{secret:016x}"
+
+    def _transaction_idle_s(self) -> float:
+        manifest = self._catalog.manifest
+        return 3.0 if manifest is None else manifest.transaction_idle_s
+
+    async def _handle_run(self, sender: Sender, request: RunStatement) -> StatementAnswer:
+        return await self.run(request)
+
+    async def _handle_end(self, sender: Sender, request: EndTransaction) -> TransactionEnded:
+        return TransactionEnded(known=await self.end_transaction(request.transaction))
+
+    async def _handle_ask(self, sender: Sender, request: AskPosition) -> ProvenPosition:
+        return await self.ask_position(request)
+
+
+def build_answer(result: RunResult, *, wait_s: float) -> StatementAnswer:
+    """Return the message of a result."""
+    outcome = result.outcome
+    position = outcome.position
+    if isinstance(outcome, Done):
+        return StatementAnswer(
+            rows=outcome.rows,
+            proof=outcome.proof,
+            term=0 if position is None else position.term,
+            number=0 if position is None else position.number,
+            transaction=result.transaction,
+            wait_s=wait_s,
+            age_s=result.age_s,
+        )
+    return StatementAnswer(
+        failure=outcome.failure,
+        detail=outcome.detail,
+        retry_after_s=outcome.retry_after_s,
+        wait_s=wait_s,
+        age_s=result.age_s,
+    )
+
+
+def _refuse(failure: Failure, detail: str) -> StatementAnswer:
+    return StatementAnswer(failure=failure, detail=detail)
+
+
+async def _refresh_nothing(service: str) -> None:
+    """Stand in until a sampler is registered."""
+
+
+def _ignore_interest(service: str) -> None:
+    """Stand in until a sampler is registered."""
--- /dev/null
+++ b/lentilring/platform/boot.py
@@ -0,0 +1,88 @@
+"""The platform's settings file as the product's settings."""
+
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+
+from ..settings import SessionProxySettings
+
+BOOT_VARIABLE = "LENTILRING_BOOT"
+METRICS_PORT = 9464
+# Descriptors for files, the store, backend servers and peers; the rest serve sessions.
+RESERVED_DESCRIPTORS = 600
+# A configuration is given up before the platform's own bound for it ends.
+AGE_MARGIN_S = 2.0
+DRAIN_MARGIN_S = 0.6
+
+Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+
+
+class _Document(msgspec.Struct, rename="kebab", kw_only=True):
+    """Accept files with fields of later versions."""
+
+
+class _Addresses(_Document):
+    frontend_addr: str
+    readiness: str
+
+
+class _Limits(_Document):
+    cpu_share: float = 1.0
+    cpu_speed_factor: float = 1.0
+    max_fds: int = 4096
+
+
+class _Bounds(_Document):
+    config_apply_ms: float = 3000
+    outer_ms: float = 0
+    grace_s: float = 6
+
+
+class _Endpoint(_Document):
+    address: str
+
+
+class BootFile(_Document):
+    """Hold the part of the settings file that lentilring uses."""
+
+    node_name: str
+    ip: str
+    zone: str
+    region: str
+    zones: dict[str, str]
+    bind_addresses: _Addresses
+    internal_port_range: tuple[Port, Port]
+    platform: _Endpoint
+    cloud_api: _Endpoint
+    limits: _Limits = _Limits()
+    bounds: _Bounds = _Bounds()
+
+
+def read_boot_file(path: Path) -> SessionProxySettings:
+    """Return the settings of a file; raise msgspec.ValidationError or OSError."""
+    return build_settings(msgspec.json.decode(path.read_bytes(), type=BootFile))
+
+
+def build_settings(boot: BootFile, **others: Any) -> SessionProxySettings:
+    """Return the product's settings."""
+    limits, bounds = boot.limits, boot.bounds
+    return SessionProxySettings(
+        vm=boot.node_name,
+        failure_domain=boot.zone,
+        region=boot.region,
+        regions=boot.zones,
+        session_address=boot.bind_addresses.frontend_addr,
+        readiness_address=boot.bind_addresses.readiness,
+        peer_address=f"{boot.ip}:{boot.internal_port_range[0]}",
+        metrics_address=f"{boot.ip}:{METRICS_PORT}",
+        store_address=boot.platform.address,
+        promotion_address=boot.cloud_api.address,
+        weight=limits.cpu_share * limits.cpu_speed_factor,
+        max_sessions=max(16, limits.max_fds - RESERVED_DESCRIPTORS),
+        max_configuration_age_s=max(
+            1.0, (bounds.config_apply_ms + bounds.outer_ms) / 1000 - AGE_MARGIN_S
+        ),
+        drain_timeout_s=max(0.5, bounds.grace_s - DRAIN_MARGIN_S),
+        **others,
+    )
--- a/lentilring/platform/client.py
+++ b/lentilring/platform/client.py
@@ -53,7 +53,7 @@
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, force_close=True),
             cookie_jar=aiohttp.DummyCookieJar(),
-            middlewares=(_prevent_repeat,),
+            middlewares=(prevent_repeat,),
         )
 
     async def stop(self) -> None:
@@ -156,7 +156,7 @@
         return StoreUnavailable(operation=operation, detail=detail)
 
 
-async def _prevent_repeat(
+async def prevent_repeat(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
     """Fail a request whose answer was lost with an error after which aiohttp does not repeat it.
--- /dev/null
+++ b/lentilring/platform/documents.py
@@ -0,0 +1,242 @@
+"""Translation of the platform's stored documents into the catalog's types.
+
+Field names of the documents appear only here. Where a name misleads, a comment says what it holds.
+"""
+
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from ..catalog.model import (
+    Consistency,
+    DatabaseRoute,
+    DatabaseService,
+    Manifest,
+    ServerEntry,
+    ServerRole,
+)
+from ..catalog.source import Evacuation, ProxyEntry, RecordKind
+from ..configuration.models import MAX_BURST, MAX_RATE_PER_S, ClientAccount, hash_key
+from ..telemetry.log import Log
+
+log = Log(source="platform")
+
+KINDS = {
+    RecordKind.MANIFEST: "config",
+    RecordKind.SERVERS: "servers",
+    RecordKind.EVACUATIONS: "evacuations",
+    RecordKind.PROXIES: "lentilring-proxies",
+}
+MANIFEST_NAME = "main"
+CONSISTENCIES = {
+    "primary": Consistency.PRIMARY,
+    "bounded_staleness": Consistency.BOUNDED,
+    "read_your_writes": Consistency.OWN_WRITES,
+}
+ROLES = {"primary": ServerRole.PRIMARY, "replica": ServerRole.REPLICA}
+SERVER_STATES = {"ready": False, "draining": True}
+DEFAULT_LINE_BYTES = 1024 * 1024
+DEFAULT_IDLE_MS = 3000
+DEFAULT_TIMEOUT_MS = 1000
+DEFAULT_CONNECTIONS = 8
+LEAST_PRIORITY = 9
+
+
+class Document(msgspec.Struct, rename="kebab", kw_only=True):
+    """Accept documents with fields of later versions."""
+
+
+class _Route(Document):
+    name: str
+    host: str  # the name of the database that callers ask for
+    service: str
+    type: str  # the consistency of reads
+    timeout_ms: float = DEFAULT_TIMEOUT_MS  # limits one statement, not the operation
+    target_latency_ms: float = 0.0
+    priority: int = LEAST_PRIORITY
+    max_staleness_ms: float = 0.0
+    allow_anonymous: bool = False
+    allowed_regions: list[str] = []
+
+
+class _Service(Document):
+    name: str
+    max_connections: int = DEFAULT_CONNECTIONS
+    sync_replicas: int = 0
+    cold_per_s: float = 0.0
+
+
+class _Tenant(Document):
+    name: str
+    api_keys: list[str] = []
+    rate_per_s: float | None = None
+    burst: float | None = None
+    allowed_regions: list[str] = []
+
+
+class _Limits(Document):
+    max_body_bytes: int = DEFAULT_LINE_BYTES
+    tx_idle_ms: float = DEFAULT_IDLE_MS
+
+
+class _Manifest(Document):
+    version: int
+    routes: list[Any] = []
+    services: list[Any] = []
+    tenants: list[Any] = []
+    limits: _Limits = _Limits()
+
+
+class _Server(Document):
+    service: str
+    address: str
+    zone: str
+    state: str
+    db_role: str
+    version: str = ""
+    capacity: int = 1  # statements that the server runs at a time
+    cold_remaining_ms: float = 0.0
+    born: int = 0
+
+
+class _Proxy(Document):
+    address: str
+    failure_domain: str
+    region: str
+    incarnation: int
+    weight: float
+    leaving: bool
+
+
+@dataclass(frozen=True, kw_only=True)
+class Unreadable:
+    """Say why a document names nothing to use."""
+
+    detail: str
+
+
+def decode_manifest(spec: Any) -> Manifest | Unreadable:
+    """Return the configuration of a document; entries that cannot be read are left out."""
+    try:
+        body = msgspec.convert(spec, _Manifest)
+    except msgspec.ValidationError as error:
+        return Unreadable(detail=str(error))
+    tenants = [entry for raw in body.tenants if (entry := _convert(raw, _Tenant)) is not None]
+    routes = [entry for raw in body.routes if (entry := _convert(raw, _Route)) is not None]
+    services = [entry for raw in body.services if (entry := _convert(raw, _Service)) is not None]
+    known = [entry for entry in routes if entry.type in CONSISTENCIES]
+    return Manifest(
+        version=body.version,
+        routes={entry.host: _build_route(entry) for entry in known},
+        services={entry.name: _build_service(entry) for entry in services},
+        accounts={entry.name: _build_account(entry) for entry in tenants},
+        account_regions={entry.name: tuple(entry.allowed_regions) for entry in tenants},
+        accounts_by_key={hash_key(key): entry.name for entry in tenants for key in entry.api_keys},
+        max_line_bytes=DEFAULT_LINE_BYTES,
+        transaction_idle_s=body.limits.tx_idle_ms / 1000,
+    )
+
+
+def decode_server(name: str, spec: Any, *, revision: int) -> ServerEntry | Unreadable:
+    """Return a backend server of a document; the object's name is the server's id."""
+    try:
+        body = msgspec.convert(spec, _Server)
+    except msgspec.ValidationError as error:
+        return Unreadable(detail=str(error))
+    if body.state not in SERVER_STATES or body.db_role not in ROLES:
+        return Unreadable(detail=f"state {body.state!r}, role {body.db_role!r}")
+    host, _, port = body.address.rpartition(":")
+    if not host or not port.isdecimal():
+        return Unreadable(detail=f"address {body.address!r}")
+    return ServerEntry(
+        id=name,
+        service=body.service,
+        address=body.address,
+        failure_domain=body.zone,
+        slots=max(1, body.capacity),
+        is_draining=SERVER_STATES[body.state],
+        role=ROLES[body.db_role],
+        cold_s=body.cold_remaining_ms / 1000,
+        born_ms=body.born,
+        revision=revision,
+        version=body.version,
+    )
+
+
+def decode_proxy(name: str, spec: Any) -> ProxyEntry | Unreadable:
+    """Return a registered proxy of a document."""
+    try:
+        body = msgspec.convert(spec, _Proxy)
+    except msgspec.ValidationError as error:
+        return Unreadable(detail=str(error))
+    return ProxyEntry(
+        vm=name,
+        address=body.address,
+        failure_domain=body.failure_domain,
+        region=body.region,
+        incarnation=body.incarnation,
+        weight=body.weight,
+        is_leaving=body.leaving,
+    )
+
+
+def encode_proxy(entry: ProxyEntry) -> dict[str, Any]:
+    """Return the document of a registered proxy."""
+    return {
+        "address": entry.address,
+        "failure-domain": entry.failure_domain,
+        "region": entry.region,
+        "incarnation": entry.incarnation,
+        "weight": entry.weight,
+        "leaving": entry.is_leaving,
+    }
+
+
+def decode_evacuation(name: str) -> Evacuation:
+    """Return the evacuated failure domain that an object names."""
+    return Evacuation(failure_domain=name)
+
+
+def _convert(raw: Any, kind: type[Any]) -> Any:
+    try:
+        return msgspec.convert(raw, kind)
+    except msgspec.ValidationError as error:
+        log.warning("document_entry_ignored", kind=kind.__name__, detail=error)
+        return None
+
+
+def _build_route(entry: _Route) -> DatabaseRoute:
+    return DatabaseRoute(
+        name=entry.name,
+        database=entry.host,
+        service=entry.service,
+        consistency=CONSISTENCIES[entry.type],
+        statement_timeout_s=entry.timeout_ms / 1000,
+        objective_s=(entry.target_latency_ms or entry.timeout_ms) / 1000,
+        priority=entry.priority,
+        max_staleness_s=entry.max_staleness_ms / 1000,
+        is_open=entry.allow_anonymous,
+        regions=tuple(entry.allowed_regions),
+    )
+
+
+def _build_service(entry: _Service) -> DatabaseService:
+    return DatabaseService(
+        name=entry.name,
+        max_connections=entry.max_connections,
+        synchronous_replicas=entry.sync_replicas,
+        cold_requests_per_s=entry.cold_per_s,
+    )
+
+
+def _build_account(entry: _Tenant) -> ClientAccount:
+    return ClientAccount(
+        name=entry.name,
+        rate_per_s=MAX_RATE_PER_S if entry.rate_per_s is None else entry.rate_per_s,
+        burst=MAX_BURST if entry.burst is None else entry.burst,
+        max_staleness_s=None,
+        services=(),
+        open_routes=(),
+        key_hashes=tuple(hash_key(key) for key in entry.api_keys),
+    )
--- /dev/null
+++ b/lentilring/platform/objects.py
@@ -0,0 +1,229 @@
+"""The metadata store of the prepared platform: calls, objects and long-poll watches."""
+
+import socket
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import quote
+
+import aiohttp
+import msgspec
+from yarl import URL
+
+from ..kernel import Service
+from ..telemetry.log import Log
+from ..telemetry.metrics import Telemetry
+from .client import HTTP_CONFLICT, HTTP_NOT_FOUND, HTTP_OK, prevent_repeat
+from .store import StoreUnavailable
+
+HTTP_CREATED = 201
+HTTP_GONE = 410
+# 25 times the usual answer, so that a store slowed 100 times still answers in time.
+CALL_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 1.0
+# Unacknowledged bytes close a connection whose far end is dark.
+USER_TIMEOUT_MS = 3000
+
+log = Log(source="store")
+
+
+@dataclass(frozen=True, kw_only=True)
+class PlatformObject:
+    """Hold one object of the store; `revision` is that of its last change."""
+
+    name: str
+    revision: int
+    spec: Any
+    is_deleted: bool = False
+    finalizers: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True)
+class ObjectList:
+    """Hold objects and the revision of the store up to which they are complete."""
+
+    objects: tuple[PlatformObject, ...]
+    revision: int
+
+
+class HistoryLost(Exception):
+    """Report that the store no longer has the changes after a revision."""
+
+
+class ObjectConflict(Exception):
+    """Report that an object has another revision, or exists already; `current` may be unknown."""
+
+    def __init__(self, current: PlatformObject | None) -> None:
+        super().__init__("conflict")
+        self.current = current
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Meta:
+    name: str
+    revision: int = 0
+    finalizers: list[str] = field(default_factory=list)
+    deleting: bool = False
+
+
+class ObjectClient(Service):
+    """Call the store; every method may raise StoreUnavailable."""
+
+    def __init__(self, *, address: str, telemetry: Telemetry) -> None:
+        self._base = f"http://{address}/objects/"
+        self._telemetry = telemetry
+        self._session: aiohttp.ClientSession | None = None
+        self.is_reachable: bool | None = None
+
+    async def start(self) -> None:
+        """Open the session; each call has its own connection, since idle ones may go silent."""
+        connector = aiohttp.TCPConnector(limit=0, force_close=True, socket_factory=_open_socket)
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            middlewares=(prevent_repeat,),
+        )
+
+    async def stop(self) -> None:
+        """Close the session."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def list(self, kind: str) -> ObjectList:
+        """Return all objects of a kind."""
+        found: list[PlatformObject] = []
+        after = ""
+        while True:
+            path = kind + (f"?after={quote(after, safe='')}" if after else "")
+            body = await self._expect("GET", path)
+            page = [decode_object(entry) for entry in _get_list(body, "items")]
+            found += [entry for entry in page if entry is not None]
+            if not body.get("more") or not found:
+                return ObjectList(objects=tuple(found), revision=int(body.get("as-of", 0)))
+            after = found[-1].name
+
+    async def watch(self, kind: str, *, after_revision: int, wait_s: float) -> ObjectList:
+        """Return changed objects after a revision; raise HistoryLost when they are forgotten."""
+        path = f"{kind}?watch={after_revision}&wait-ms={int(wait_s * 1000)}"
+        status, body = await self._call("GET", path, timeout_s=wait_s + CALL_TIMEOUT_S)
+        if status == HTTP_GONE:
+            raise HistoryLost
+        if status != HTTP_OK:
+            raise StoreUnavailable(operation=f"watch {kind}", detail=f"status {status}")
+        changed = []
+        for event in _get_list(body, "events"):
+            entry = decode_object(event.get("object"), is_deleted=bool(event.get("deleted")))
+            if entry is not None:
+                changed.append(entry)
+        return ObjectList(objects=tuple(changed), revision=int(body.get("as-of", after_revision)))
+
+    async def get(self, kind: str, name: str) -> PlatformObject | None:
+        """Return one object, or None if it does not exist."""
+        status, body = await self._call("GET", f"{kind}/{quote(name, safe='')}")
+        if status == HTTP_NOT_FOUND:
+            return None
+        if status != HTTP_OK:
+            raise StoreUnavailable(operation=f"get {kind}", detail=f"status {status}")
+        return decode_object(body)
+
+    async def create(self, kind: str, name: str, spec: Any) -> PlatformObject:
+        """Create an object; raise ObjectConflict if it exists."""
+        return await self._change("POST", kind, {"meta": {"name": name}, "spec": spec})
+
+    async def replace(self, kind: str, name: str, spec: Any, *, revision: int) -> PlatformObject:
+        """Replace an object of this revision; raise ObjectConflict otherwise."""
+        body = {"meta": {"name": name, "revision": revision}, "spec": spec}
+        return await self._change("PUT", f"{kind}/{quote(name, safe='')}", body)
+
+    async def delete(self, kind: str, name: str, *, revision: int) -> None:
+        """Delete an object of this revision; raise ObjectConflict otherwise."""
+        path = f"{kind}/{quote(name, safe='')}?revision={revision}"
+        status, body = await self._call("DELETE", path)
+        if status == HTTP_CONFLICT:
+            raise ObjectConflict(decode_object(body))
+        if status not in (HTTP_OK, HTTP_NOT_FOUND, 204):
+            raise StoreUnavailable(operation=f"delete {kind}", detail=f"status {status}")
+
+    async def _change(self, method: str, path: str, body: Any) -> PlatformObject:
+        status, answer = await self._call(method, path, body)
+        if status in (HTTP_CONFLICT, HTTP_NOT_FOUND):
+            raise ObjectConflict(decode_object(answer) if status == HTTP_CONFLICT else None)
+        written = decode_object(answer) if status in (HTTP_OK, HTTP_CREATED) else None
+        if written is None:
+            raise StoreUnavailable(operation=f"{method} {path}", detail=f"status {status}")
+        return written
+
+    async def _expect(self, method: str, path: str) -> dict[str, Any]:
+        status, body = await self._call(method, path)
+        if status != HTTP_OK:
+            raise StoreUnavailable(operation=f"{method} {path}", detail=f"status {status}")
+        return body
+
+    async def _call(
+        self, method: str, path: str, body: Any = None, *, timeout_s: float = CALL_TIMEOUT_S
+    ) -> tuple[int, dict[str, Any]]:
+        if self._session is None:
+            raise StoreUnavailable(operation=method, detail="the client is not running")
+        self._telemetry.count("store_calls", method=method)
+        data = None if body is None else msgspec.json.encode(body)
+        try:
+            async with self._session.request(
+                method,
+                URL(self._base + path, encoded=True),
+                data=data,
+                headers={"Content-Type": "application/json"} if data is not None else None,
+                timeout=aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S),
+            ) as answer:
+                content = await answer.read()
+                status = answer.status
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            self._note_reachable(False, method, path, repr(error))
+            raise StoreUnavailable(operation=f"{method} {path}", detail=repr(error)) from error
+        self._note_reachable(status < 500 and status != 429, method, path, f"status {status}")
+        return status, _decode_body(content)
+
+    def _note_reachable(self, reachable: bool, method: str, path: str, detail: str) -> None:
+        """Log the loss and the return of the store once each."""
+        if reachable == self.is_reachable:
+            return
+        self.is_reachable = reachable
+        event = "store_regained" if reachable else "store_lost"
+        log.warning(event, method=method, path=path, detail=detail)
+
+
+def decode_object(body: Any, *, is_deleted: bool = False) -> PlatformObject | None:
+    """Return an object of an answer, or None if it is not one."""
+    if not isinstance(body, dict):
+        return None
+    try:
+        meta = msgspec.convert(body.get("meta"), _Meta, strict=False)
+    except msgspec.ValidationError:
+        return None
+    return PlatformObject(
+        name=meta.name,
+        revision=meta.revision,
+        spec=body.get("spec"),
+        is_deleted=is_deleted or meta.deleting,
+        finalizers=tuple(meta.finalizers),
+    )
+
+
+def _decode_body(content: bytes) -> dict[str, Any]:
+    try:
+        decoded = msgspec.json.decode(content) if content else {}
+    except msgspec.DecodeError as error:
+        raise StoreUnavailable(operation="decode", detail=str(error)) from error
+    return decoded if isinstance(decoded, dict) else {}
+
+
+def _get_list(body: dict[str, Any], name: str) -> list[Any]:
+    found = body.get(name)
+    return found if isinstance(found, list) else []
+
+
+def _open_socket(info: tuple[Any, ...]) -> socket.socket:
+    family, kind, protocol = info[0], info[1], info[2]
+    opened = socket.socket(family, kind, protocol)
+    opened.setblocking(False)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    return opened
--- /dev/null
+++ b/lentilring/platform/servers.py
@@ -0,0 +1,221 @@
+"""Sessions on backend servers in the platform's statement protocol."""
+
+import asyncio
+import socket
+from collections.abc import Awaitable
+from typing import TypeVar
+
+from ..catalog.model import ServerEntry
+from ..gateways.server import (
+    ServerLost,
+    ServerRefused,
+    ServerReply,
+    ServerStatus,
+    ServerUnreachable,
+)
+from ..statements.model import (
+    Done,
+    Failed,
+    Failure,
+    Position,
+    PreparedStatement,
+    StatementOutcome,
+    TransactionState,
+)
+from .documents import ROLES
+from .statements import (
+    MAX_LINE_BYTES,
+    NO_VALUE,
+    READ_WORD,
+    STATES,
+    WRITE_WORD,
+    build_failure,
+    build_success,
+    decode_position,
+)
+
+# A server drops connections whose far end is dark after 3 s; this end does the same.
+USER_TIMEOUT_MS = 3000
+STATUS_FIELDS = 7
+OWN_ID = NO_VALUE
+
+T = TypeVar("T")
+
+
+class PlatformServers:
+    """Implement ServerConnector."""
+
+    async def connect(
+        self, server: ServerEntry, *, account: str, timeout_s: float
+    ) -> "PlatformServerSession":
+        """Open a session for a client account; raise ServerUnreachable or ServerRefused."""
+        host, _, port = server.address.rpartition(":")
+        writer: asyncio.StreamWriter | None = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                reader, writer = await asyncio.open_connection(
+                    host, int(port), limit=2 * MAX_LINE_BYTES
+                )
+                connected = writer.get_extra_info("socket")
+                connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+                connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                session = PlatformServerSession(server=server.id, reader=reader, writer=writer)
+                await session.open(service=server.service, account=account)
+                return session
+        except BaseException as error:
+            if writer is not None:
+                writer.transport.abort()
+            if isinstance(error, (OSError, TimeoutError, EOFError, ServerLost)):
+                raise ServerUnreachable(server=server.id, detail=repr(error)) from error
+            raise
+
+
+class PlatformServerSession:
+    """Implement ServerSession on one connection."""
+
+    def __init__(
+        self, *, server: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._server, self._reader, self._writer = server, reader, writer
+        self._closed = False
+        self.position: Position | None = None
+
+    @property
+    def is_closed(self) -> bool:
+        """Tell whether either end has closed the connection."""
+        return self._closed or self._reader.at_eof() or self._reader.exception() is not None
+
+    async def open(self, *, service: str, account: str) -> None:
+        """Name the service, the account and the expected server."""
+        self._writer.write(f"START {service} {account} {self._server}\r\n".encode())
+        word, rest = await self._read_message()
+        if word == "ERROR":
+            code, _, detail = rest.partition(" ")
+            failed = build_failure(code, detail, None)
+            raise ServerRefused(server=self._server, failure=failed.failure, detail=rest)
+        self._note_ready(rest)
+
+    async def run(
+        self, request_id: str, text: str, *, after: Position | None, timeout_s: float
+    ) -> ServerReply:
+        """Run a caller's statement."""
+        return await self._exchange(request_id, _add_position(text, after), timeout_s)
+
+    async def begin(
+        self, *, read_only: bool, after: Position | None, timeout_s: float
+    ) -> ServerReply:
+        """Open a transaction."""
+        text = "BEGIN READ" if read_only else "BEGIN"
+        return await self._exchange(OWN_ID, _add_position(text, after), timeout_s)
+
+    async def roll_back(self, *, timeout_s: float) -> ServerReply:
+        """Roll the open transaction back."""
+        return await self._exchange(OWN_ID, "ROLLBACK", timeout_s)
+
+    async def reset(self, *, timeout_s: float) -> ServerReply:
+        """Drop session values and prepared statements."""
+        return await self._exchange(OWN_ID, "RESET", timeout_s)
+
+    async def set_value(self, name: str, value: str, *, timeout_s: float) -> ServerReply:
+        """Set a session value."""
+        return await self._exchange(OWN_ID, f"SET {name} {value}", timeout_s)
+
+    async def prepare(self, prepared: PreparedStatement, *, timeout_s: float) -> ServerReply:
+        """Prepare a statement."""
+        word = WRITE_WORD if prepared.writes else READ_WORD
+        text = f"PREPARE {prepared.name} {word} {prepared.shape}"
+        return await self._exchange(OWN_ID, text, timeout_s)
+
+    async def read_status(self, *, timeout_s: float) -> ServerStatus | Failure:
+        """Return what the server says of itself."""
+        return self._read_row(await self._exchange(OWN_ID, "STATUS", timeout_s))
+
+    async def pause(self, *, term: int, timeout_s: float) -> ServerStatus | Failure:
+        """Stop a replica from receiving."""
+        return self._read_row(await self._exchange(OWN_ID, f"PAUSE {term}", timeout_s))
+
+    async def resume(self, *, timeout_s: float) -> ServerStatus | Failure:
+        """Let a paused replica receive again."""
+        return self._read_row(await self._exchange(OWN_ID, "RESUME", timeout_s))
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._closed = True
+        self._writer.close()
+
+    async def _exchange(self, request_id: str, text: str, timeout_s: float) -> ServerReply:
+        if self.is_closed:
+            raise ServerUnreachable(server=self._server, detail="the connection is closed")
+        self._writer.write(f"QUERY {request_id} {text}\r\n".encode())
+        return await self._guard(self._read_answer(), timeout_s)
+
+    async def _guard(self, reading: Awaitable[T], timeout_s: float) -> T:
+        """Close the connection when an answer is missing, so that no later one is mistaken."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await reading
+        except TimeoutError as error:
+            self._abort()
+            raise ServerLost(server=self._server, detail="timed out", timed_out=True) from error
+        except (OSError, EOFError, ValueError, asyncio.LimitOverrunError) as error:
+            self._abort()
+            raise ServerLost(server=self._server, detail=repr(error)) from error
+        except BaseException:
+            self._abort()
+            raise
+
+    def _abort(self) -> None:
+        self._closed = True
+        self._writer.transport.abort()
+
+    async def _read_answer(self) -> ServerReply:
+        rows: list[str] = []
+        proof, failure = "", None
+        while True:
+            word, rest = await self._read_message()
+            if word == "DATAROW":
+                rows.append(rest)
+            elif word == "COMPLETE":
+                proof = rest
+            elif word == "ERROR":
+                failure = rest
+            elif word == "READY":
+                state = self._note_ready(rest)
+                return ServerReply(outcome=self._build_outcome(rows, proof, failure), state=state)
+            else:
+                raise ValueError(f"unexpected message {word!r}")
+
+    def _build_outcome(self, rows: list[str], proof: str, failure: str | None) -> StatementOutcome:
+        if failure is None:
+            if not proof:
+                raise ValueError("the answer has no end")
+            return build_success(rows, proof, self.position)
+        code, _, detail = failure.partition(" ")
+        return build_failure(code, detail, self.position)
+
+    async def _read_message(self) -> tuple[str, str]:
+        line = await self._reader.readuntil(b"\n")
+        word, _, rest = line.decode().rstrip("\r\n").partition(" ")
+        return word, rest
+
+    def _note_ready(self, rest: str) -> TransactionState:
+        state, _, position = rest.partition(" ")
+        self.position = decode_position(position)
+        if state not in STATES:
+            raise ValueError(f"unknown state {state!r}")
+        return STATES[state]
+
+    def _read_row(self, reply: ServerReply) -> ServerStatus | Failure:
+        outcome = reply.outcome
+        if isinstance(outcome, Failed):
+            return outcome.failure
+        assert isinstance(outcome, Done)
+        fields = outcome.rows[0].split(" ") if outcome.rows else []
+        received = decode_position(fields[2]) if len(fields) >= STATUS_FIELDS else None
+        if received is None or fields[0] not in ROLES or not fields[1].isdecimal():
+            return Failure.MALFORMED
+        return ServerStatus(role=ROLES[fields[0]], term=int(fields[1]), received=received)
+
+
+def _add_position(text: str, after: Position | None) -> str:
+    return text if after is None else f"AFTERLSN {after} {text}"
--- a/lentilring/platform/store.py
+++ b/lentilring/platform/store.py
@@ -20,6 +20,8 @@
     GROUP = "group"
     SHARE = "share"
     LIMIT_SETTINGS = "limit-settings"
+    SECRET = "secret"
+    PROMOTION = "promotion"
 
 
 class VmState(StrEnum):
--- /dev/null
+++ b/lentilring/session_process.py
@@ -0,0 +1,236 @@
+"""The proxy process for the session protocol: settings to services, start to SIGTERM."""
+
+import asyncio
+import random
+import signal
+import time
+
+from .catalog.fleet import FleetService
+from .catalog.service import CatalogService
+from .catalog.source import ProxyEntry
+from .clock import BootClock
+from .configuration.models import LimitSettings
+from .gateways.dispatch import Dispatcher
+from .gateways.sampling import PositionSampler
+from .gateways.service import GatewayService
+from .http.probe import ProbeServer
+from .kernel import Kernel
+from .limits.service import LimitService
+from .outcomes import JsonValue
+from .peers.tcp import TcpTransport
+from .platform.objects import ObjectClient
+from .platform.records import PlatformRecords, PlatformStore
+from .platform.servers import PlatformServers
+from .platform.statements import LineCodec
+from .platform.store import Kind, Store, StoreUnavailable, VersionConflict
+from .sessions.choice import Place
+from .sessions.listener import SessionListener
+from .sessions.readiness import SessionReadiness
+from .sessions.router import StatementRouter
+from .settings import SessionProxySettings
+from .telemetry.log import Log
+from .telemetry.metrics import Telemetry
+
+DEPLOYMENT = "lentilring"
+SECRET_NAME = "peers"
+SECRET_BYTES = 32
+SECRET_RETRY_S = 0.3
+# Long enough for outages of the store of some 10 s; a crashed holder's VM takes its share back.
+LEASE_DURATION_S = 30.0
+LEASE_MARGIN_S = 1.0
+DEFAULT_IDLE_S = 3.0
+
+log = Log(source="process")
+
+
+async def run_session_proxy(settings: SessionProxySettings) -> None:
+    """Serve until SIGTERM or SIGINT, then stop gracefully."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, _note_reload)
+    # Later starts of a VM get greater incarnations as long as its clock does not run backwards.
+    incarnation = time.time_ns() // 1_000_000
+    telemetry = Telemetry(exported=True)
+    log.info(
+        "proxy_starting",
+        vm=settings.vm,
+        incarnation=incarnation,
+        domain=settings.failure_domain,
+        sessions=settings.session_address,
+    )
+    objects = ObjectClient(address=settings.store_address, telemetry=telemetry)
+    await objects.start()
+    kernel = Kernel()
+    try:
+        secret = await _wait_for_secret(PlatformStore(objects=objects), stopping)
+        if secret is not None:
+            readiness = register_session_services(
+                kernel,
+                settings=settings,
+                incarnation=incarnation,
+                objects=objects,
+                secret=secret,
+                telemetry=telemetry,
+            )
+            await kernel.start()
+            log.info("proxy_started", vm=settings.vm, incarnation=incarnation)
+            await stopping.wait()
+            log.info("proxy_stopping", vm=settings.vm)
+            await readiness.drain_sessions(timeout_s=settings.drain_timeout_s)
+            await kernel.stop()
+    finally:
+        await objects.stop()
+    log.info("proxy_stopped", vm=settings.vm)
+
+
+def register_session_services(
+    kernel: Kernel,
+    *,
+    settings: SessionProxySettings,
+    incarnation: int,
+    objects: ObjectClient,
+    secret: str,
+    telemetry: Telemetry,
+) -> SessionReadiness:
+    """Register all services under their names, in the order of their start."""
+    clock, source = BootClock(), random.Random()
+    records = PlatformRecords(objects=objects)
+    transport = TcpTransport(
+        vm=settings.vm,
+        incarnation=incarnation,
+        address=settings.peer_address,
+        deployment=DEPLOYMENT,
+        secret=secret.encode(),
+        telemetry=telemetry,
+    )
+    catalog = CatalogService(
+        source=records,
+        clock=clock,
+        random=source,
+        telemetry=telemetry,
+        max_age_s=settings.max_configuration_age_s,
+    )
+    fleet = FleetService(
+        local=_describe_local(settings, incarnation),
+        source=records,
+        clock=clock,
+        random=source,
+        telemetry=telemetry,
+    )
+    limits = LimitService(
+        clock=clock,
+        random=source,
+        store=PlatformStore(objects=objects),
+        transport=transport,
+        telemetry=telemetry,
+        membership=fleet,
+        find_account=catalog.account,
+        limit_settings=LimitSettings,
+        list_accounts=catalog.accounts,
+        lease_duration_s=LEASE_DURATION_S,
+        lease_margin_s=LEASE_MARGIN_S,
+    )
+    gateways = GatewayService(
+        vm=settings.vm,
+        incarnation=incarnation,
+        catalog=catalog,
+        connector=PlatformServers(),
+        transport=transport,
+        clock=clock,
+        random=source,
+        telemetry=telemetry,
+    )
+    dispatcher = Dispatcher(
+        fleet=fleet, gateways=gateways, transport=transport, clock=clock, telemetry=telemetry
+    )
+    sampler = PositionSampler(
+        catalog=catalog, gateways=gateways, dispatcher=dispatcher, clock=clock, telemetry=telemetry
+    )
+    router = StatementRouter(
+        catalog=catalog,
+        dispatcher=dispatcher,
+        limits=limits,
+        place=Place(failure_domain=settings.failure_domain, region=settings.region),
+        regions=settings.regions,
+        clock=clock,
+        telemetry=telemetry,
+    )
+    listener = SessionListener(
+        address=settings.session_address,
+        codec=LineCodec(),
+        router=router,
+        telemetry=telemetry,
+        max_sessions=settings.max_sessions,
+        transaction_idle_s=lambda: _read_idle_time(catalog),
+    )
+    readiness = SessionReadiness(catalog=catalog, fleet=fleet, listener=listener, clock=clock)
+    probe = ProbeServer(
+        readiness_address=settings.readiness_address,
+        metrics_address=settings.metrics_address,
+        is_ready=readiness.is_ready,
+        telemetry=telemetry,
+    )
+    services = {
+        "transport": transport,
+        "catalog": catalog,
+        "fleet": fleet,
+        "limits": limits,
+        "gateways": gateways,
+        "dispatcher": dispatcher,
+        "positions": sampler,
+        "statements": router,
+        "sessions": listener,
+        "readiness": readiness,
+        "probe": probe,
+    }
+    for name, service in services.items():
+        kernel.register(name, service)
+    return readiness
+
+
+def _describe_local(settings: SessionProxySettings, incarnation: int) -> ProxyEntry:
+    return ProxyEntry(
+        vm=settings.vm,
+        address=settings.peer_address,
+        failure_domain=settings.failure_domain,
+        region=settings.region,
+        incarnation=incarnation,
+        weight=settings.weight,
+    )
+
+
+def _read_idle_time(catalog: CatalogService) -> float:
+    return DEFAULT_IDLE_S if catalog.manifest is None else catalog.manifest.transaction_idle_s
+
+
+async def _wait_for_secret(store: Store, stopping: asyncio.Event) -> str | None:
+    """Return the secret that all proxies share; the first one creates it."""
+    while not stopping.is_set():
+        try:
+            return await _load_secret(store)
+        except StoreUnavailable as error:
+            log.info("secret_unavailable", detail=error.detail)
+            await asyncio.sleep(SECRET_RETRY_S)
+    return None
+
+
+async def _load_secret(store: Store) -> str:
+    found = await store.get(Kind.SECRET, SECRET_NAME)
+    if found is None:
+        value: dict[str, JsonValue] = {
+            "secret": random.SystemRandom().randbytes(SECRET_BYTES).hex()
+        }
+        try:
+            found = await store.put(Kind.SECRET, SECRET_NAME, value, expected_version=0)
+        except VersionConflict as conflict:
+            found = conflict.current
+    secret = ((found.value if found is not None else None) or {}).get("secret")
+    if not isinstance(secret, str):
+        raise StoreUnavailable(operation="secret", detail="the stored secret cannot be read")
+    return secret
+
+
+def _note_reload() -> None:
+    log.info("settings_changed", detail="settings are read at start only")
--- /dev/null
+++ b/lentilring/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' sessions: a connection with values, prepared statements and transactions."""
--- /dev/null
+++ b/lentilring/sessions/context.py
@@ -0,0 +1,52 @@
+"""What a proxy keeps for one caller's session."""
+
+from dataclasses import dataclass, field
+
+from ..catalog.model import DatabaseRoute
+from ..catalog.source import ProxyEntry
+from ..gateways.messages import SessionValue
+from ..statements.model import Position, PreparedStatement
+
+ANONYMOUS_ACCOUNT = "-"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Admission:
+    """Say under which route and account an operation runs."""
+
+    route: DatabaseRoute
+    account: str
+
+
+@dataclass(kw_only=True)
+class SessionTransaction:
+    """Hold a transaction; it has a gateway once its first statement ran."""
+
+    read_only: bool
+    admission: Admission
+    id: str = ""
+    gateway: ProxyEntry | None = None
+    server: str = ""
+    has_failed: bool = False
+    has_written: bool = False
+
+
+@dataclass(kw_only=True)
+class SessionContext:
+    """Hold a session's database, key, values, prepared statements and newest own commit."""
+
+    database: str
+    key: str
+    values: dict[str, str] = field(default_factory=dict)
+    prepared: dict[str, PreparedStatement] = field(default_factory=dict)
+    position: Position | None = None
+    transaction: SessionTransaction | None = None
+
+    def list_values(self) -> tuple[SessionValue, ...]:
+        """Return the session's values as a gateway takes them."""
+        return tuple(SessionValue(name=name, value=value) for name, value in self.values.items())
+
+    def note_commit(self, position: Position | None) -> None:
+        """Raise the position that later reads of this session must include."""
+        if position is not None and (self.position is None or position > self.position):
+            self.position = position
--- /dev/null
+++ b/lentilring/sessions/listener.py
@@ -0,0 +1,269 @@
+"""The listener for callers' sessions: reads messages, answers them in order, drains at the end."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Protocol
+
+from ..kernel import Service
+from ..statements.model import (
+    ClientMessage,
+    CloseSession,
+    Failed,
+    Failure,
+    OpenSession,
+    Position,
+    Query,
+    StatementOutcome,
+    TransactionState,
+    Unreadable,
+)
+from ..telemetry.log import Log
+from ..telemetry.metrics import Telemetry
+from .context import SessionContext
+from .router import StatementRouter
+from .session import PreparedNames, Session
+
+# A caller gives up when its session is not open after 2 s; one that says nothing is dropped later.
+OPEN_TIMEOUT_S = 10.0
+# A caller that does not read is dropped, so that its answers do not pile up.
+WRITE_TIMEOUT_S = 5.0
+# Unacknowledged bytes or an unanswered keep-alive close a connection whose far end is dark.
+USER_TIMEOUT_MS = 5000
+KEEPALIVE_IDLE_S = 5
+KEEPALIVE_INTERVAL_S = 2
+KEEPALIVE_PROBES = 3
+BACKLOG = 1024
+
+log = Log(source="sessions")
+
+
+class SessionCodec(PreparedNames, Protocol):
+    """Translate between bytes and messages."""
+
+    max_line_bytes: int
+
+    def decode(self, line: bytes) -> ClientMessage:
+        """Return the message of a line without its end."""
+        ...
+
+    def encode_ready(self, state: TransactionState, position: Position | None) -> bytes:
+        """Return what says that the next statement may come."""
+        ...
+
+    def encode_outcome(self, outcome: StatementOutcome, state: TransactionState) -> bytes:
+        """Return the answer to a statement."""
+        ...
+
+    def encode_failure(self, failed: Failed) -> bytes:
+        """Return a failure alone."""
+        ...
+
+
+class SessionListener(Service):
+    """Serve callers' sessions on one address."""
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        codec: SessionCodec,
+        router: StatementRouter,
+        telemetry: Telemetry,
+        max_sessions: int,
+        transaction_idle_s: Callable[[], float],
+    ) -> None:
+        self._address, self._codec, self._router = address, codec, router
+        self._telemetry, self._max_sessions = telemetry, max_sessions
+        self._transaction_idle_s = transaction_idle_s
+        self._server: asyncio.Server | None = None
+        self._connections: set[SessionConnection] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def session_count(self) -> int:
+        """Return the number of open connections."""
+        return len(self._connections)
+
+    async def start(self) -> None:
+        """Listen."""
+        host, _, port = self._address.rpartition(":")
+        self._server = await asyncio.start_server(
+            self._accept, host, int(port), limit=self._codec.max_line_bytes, backlog=BACKLOG
+        )
+        self._telemetry.observe("sessions", "1", lambda: len(self._connections))
+        log.info("listening", address=self._address)
+
+    async def stop(self) -> None:
+        """Close the listener and all connections."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def close_idle(self, *, share: float = 1.0) -> int:
+        """Close a share of the connections that wait for their caller outside of a transaction."""
+        idle = [entry for entry in self._connections if entry.is_idle]
+        for connection in idle[: int(len(idle) * share + 0.999)]:
+            connection.end()
+        return len(idle)
+
+    def end_after_answers(self) -> None:
+        """Close each connection as soon as it is outside of a transaction."""
+        for connection in self._connections:
+            connection.ends_when_idle = True
+
+    def count_busy(self) -> int:
+        """Return the connections with a statement or an open transaction."""
+        return sum(not entry.is_idle for entry in self._connections)
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        if len(self._connections) >= self._max_sessions:
+            self._telemetry.count("sessions_rejected", reason="too_many")
+            writer.close()
+            return
+        _keep_alive(writer.get_extra_info("socket"))
+        connection = SessionConnection(
+            reader=reader,
+            writer=writer,
+            codec=self._codec,
+            router=self._router,
+            transaction_idle_s=self._transaction_idle_s(),
+        )
+        self._connections.add(connection)
+        self._tasks.add(task)
+        try:
+            await connection.serve()
+        finally:
+            self._connections.discard(connection)
+            self._tasks.discard(task)
+
+
+class SessionConnection:
+    """Read one caller's messages and write the answers."""
+
+    def __init__(
+        self,
+        *,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        codec: SessionCodec,
+        router: StatementRouter,
+        transaction_idle_s: float,
+    ) -> None:
+        self._reader, self._writer, self._codec = reader, writer, codec
+        self._router, self._transaction_idle_s = router, transaction_idle_s
+        self._session: Session | None = None
+        self._is_reading = False
+        self.ends_when_idle = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether the caller has no statement running and no transaction open."""
+        session = self._session
+        return (
+            self._is_reading
+            and session is not None
+            and session.state is TransactionState.IDLE
+            and not self._reader._buffer  # type: ignore[attr-defined]
+        )
+
+    def end(self) -> None:
+        """Close the connection."""
+        self._writer.close()
+
+    async def serve(self) -> None:
+        """Serve until either end closes."""
+        try:
+            await self._open()
+            while self._session is not None and not self._writer.is_closing():
+                if self.ends_when_idle and self.is_done:
+                    return
+                if not await self._serve_message(self._session):
+                    return
+        except (OSError, EOFError, TimeoutError) as error:
+            log.debug("session_lost", detail=repr(error))
+        finally:
+            if self._session is not None:
+                self._session.abandon()
+            self._writer.close()
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether the session is outside of a transaction."""
+        return self._session is not None and self._session.state is TransactionState.IDLE
+
+    async def _open(self) -> None:
+        async with asyncio.timeout(OPEN_TIMEOUT_S):
+            message = await self._read_message()
+        if not isinstance(message, OpenSession):
+            failure = message.failure if isinstance(message, Unreadable) else Failure.MALFORMED
+            if message is not None and not isinstance(message, CloseSession):
+                await self._write(self._codec.encode_failure(Failed(failure=failure)))
+            return
+        context = SessionContext(database=message.database, key=message.key)
+        checked = self._router.check_session(context)
+        if isinstance(checked, Failed):
+            log.info(
+                "session_refused",
+                database=message.database,
+                failure=checked.failure,
+                detail=checked.detail,
+            )
+            await self._write(self._codec.encode_failure(checked))
+            return
+        self._session = Session(
+            context=context,
+            router=self._router,
+            names=self._codec,
+            transaction_idle_s=self._transaction_idle_s,
+        )
+        await self._write(self._codec.encode_ready(TransactionState.IDLE, None))
+
+    async def _serve_message(self, session: Session) -> bool:
+        """Answer the next message; False when the session ends."""
+        message = await self._read_message()
+        if message is None or isinstance(message, CloseSession):
+            return False
+        if isinstance(message, Query):
+            outcome = await session.handle(message)
+            await self._write(self._codec.encode_outcome(outcome, session.state))
+            return True
+        failure = message.failure if isinstance(message, Unreadable) else Failure.MALFORMED
+        detail = message.detail if isinstance(message, Unreadable) else "the session is open"
+        failed = Failed(failure=failure, detail=detail)
+        log.info("message_rejected", failure=failure, detail=detail)
+        if isinstance(message, Unreadable) and message.request_id:
+            await self._write(self._codec.encode_outcome(failed, session.state))
+            return True
+        await self._write(self._codec.encode_failure(failed))
+        return False
+
+    async def _read_message(self) -> ClientMessage | None:
+        self._is_reading = True
+        try:
+            line = await self._reader.readuntil(b"\n")
+        except asyncio.LimitOverrunError:
+            return Unreadable(request_id="", failure=Failure.TOO_LARGE, detail="line too long")
+        except asyncio.IncompleteReadError:
+            return None
+        finally:
+            self._is_reading = False
+        return self._codec.decode(line.rstrip(b"\r\n"))
+
+    async def _write(self, data: bytes) -> None:
+        self._writer.write(data)
+        async with asyncio.timeout(WRITE_TIMEOUT_S):
+            await self._writer.drain()
+
+
+def _keep_alive(connected: socket.socket) -> None:
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- /dev/null
+++ b/lentilring/sessions/router.py
@@ -0,0 +1,381 @@
+"""The service `statements`: admits operations and finds a backend server for each statement."""
+
+from dataclasses import dataclass, replace
+from typing import Protocol
+
+from ..catalog.model import Consistency, ServerEntry
+from ..catalog.service import CatalogService
+from ..clock import SuspensionClock
+from ..configuration.models import ClientAccount
+from ..gateways.dispatch import Dispatched, Dispatcher
+from ..gateways.messages import Opening, RunStatement, StatementAnswer, Work
+from ..kernel import Service
+from ..outcomes import NotRun
+from ..statements.model import (
+    Done,
+    Failed,
+    Failure,
+    Position,
+    PreparedStatement,
+    StatementOutcome,
+)
+from ..telemetry.log import Log
+from ..telemetry.metrics import Telemetry
+from .choice import LoadView, Place, rank_readers
+from .context import ANONYMOUS_ACCOUNT, Admission, SessionContext, SessionTransaction
+
+# A token that takes longer costs more of the caller's time than asking again.
+LIMIT_TIMEOUT_S = 0.15
+# A statement that waits longer for a slot than this part of its objective is refused at once.
+PATIENCE_FRACTION = 0.5
+MAX_ATTEMPTS = 4
+NO_PRIMARY_RETRY_S = 0.3
+STALE_RETRY_S = 1.0
+
+# After these another server may run what can run on several.
+ELSEWHERE = frozenset(
+    {
+        Failure.BEHIND,
+        Failure.OVERLOADED,
+        Failure.CONNECTIONS_EXHAUSTED,
+        Failure.WRONG_SERVER,
+        Failure.NOT_PRIMARY,
+        Failure.ABORTED,
+        Failure.TIMED_OUT,
+    }
+)
+
+log = Log(source="statements")
+
+
+class Limiter(Protocol):
+    """Admit operations within the rates of accounts."""
+
+    async def acquire(self, account: ClientAccount, *, timeout_s: float) -> NotRun | None:
+        """Take one token; None: admitted."""
+        ...
+
+
+@dataclass(frozen=True, kw_only=True)
+class StatementCall:
+    """Describe one statement of a session for the router."""
+
+    request_id: str
+    text: str
+    work: Work
+    prepared: PreparedStatement | None = None
+
+
+class StatementRouter(Service):
+    """Decide where statements run."""
+
+    def __init__(
+        self,
+        *,
+        catalog: CatalogService,
+        dispatcher: Dispatcher,
+        limits: Limiter,
+        place: Place,
+        regions: dict[str, str],
+        clock: SuspensionClock,
+        telemetry: Telemetry,
+    ) -> None:
+        self._catalog, self._dispatcher, self._limits = catalog, dispatcher, limits
+        self._place, self._regions = place, regions
+        self._clock, self._telemetry = clock, telemetry
+        self._load = LoadView(now=clock.monotonic)
+        self._trouble = LoadView(now=clock.monotonic, half_life_s=1.0)
+
+    def check_session(self, context: SessionContext) -> Failed | Admission:
+        """Return under which route and account a session runs now, or why it may not."""
+        if not self._catalog.is_fresh():
+            return Failed(
+                failure=Failure.OVERLOADED,
+                detail=f"the configuration is {self._catalog.manifest_age_s():.1f} s old",
+                retry_after_s=STALE_RETRY_S,
+            )
+        route = self._catalog.find_route(context.database)
+        if route is None:
+            return Failed(failure=Failure.UNKNOWN_DATABASE, detail="no route has this database")
+        account = self._catalog.find_account_by_key(context.key) if context.key else None
+        if account is not None:
+            return Admission(route=route, account=account.name)
+        if route.is_open:
+            return Admission(route=route, account=ANONYMOUS_ACCOUNT)
+        return Failed(failure=Failure.UNAUTHORIZED, detail="the key is not known")
+
+    async def admit(self, context: SessionContext, request_id: str) -> Failed | Admission:
+        """Admit one operation: its key and route must be in force and its account within rate."""
+        admission = self.check_session(context)
+        if isinstance(admission, Failed):
+            self._log_refusal(context, request_id, admission)
+            return admission
+        account = self._catalog.account(admission.account)
+        if account is None:
+            return admission
+        refused = await self._limits.acquire(account, timeout_s=LIMIT_TIMEOUT_S)
+        if refused is None:
+            return admission
+        failed = Failed(
+            failure=Failure.OVERLOADED,
+            detail=f"{refused.reason} for account {account.name}",
+            retry_after_s=refused.retry_after_s,
+        )
+        self._log_refusal(context, request_id, failed)
+        return failed
+
+    async def run_single(
+        self, context: SessionContext, admission: Admission, call: StatementCall
+    ) -> StatementOutcome:
+        """Run a statement outside of a transaction."""
+        dispatched = await self._run_new(context, admission, call, Opening.NONE, read_only=False)
+        outcome = read_answer(dispatched.answer)
+        if call.work is Work.WRITE and isinstance(outcome, Done):
+            context.note_commit(outcome.position)
+        return outcome
+
+    async def run_in_transaction(
+        self, context: SessionContext, transaction: SessionTransaction, call: StatementCall
+    ) -> StatementOutcome:
+        """Run a statement of a transaction; its first one opens it on a server."""
+        if transaction.gateway is None:
+            dispatched = await self._open(context, transaction, call)
+        else:
+            dispatched = await self._continue(context, transaction, call)
+        transaction.id = dispatched.answer.transaction
+        outcome = read_answer(dispatched.answer)
+        if isinstance(outcome, Failed):
+            transaction.has_failed = True
+        elif call.work is Work.WRITE:
+            transaction.has_written = True
+        elif call.work is Work.COMMIT and transaction.has_written:
+            context.note_commit(outcome.position)
+        return outcome
+
+    async def roll_back(self, transaction: SessionTransaction) -> None:
+        """End a transaction that is still open on a server."""
+        if transaction.id and transaction.gateway is not None:
+            transaction_id, transaction.id = transaction.id, ""
+            await self._dispatcher.end_transaction(transaction.gateway, transaction_id)
+
+    async def _open(
+        self, context: SessionContext, transaction: SessionTransaction, call: StatementCall
+    ) -> Dispatched:
+        admission = transaction.admission
+        # Only an ordinary transaction proves that its server is the primary.
+        from_replicas = (
+            transaction.read_only and admission.route.consistency is not Consistency.PRIMARY
+        )
+        opening = Opening.READ_ONLY if from_replicas else Opening.READ_WRITE
+        dispatched = await self._run_new(context, admission, call, opening, read_only=from_replicas)
+        transaction.gateway = dispatched.gateway
+        return dispatched
+
+    async def _continue(
+        self, context: SessionContext, transaction: SessionTransaction, call: StatementCall
+    ) -> Dispatched:
+        assert transaction.gateway is not None
+        request = self._build(
+            context, transaction.admission, call, transaction.server, Opening.NONE
+        )
+        dispatched = await self._dispatcher.run_at(
+            transaction.gateway, _in_transaction(request, transaction.id)
+        )
+        self._log_run(transaction.admission, call, transaction.server, dispatched)
+        return dispatched
+
+    async def _run_new(
+        self,
+        context: SessionContext,
+        admission: Admission,
+        call: StatementCall,
+        opening: Opening,
+        *,
+        read_only: bool,
+    ) -> Dispatched:
+        """Try servers until one runs the statement or no other may."""
+        stale_reads = admission.route.consistency is not Consistency.PRIMARY
+        reads = call.work is Work.READ and opening is Opening.NONE
+        if stale_reads and (reads or read_only):
+            return await self._run_on_readers(context, admission, call, opening)
+        return await self._run_on_primary(context, admission, call, opening)
+
+    async def _run_on_readers(
+        self,
+        context: SessionContext,
+        admission: Admission,
+        call: StatementCall,
+        opening: Opening,
+    ) -> Dispatched:
+        deadline = self._clock.monotonic() + admission.route.statement_timeout_s
+        last = None
+        for server in self._rank_readers(admission)[:MAX_ATTEMPTS]:
+            remaining_s = deadline - self._clock.monotonic()
+            if remaining_s <= 0:
+                break
+            request = self._build(
+                context,
+                admission,
+                call,
+                server.id,
+                opening,
+                floor=context.position,
+                max_staleness_s=admission.route.max_staleness_s,
+                timeout_s=remaining_s,
+            )
+            last = await self._try(admission, call, server, request)
+            if last.answer.failure not in ELSEWHERE:
+                return last
+        return last or self._refuse(admission, "no server may serve this read")
+
+    async def _run_on_primary(
+        self,
+        context: SessionContext,
+        admission: Admission,
+        call: StatementCall,
+        opening: Opening,
+    ) -> Dispatched:
+        last, tried = None, set()
+        for _ in range(MAX_ATTEMPTS):
+            server = self._catalog.find_primary(admission.route.service)
+            if server is None or server.id in tried or not self._is_allowed(admission, server):
+                break
+            tried.add(server.id)
+            request = self._build(
+                context,
+                admission,
+                call,
+                server.id,
+                opening,
+                proves_lead=call.work is Work.READ and opening is Opening.NONE,
+            )
+            last = await self._try(admission, call, server, request)
+            failure = last.answer.failure
+            if failure == Failure.NOT_PRIMARY:
+                entry = self._catalog.servers.entries.get(server.id, server)
+                self._catalog.leadership.note_denial(entry)
+                log.info("primary_denied", service=server.service, server=server.id)
+            elif failure != Failure.WRONG_SERVER:
+                return last
+        return last or self._refuse(admission, "no primary is known")
+
+    async def _try(
+        self, admission: Admission, call: StatementCall, server: ServerEntry, request: RunStatement
+    ) -> Dispatched:
+        dispatched = await self._dispatcher.run(server, request)
+        answer = dispatched.answer
+        self._load.note(server.id, answer.wait_s)
+        if answer.failure in (Failure.ABORTED, Failure.TIMED_OUT, Failure.UNCERTAIN):
+            self._trouble.note(server.id, admission.route.objective_s)
+        self._log_run(admission, call, server.id, dispatched)
+        return dispatched
+
+    def _rank_readers(self, admission: Admission) -> list[ServerEntry]:
+        service = admission.route.service
+        return rank_readers(
+            self._catalog.servers.by_service.get(service, ()),
+            primary=self._catalog.find_primary(service),
+            place=self._place,
+            region_of=self._find_region,
+            is_usable=lambda server: self._is_allowed(admission, server) and not server.is_draining,
+            wait_s=lambda server: self._load.wait_s(server) + self._trouble.wait_s(server),
+        )
+
+    def _is_allowed(self, admission: Admission, server: ServerEntry) -> bool:
+        if self._catalog.is_evacuated(server):
+            return False
+        manifest = self._catalog.manifest
+        homes = manifest.account_regions.get(admission.account, ()) if manifest else ()
+        region = self._find_region(server.failure_domain)
+        return all(region in allowed for allowed in (admission.route.regions, homes) if allowed)
+
+    def _find_region(self, failure_domain: str) -> str:
+        return self._regions.get(failure_domain, "")
+
+    def _build(
+        self,
+        context: SessionContext,
+        admission: Admission,
+        call: StatementCall,
+        server: str,
+        opening: Opening,
+        *,
+        proves_lead: bool = False,
+        floor: Position | None = None,
+        max_staleness_s: float | None = None,
+        timeout_s: float | None = None,
+    ) -> RunStatement:
+        route, prepared = admission.route, call.prepared
+        return RunStatement(
+            request_id=call.request_id,
+            server=server,
+            account=admission.account,
+            work=call.work,
+            text=call.text,
+            opening=opening,
+            proves_lead=proves_lead,
+            values=context.list_values(),
+            prepared_name="" if prepared is None else prepared.name,
+            prepared_writes=prepared is not None and prepared.writes,
+            prepared_shape="" if prepared is None else prepared.shape,
+            after_term=0 if floor is None else floor.term,
+            after_number=0 if floor is None else floor.number,
+            max_staleness_s=max_staleness_s,
+            priority=route.priority,
+            patience_s=route.objective_s * PATIENCE_FRACTION,
+            timeout_s=route.statement_timeout_s if timeout_s is None else timeout_s,
+        )
+
+    def _refuse(self, admission: Admission, detail: str) -> Dispatched:
+        answer = StatementAnswer(
+            failure=Failure.OVERLOADED, detail=detail, retry_after_s=NO_PRIMARY_RETRY_S
+        )
+        return Dispatched(answer=answer, gateway=self._dispatcher.local)
+
+    def _log_refusal(self, context: SessionContext, request_id: str, failed: Failed) -> None:
+        self._telemetry.count("statement_refusals", reason=failed.failure)
+        log.info(
+            "operation_refused",
+            request=request_id,
+            database=context.database,
+            failure=failed.failure,
+            detail=failed.detail,
+            manifest=self._catalog.version,
+            manifest_age_s=round(self._catalog.manifest_age_s(), 2),
+        )
+
+    def _log_run(
+        self, admission: Admission, call: StatementCall, server: str, dispatched: Dispatched
+    ) -> None:
+        answer = dispatched.answer
+        self._telemetry.count("statements", work=call.work, outcome=answer.failure or "done")
+        log.info(
+            "statement",
+            request=call.request_id,
+            work=call.work,
+            database=admission.route.database,
+            account=admission.account,
+            server=server,
+            gateway=dispatched.gateway.vm,
+            outcome=answer.failure or "done",
+            detail=answer.detail or "-",
+            position_age_s="-" if answer.age_s is None else round(answer.age_s, 3),
+            manifest=self._catalog.version,
+        )
+
+
+def read_answer(answer: StatementAnswer) -> StatementOutcome:
+    """Return the outcome that a gateway's answer holds."""
+    position = Position(term=answer.term, number=answer.number) if answer.term else None
+    if not answer.failure:
+        return Done(rows=answer.rows, proof=answer.proof, position=position)
+    return Failed(
+        failure=Failure(answer.failure),
+        detail=answer.detail,
+        retry_after_s=answer.retry_after_s,
+        position=position,
+    )
+
+
+def _in_transaction(request: RunStatement, transaction: str) -> RunStatement:
+    return replace(request, transaction=transaction)
--- /dev/null
+++ b/lentilring/sessions/session.py
@@ -0,0 +1,237 @@
+"""One caller's session: what each statement does to it and what is answered."""
+
+import asyncio
+from collections.abc import Coroutine
+from functools import singledispatchmethod
+from typing import Any, Protocol
+
+import xxhash
+
+from ..gateways.messages import Work
+from ..statements.model import (
+    Begin,
+    Commit,
+    Deallocate,
+    Done,
+    Execute,
+    Failed,
+    Failure,
+    Prepare,
+    PreparedStatement,
+    Query,
+    Read,
+    Rollback,
+    SetValue,
+    Statement,
+    StatementOutcome,
+    TransactionState,
+    Write,
+)
+from ..telemetry.log import Log
+from .context import Admission, SessionContext, SessionTransaction
+from .router import StatementCall, StatementRouter
+
+MAX_VALUES = 64
+MAX_PREPARED = 256
+
+log = Log(source="sessions")
+
+
+class PreparedNames(Protocol):
+    """Rewrite the name that an execution uses."""
+
+    def rename_prepared(self, text: str, name: str) -> str:
+        """Return the text of an execution with another name of the prepared statement."""
+        ...
+
+
+class Session:
+    """Run a caller's statements one after the other."""
+
+    def __init__(
+        self,
+        *,
+        context: SessionContext,
+        router: StatementRouter,
+        names: PreparedNames,
+        transaction_idle_s: float,
+    ) -> None:
+        self.context = context
+        self._router, self._names = router, names
+        self._transaction_idle_s = transaction_idle_s
+        self._idle_timer: asyncio.TimerHandle | None = None
+        self._ending: set[asyncio.Task[None]] = set()
+
+    @property
+    def state(self) -> TransactionState:
+        """Return where the session stands between statements."""
+        transaction = self.context.transaction
+        if transaction is None:
+            return TransactionState.IDLE
+        return TransactionState.FAILED if transaction.has_failed else TransactionState.OPEN
+
+    async def handle(self, query: Query) -> StatementOutcome:
+        """Run one statement and return its outcome."""
+        self._stop_idle_timer()
+        try:
+            if self.state is TransactionState.FAILED and not _ends_transaction(query.statement):
+                return Failed(failure=Failure.MALFORMED, detail="the transaction has failed")
+            return await self._handle(query.statement, query)
+        finally:
+            if self.state is TransactionState.OPEN:
+                self._start_idle_timer()
+
+    def abandon(self) -> None:
+        """Roll the open transaction back because its caller is gone."""
+        self._stop_idle_timer()
+        transaction, self.context.transaction = self.context.transaction, None
+        if transaction is not None:
+            self._spawn(self._router.roll_back(transaction))
+
+    @singledispatchmethod
+    async def _handle(self, statement: Statement, query: Query) -> StatementOutcome:
+        raise NotImplementedError(type(statement).__name__)
+
+    @_handle.register
+    async def _(self, statement: Begin, query: Query) -> StatementOutcome:
+        if self.context.transaction is not None:
+            return Failed(failure=Failure.MALFORMED, detail="a transaction is open")
+        admission = await self._router.admit(self.context, query.request_id)
+        if isinstance(admission, Failed):
+            return admission
+        # The server learns of the transaction with its first statement, when it is known which
+        # server runs it.
+        self.context.transaction = SessionTransaction(
+            read_only=statement.read_only, admission=admission
+        )
+        return Done()
+
+    @_handle.register
+    async def _(self, statement: Commit, query: Query) -> StatementOutcome:
+        transaction = self.context.transaction
+        if transaction is None:
+            return Failed(failure=Failure.MALFORMED, detail="no transaction is open")
+        if transaction.has_failed:
+            self.context.transaction = None
+            return Failed(failure=Failure.ABORTED, detail="the transaction was rolled back")
+        refused = self._check_transaction(transaction)
+        if refused is not None:
+            self.context.transaction = None
+            return refused
+        call = StatementCall(request_id=query.request_id, text=query.text, work=Work.COMMIT)
+        try:
+            return await self._router.run_in_transaction(self.context, transaction, call)
+        finally:
+            self.context.transaction = None
+
+    @_handle.register
+    async def _(self, statement: Rollback, query: Query) -> StatementOutcome:
+        transaction, self.context.transaction = self.context.transaction, None
+        if transaction is None:
+            return Failed(failure=Failure.MALFORMED, detail="no transaction is open")
+        self._spawn(self._router.roll_back(transaction))
+        return Done()
+
+    @_handle.register
+    async def _(self, statement: Read, query: Query) -> StatementOutcome:
+        return await self._run(query, Work.READ)
+
+    @_handle.register
+    async def _(self, statement: Write, query: Query) -> StatementOutcome:
+        return await self._run(query, Work.WRITE)
+
+    @_handle.register
+    async def _(self, statement: Execute, query: Query) -> StatementOutcome:
+        prepared = self.context.prepared.get(statement.name)
+        if prepared is None:
+            if self.context.transaction is not None:
+                self._fail_transaction(self.context.transaction)
+            return Failed(failure=Failure.UNKNOWN_PREPARED, detail="no statement has this name")
+        work = Work.WRITE if prepared.writes else Work.READ
+        return await self._run(query, work, prepared)
+
+    @_handle.register
+    async def _(self, statement: SetValue, query: Query) -> StatementOutcome:
+        values = self.context.values
+        if statement.name not in values and len(values) >= MAX_VALUES:
+            return Failed(failure=Failure.TOO_LARGE, detail=f"more than {MAX_VALUES} values")
+        values[statement.name] = statement.value
+        return Done()
+
+    @_handle.register
+    async def _(self, statement: Prepare, query: Query) -> StatementOutcome:
+        prepared = self.context.prepared
+        if statement.name not in prepared and len(prepared) >= MAX_PREPARED:
+            return Failed(failure=Failure.TOO_LARGE, detail=f"more than {MAX_PREPARED} statements")
+        prepared[statement.name] = PreparedStatement(
+            name=name_prepared(statement), writes=statement.writes, shape=statement.shape
+        )
+        return Done()
+
+    @_handle.register
+    async def _(self, statement: Deallocate, query: Query) -> StatementOutcome:
+        if self.context.prepared.pop(statement.name, None) is None:
+            return Failed(failure=Failure.UNKNOWN_PREPARED, detail="no statement has this name")
+        return Done()
+
+    async def _run(
+        self, query: Query, work: Work, prepared: PreparedStatement | None = None
+    ) -> StatementOutcome:
+        text = query.text
+        if prepared is not None:
+            text = self._names.rename_prepared(text, prepared.name)
+        call = StatementCall(request_id=query.request_id, text=text, work=work, prepared=prepared)
+        transaction = self.context.transaction
+        if transaction is not None:
+            refused = self._check_transaction(transaction)
+            if refused is not None:
+                return refused
+            return await self._router.run_in_transaction(self.context, transaction, call)
+        admission = await self._router.admit(self.context, query.request_id)
+        if isinstance(admission, Failed):
+            return admission
+        return await self._router.run_single(self.context, admission, call)
+
+    def _check_transaction(self, transaction: SessionTransaction) -> Failed | None:
+        """Refuse statements of a transaction whose key was withdrawn since it began."""
+        checked = self._router.check_session(self.context)
+        if isinstance(checked, Admission) or checked.failure is not Failure.UNAUTHORIZED:
+            return None
+        self._fail_transaction(transaction)
+        return checked
+
+    def _fail_transaction(self, transaction: SessionTransaction) -> None:
+        transaction.has_failed = True
+        self._spawn(self._router.roll_back(transaction))
+
+    def _start_idle_timer(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._idle_timer = loop.call_later(self._transaction_idle_s, self._end_idle)
+
+    def _stop_idle_timer(self) -> None:
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+            self._idle_timer = None
+
+    def _end_idle(self) -> None:
+        transaction = self.context.transaction
+        if transaction is not None:
+            log.info(
+                "transaction_idle", transaction=transaction.id, after_s=self._transaction_idle_s
+            )
+            self._fail_transaction(transaction)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._ending.add(task)
+        task.add_done_callback(self._ending.discard)
+
+
+def name_prepared(statement: Prepare) -> str:
+    """Return the name of a prepared statement on all connections: equal ones have equal names."""
+    word = "w" if statement.writes else "r"
+    return f"{word}{xxhash.xxh3_128_hexdigest(statement.shape.encode())}"
+
+
+def _ends_transaction(statement: Statement) -> bool:
+    return isinstance(statement, (Commit, Rollback))
--- a/lentilring/settings.py
+++ b/lentilring/settings.py
@@ -76,6 +76,35 @@
     log_level: Annotated[LogLevel, _describe("least level of logged events")] = LogLevel.INFO
 
 
+@dataclass(frozen=True, kw_only=True, config=ConfigDict(extra="forbid"))
+class SessionProxySettings:
+    """Hold the settings of a proxy for the session protocol on a prepared platform."""
+
+    vm: Annotated[Label, _describe("name of this VM, unique in the deployment")]
+    failure_domain: Annotated[Label, _describe("failure domain of this VM")]
+    region: Annotated[Label, _describe("region of this VM")]
+    regions: Annotated[dict[str, str], _describe("region of each failure domain")]
+    session_address: Annotated[Address, _describe("ip:port for callers' sessions")]
+    readiness_address: Annotated[Address, _describe("ip:port of the balancer's probe")]
+    peer_address: Annotated[Address, _describe("ip:port for peers, TCP and UDP")]
+    metrics_address: Annotated[Address, _describe("ip:port of the metrics")]
+    store_address: Annotated[Address, _describe("ip:port of the platform's store")]
+    promotion_address: Annotated[Address, _describe("ip:port that promotions are asked of")]
+    weight: Annotated[
+        float, Check(gt=0, le=1024, description="processor share relative to other VMs")
+    ] = 1.0
+    max_sessions: Annotated[
+        int, Check(ge=1, le=1_000_000, description="sessions at a time; further ones are closed")
+    ] = 2000
+    max_configuration_age_s: Annotated[
+        float, Check(gt=0, le=3600, description="unconfirmed configuration is refused after this")
+    ] = 15.0
+    drain_timeout_s: Annotated[
+        float, Check(ge=0, le=300, description="time from SIGTERM to the end, in seconds")
+    ] = 6.0
+    log_level: Annotated[LogLevel, _describe("least level of logged events")] = LogLevel.INFO
+
+
 def list_settings(settings: type) -> list[Field[Any]]:
     """Return the fields of a settings class in order."""
     return list(fields(settings))
--- /dev/null
+++ b/lentilring/statements/__init__.py
@@ -0,0 +1,1 @@
+"""Statements of the session protocol and their outcomes."""
--- a/lentilring/telemetry/log.py
+++ b/lentilring/telemetry/log.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from contextvars import ContextVar
-from typing import TextIO
+from typing import Protocol
 
 import logbook
 
@@ -24,6 +24,18 @@
     return '"' + text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n") + '"'
 
 
+class LineStream(Protocol):
+    """Take lines of text."""
+
+    def write(self, text: str, /) -> int:
+        """Take a line."""
+        ...
+
+    def flush(self) -> None:
+        """Pass on what was taken."""
+        ...
+
+
 class Log:
     """Write events of one source."""
 
@@ -48,7 +60,7 @@
 
 
 @contextmanager
-def write_logs(*, level: str = "info", stream: TextIO | None = None) -> Iterator[None]:
+def write_logs(*, level: str = "info", stream: LineStream | None = None) -> Iterator[None]:
     """Write all events from a level on to a stream (standard error by default)."""
     handler = logbook.StreamHandler(
         stream or sys.stderr, level=logbook.lookup_level(level.upper()), format_string=LINE_FORMAT
