--- a/lentilring/gateways/dispatch.py
+++ b/lentilring/gateways/dispatch.py
@@ -117,7 +117,7 @@
 
     async def ask_position(self, server: ServerEntry, *, timeout_s: float) -> ProvenPosition | None:
         """Ask the gateway of a primary for a proven position; None without an answer."""
-        request = AskPosition(service=server.service, server=server.id)
+        request = AskPosition(server=server.id)
         for gateway in self.choose_gateways(server):
             if gateway.vm == self._fleet.local.vm:
                 return await self._gateways.ask_position(request)
--- a/lentilring/gateways/gateways.thrift
+++ b/lentilring/gateways/gateways.thrift
@@ -48,8 +48,7 @@
 }
 
 struct AskPosition {
-  1: string service,
-  2: string server,
+  1: string server,
 }
 
 struct ProvenPosition {
--- a/lentilring/gateways/messages.py
+++ b/lentilring/gateways/messages.py
@@ -104,7 +104,6 @@
 class AskPosition:
     """Ask the gateway of a primary for a position that it proved."""
 
-    service: str
     server: str
 
 
--- a/lentilring/gateways/service.py
+++ b/lentilring/gateways/service.py
@@ -103,9 +103,9 @@
     async def ask_position(self, request: AskPosition) -> ProvenPosition:
         """Return a position of a primary, proved again if the known one is old."""
         server = self._catalog.servers.entries.get(request.server)
-        if server is None or server.service != request.service:
+        if server is None:
             return ProvenPosition()
-        history = self.history(request.service)
+        history = self.history(server.service)
         newest = history.newest()
         if newest is None or self._clock.boottime() - newest.taken_at > PROOF_AGE_S:
             await self._prove(server)
--- a/lentilring/platform/boot.py
+++ b/lentilring/platform/boot.py
@@ -55,8 +55,8 @@
     internal_port_range: tuple[Port, Port]
     platform: _Endpoint
     cloud_api: _Endpoint
-    limits: _Limits = _Limits()
-    bounds: _Bounds = _Bounds()
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
 def read_boot_file(path: Path) -> SessionProxySettings:
--- a/lentilring/platform/documents.py
+++ b/lentilring/platform/documents.py
@@ -85,7 +85,7 @@
     routes: list[Any] = []
     services: list[Any] = []
     tenants: list[Any] = []
-    limits: _Limits = _Limits()
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 class _Server(Document):
--- a/lentilring/platform/objects.py
+++ b/lentilring/platform/objects.py
@@ -176,7 +176,7 @@
             ) as answer:
                 content = await answer.read()
                 status = answer.status
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except (aiohttp.ClientError, TimeoutError, OSError, RuntimeError) as error:
             self._note_reachable(False, method, path, repr(error))
             raise StoreUnavailable(operation=f"{method} {path}", detail=repr(error)) from error
         self._note_reachable(status < 500 and status != 429, method, path, f"status {status}")
