--- a/lentilring/catalog/service.py
+++ b/lentilring/catalog/service.py
@@ -131,6 +131,7 @@
                 continue
             if self.manifest is not None and manifest.version <= self.manifest.version:
                 continue
+            self._log_changed_limits(manifest)
             self.manifest = manifest
             log.info(
                 "manifest_taken",
@@ -141,6 +142,21 @@
             )
             self._announce()
 
+    def _log_changed_limits(self, manifest: Manifest) -> None:
+        for name, account in manifest.accounts.items():
+            known = self.account(name)
+            if known is None or (known.rate_per_s, known.burst) != (
+                account.rate_per_s,
+                account.burst,
+            ):
+                log.info(
+                    "account_limit",
+                    account=name,
+                    rate_per_s=account.rate_per_s,
+                    burst=account.burst,
+                    manifest=manifest.version,
+                )
+
     def _replace_servers(self, found: Records) -> None:
         listed = {record.name for record in found.records if record.value is not None}
         for server in list(self.servers.entries):
