--- a/lentilring/catalog/service.py
+++ b/lentilring/catalog/service.py
@@ -31,12 +31,18 @@
         random: Random,
         telemetry: Telemetry,
         max_age_s: float,
+        leaving_grace_s: float,
+        evacuation_grace_s: float,
     ) -> None:
         self.manifest: Manifest | None = None
         self.servers = ServerTable()
         self.evacuated: frozenset[str] = frozenset()
         self.leadership = Leadership()
         self._clock, self._max_age_s = clock, max_age_s
+        self._leaving_grace_s = leaving_grace_s
+        self._evacuation_grace_s = evacuation_grace_s
+        self._draining_since: dict[str, float] = {}
+        self._evacuated_since: dict[str, float] = {}
         self._leaving: dict[str, asyncio.TimerHandle] = {}
         self._callbacks: list[Callable[[], None]] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -120,6 +126,27 @@
         """Return the server that most probably leads a service."""
         return self.leadership.find(service, self.servers)
 
+    def takes_new_work(self, server: ServerEntry) -> bool:
+        """Tell whether new work may go to a server.
+
+        A primary that leaves or is evacuated serves a little longer, until another one leads.
+        """
+        now = self._clock.boottime()
+        primary = self.find_primary(server.service)
+        leads = primary is not None and primary.id == server.id
+        if server.is_draining:
+            since = self._draining_since.get(server.id, now)
+            if not leads or now - since > self._leaving_grace_s:
+                return False
+        if self.is_evacuated(server):
+            since = self._evacuated_since.get(server.failure_domain, now)
+            return leads and now - since <= self._evacuation_grace_s
+        return True
+
+    def missing_servers(self) -> frozenset[str]:
+        """Return the servers whose registrations are gone but may only have lapsed."""
+        return frozenset(self._leaving)
+
     def is_evacuated(self, server: ServerEntry) -> bool:
         """Tell whether a server's failure domain takes no new work."""
         return server.failure_domain in self.evacuated
@@ -178,6 +205,10 @@
         if timer is not None:
             timer.cancel()
         previous = self.servers.entries.get(entry.id)
+        if entry.is_draining:
+            self._draining_since.setdefault(entry.id, self._clock.boottime())
+        else:
+            self._draining_since.pop(entry.id, None)
         self.leadership.note_registration(entry, previous)
         self.servers = self.servers.put(entry)
         log.info(
@@ -201,6 +232,7 @@
 
     def _remove(self, server: str) -> None:
         self._leaving.pop(server, None)
+        self._draining_since.pop(server, None)
         if server in self.servers.entries:
             self.servers = self.servers.remove(server)
             log.info("server_removed", server=server)
@@ -223,6 +255,10 @@
             return
         log.info("evacuations_taken", domains=",".join(sorted(evacuated)) or "none")
         self.evacuated = evacuated
+        now = self._clock.boottime()
+        self._evacuated_since = {
+            domain: self._evacuated_since.get(domain, now) for domain in evacuated
+        }
         self._announce()
 
     def _announce(self) -> None:
--- a/lentilring/gateways/dispatch.py
+++ b/lentilring/gateways/dispatch.py
@@ -1,6 +1,6 @@
 """The way from a caller's proxy to the gateway of a backend server."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..catalog.fleet import FleetService
 from ..catalog.model import ServerEntry
@@ -28,6 +28,10 @@
 END_TIMEOUT_S = 1.0
 # Two gateways of a server are tried; a third would hardly be reachable when two are not.
 MAX_GATEWAYS = 2
+# For which a proxy that could not reach a server is not asked for it first.
+CUT_OFF_S = 1.0
+# An older proof means that the gateway could not get a new one.
+YOUNG_PROOF_S = 0.5
 GATEWAY_UNREACHABLE = "the gateway cannot be reached"
 GATEWAY_LOST = "the gateway's answer was lost"
 
@@ -56,6 +60,7 @@
     ) -> None:
         self._fleet, self._gateways, self._transport = fleet, gateways, transport
         self._clock, self._telemetry = clock, telemetry
+        self._cut_off_until: dict[tuple[str, str], float] = {}
 
     @property
     def local(self) -> ProxyEntry:
@@ -63,9 +68,18 @@
         return self._fleet.local
 
     def choose_gateways(self, server: ServerEntry) -> list[ProxyEntry]:
-        """Return the proxies to ask for a server, best first."""
-        ranked = rank_gateways(server, self._fleet.members(), is_suspect=self._fleet.is_suspect)
-        return ranked[:MAX_GATEWAYS]
+        """Return the proxies to ask for a server, best first; the last is of another domain."""
+        ranked = rank_gateways(
+            server,
+            self._fleet.members(),
+            is_suspect=lambda vm: self._fleet.is_suspect(vm) or self._is_cut_off(vm, server.id),
+        )
+        others = [entry for entry in ranked if entry.failure_domain != server.failure_domain]
+        chosen = ranked[:MAX_GATEWAYS]
+        return chosen + [entry for entry in others[:1] if entry not in chosen]
+
+    def _is_cut_off(self, vm: str, server: str) -> bool:
+        return self._clock.monotonic() < self._cut_off_until.get((vm, server), 0.0)
 
     async def run(self, server: ServerEntry, request: RunStatement) -> Dispatched:
         """Run a statement outside of an open transaction."""
@@ -73,6 +87,8 @@
         last: Dispatched | None = None
         for gateway in self.choose_gateways(server):
             last = await self.run_at(gateway, request)
+            if last.answer.is_unreachable:
+                self._cut_off_until[gateway.vm, server.id] = self._clock.monotonic() + CUT_OFF_S
             if not self._may_go_elsewhere(request, last.answer):
                 return last
             if self._clock.monotonic() >= deadline:
@@ -92,7 +108,8 @@
             )
         except PeerUnreachable as error:
             self._note_failure(gateway, request, "unreachable", error.detail)
-            return _build_loss(gateway, Failure.ABORTED, GATEWAY_UNREACHABLE)
+            loss = _build_loss(gateway, Failure.ABORTED, GATEWAY_UNREACHABLE)
+            return replace(loss, answer=replace(loss.answer, is_unreachable=True))
         except PeerRejected as error:
             self._note_failure(gateway, request, "rejected", error.detail)
             return _build_loss(gateway, _name_loss(request), "the gateway failed")
@@ -119,19 +136,27 @@
         """Ask the gateway of a primary for a proven position; None without an answer."""
         request = AskPosition(server=server.id)
         for gateway in self.choose_gateways(server):
-            if gateway.vm == self._fleet.local.vm:
-                return await self._gateways.ask_position(request)
-            try:
-                answer = await self._transport.call(gateway.address, request, timeout_s=timeout_s)
-            except (PeerUnreachable, PeerAnswerLost, PeerRejected) as error:
-                self._fleet.note_silence(gateway.vm, str(error))
-                continue
-            assert isinstance(answer, ProvenPosition)
-            return answer
+            answer = await self._ask_gateway(gateway, request, timeout_s)
+            if answer is not None and answer.term and answer.age_s <= YOUNG_PROOF_S:
+                return answer
         return None
 
+    async def _ask_gateway(
+        self, gateway: ProxyEntry, request: AskPosition, timeout_s: float
+    ) -> ProvenPosition | None:
+        if gateway.vm == self._fleet.local.vm:
+            return await self._gateways.ask_position(request)
+        try:
+            answer = await self._transport.call(gateway.address, request, timeout_s=timeout_s)
+        except (PeerUnreachable, PeerAnswerLost, PeerRejected) as error:
+            self._fleet.note_silence(gateway.vm, str(error))
+            return None
+        assert isinstance(answer, ProvenPosition)
+        self._fleet.note_answer(gateway.vm)
+        return answer
+
     def _may_go_elsewhere(self, request: RunStatement, answer: StatementAnswer) -> bool:
-        if answer.detail == GATEWAY_UNREACHABLE:
+        if answer.is_unreachable:
             return True
         return answer.detail == GATEWAY_LOST and request.work is Work.READ
 
--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -2,7 +2,8 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from contextlib import suppress
+from dataclasses import dataclass, field, replace
 
 from ..catalog.model import ServerEntry
 from ..clock import SuspensionClock
@@ -27,6 +28,12 @@
 RESERVED_CONNECTIONS = 2
 # A caller's proxy that disappears leaves its transactions open; this much after its own limit.
 ABANDONED_MARGIN_S = 1.0
+# A lead is proved without a slot; a slower answer counts as a missing one.
+PROOF_TIMEOUT_S = 0.35
+# One lost answer says nothing of the commits after it.
+MIN_FAILED_COMMITS = 2
+# A planned change of the primary takes about half a second.
+HOLD_PATIENCE_S = 0.7
 
 log = Log(source="gateway")
 
@@ -49,6 +56,7 @@
     outcome: StatementOutcome
     transaction: str = ""
     age_s: float | None = None
+    is_unreachable: bool = False
 
 
 @dataclass(kw_only=True)
@@ -81,6 +89,7 @@
         transaction_idle_s: Callable[[], float],
         refresh_positions: Callable[[], Awaitable[None]],
         note_interest: Callable[[], None],
+        is_primary: Callable[[], bool],
     ) -> None:
         self.server = server
         self.history = history
@@ -98,6 +107,10 @@
         self._refuse_new_work = refuse_new_work
         self._transaction_idle_s = transaction_idle_s
         self._refresh_positions, self._note_interest = refresh_positions, note_interest
+        self._is_primary = is_primary
+        self._held: asyncio.Event | None = None
+        self._commits_fail_since: float | None = None
+        self._failed_commits = 0
 
     async def run(self, request: RunStatement) -> RunResult:
         """Run one statement and tell truthfully whether it can have run."""
@@ -106,8 +119,13 @@
             attempt.transaction = self._claim(request.transaction)
             if attempt.transaction is None:
                 return _fail(Failure.ABORTED, "the transaction has ended")
-        elif (refusal := self._refuse_new_work(self.server)) is not None:
-            return RunResult(outcome=refusal)
+        else:
+            if self._held is not None and _needs_primary(request):
+                await self._wait_out_hold(self._held, request.patience_s)
+                if not self._is_primary():
+                    return _fail(Failure.NOT_PRIMARY, "another server leads now")
+            if (refusal := self._refuse_new_work(self.server)) is not None:
+                return RunResult(outcome=refusal)
         rank = IN_TRANSACTION if request.transaction else 1 + request.priority
         refused = await self.slots.acquire(
             request.account, rank=rank, patience_s=min(request.patience_s, request.timeout_s)
@@ -129,21 +147,46 @@
         await self._abandon(transaction)
         return True
 
+    async def _wait_out_hold(self, held: asyncio.Event, patience_s: float) -> None:
+        with suppress(TimeoutError):
+            async with asyncio.timeout(max(patience_s, HOLD_PATIENCE_S)):
+                await held.wait()
+
     async def prove_lead(self, account: str) -> Position | None:
         """Return a position that the server proved as the primary, or None if it is not."""
         try:
-            connection = await self.pool.take(account, timeout_s=CONTROL_TIMEOUT_S)
+            connection = await self.pool.take(account, timeout_s=PROOF_TIMEOUT_S)
         except (ServerUnreachable, ServerRefused):
             return None
         try:
-            reply = await self._begin(connection, read_only=False, after=None)
-            await connection.session.roll_back(timeout_s=CONTROL_TIMEOUT_S)
+            reply = await self._begin(
+                connection, read_only=False, after=None, timeout_s=PROOF_TIMEOUT_S
+            )
+            if reply.state is not TransactionState.IDLE:
+                await connection.session.roll_back(timeout_s=PROOF_TIMEOUT_S)
         except (ServerLost, ServerUnreachable):
             self.pool.discard(connection)
             return None
         self.pool.give(connection)
         return reply.outcome.position if isinstance(reply.outcome, Done) else None
 
+    def hold(self) -> None:
+        """Let new work that needs a primary wait."""
+        if self._held is None:
+            self._held = asyncio.Event()
+
+    def release(self) -> None:
+        """End a hold."""
+        if self._held is not None:
+            self._held.set()
+            self._held = None
+
+    def commit_silence_s(self) -> float:
+        """Return for how long commits have timed out without one that was confirmed."""
+        if self._commits_fail_since is None or self._failed_commits < MIN_FAILED_COMMITS:
+            return 0.0
+        return self._clock.monotonic() - self._commits_fail_since
+
     def close(self) -> None:
         """End all transactions and close all connections."""
         for transaction in list(self.transactions.values()):
@@ -185,10 +228,14 @@
     async def _run_in_slot(self, attempt: _Attempt) -> RunResult:
         try:
             outcome, state = await self._run_steps(attempt)
-        except (ServerRefused, ServerUnreachable) as error:
-            failure = error.failure if isinstance(error, ServerRefused) else Failure.OVERLOADED
-            return self._end_broken(attempt, failure, error.detail)
+        except ServerRefused as error:
+            return self._end_broken(attempt, error.failure, error.detail)
+        except ServerUnreachable as error:
+            result = self._end_broken(attempt, Failure.OVERLOADED, error.detail)
+            return replace(result, is_unreachable=attempt.transaction is None)
         except ServerLost as error:
+            if error.timed_out and _commits(attempt):
+                self._note_failed_commit()
             return self._end_broken(attempt, self._name_loss(attempt, error), error.detail)
         except BaseException:
             self._end_broken(attempt, Failure.ABORTED, "cancelled")
@@ -219,6 +266,7 @@
         )
         if request.work in (Work.WRITE, Work.COMMIT) and reply.state is TransactionState.IDLE:
             self._note_lead(reply, sent_at)
+            self._commits_fail_since, self._failed_commits = None, 0
         if not request.proves_lead:
             return reply.outcome, reply.state
         ended = await connection.session.roll_back(timeout_s=CONTROL_TIMEOUT_S)
@@ -262,16 +310,26 @@
         return max(own, sample.position), None
 
     async def _begin(
-        self, connection: PooledConnection, *, read_only: bool, after: Position | None
+        self,
+        connection: PooledConnection,
+        *,
+        read_only: bool,
+        after: Position | None,
+        timeout_s: float = CONTROL_TIMEOUT_S,
     ) -> ServerReply:
         sent_at = self._clock.boottime()
         reply = await connection.session.begin(
-            read_only=read_only, after=after, timeout_s=CONTROL_TIMEOUT_S
+            read_only=read_only, after=after, timeout_s=timeout_s
         )
         if not read_only:
             self._note_lead(reply, sent_at)
         return reply
 
+    def _note_failed_commit(self) -> None:
+        self._failed_commits += 1
+        if self._commits_fail_since is None:
+            self._commits_fail_since = self._clock.monotonic()
+
     def _note_lead(self, reply: ServerReply, sent_at: float) -> None:
         if isinstance(reply.outcome, Done) and reply.outcome.position is not None:
             self.history.note(reply.outcome.position, sent_at)
@@ -374,5 +432,16 @@
     return attempt.transaction is not None or opens or attempt.request.proves_lead
 
 
+def _needs_primary(request: RunStatement) -> bool:
+    return (
+        request.opening is Opening.READ_WRITE or request.proves_lead or request.work is Work.WRITE
+    )
+
+
+def _commits(attempt: _Attempt) -> bool:
+    work = attempt.request.work
+    return work is Work.COMMIT or (work is Work.WRITE and not _is_open(attempt))
+
+
 def _fail(failure: Failure, detail: str) -> RunResult:
     return RunResult(outcome=Failed(failure=failure, detail=detail))
--- a/lentilring/gateways/gateways.thrift
+++ b/lentilring/gateways/gateways.thrift
@@ -37,6 +37,7 @@
   8: string transaction,
   9: double wait_s,
   10: optional double age_s,
+  11: bool is_unreachable,
 }
 
 struct EndTransaction {
@@ -55,4 +56,5 @@
   1: i64 term,
   2: i64 number,
   3: double age_s,
+  4: double commit_silence_s,
 }
--- a/lentilring/gateways/messages.py
+++ b/lentilring/gateways/messages.py
@@ -68,7 +68,8 @@
     """Answer a statement; an empty `failure` means that it ran.
 
     `transaction` names the transaction that stays open. `wait_s` estimates the wait for a slot.
-    `age_s` is the age of the position that a read had to include.
+    `age_s` is the age of the position that a read had to include. `is_unreachable` says that the
+    gateway could not reach the server and sent it nothing.
     """
 
     failure: str = ""
@@ -81,6 +82,7 @@
     transaction: str = ""
     wait_s: float = 0.0
     age_s: float | None = None
+    is_unreachable: bool = False
 
 
 @message
@@ -110,8 +112,12 @@
 @message
 @dataclass(frozen=True, kw_only=True)
 class ProvenPosition:
-    """Report the primary's position `age_s` seconds ago; term 0 without one."""
+    """Report the primary's position `age_s` seconds ago; term 0 without one.
+
+    `commit_silence_s` is how long commits have failed to be confirmed, 0 if they are.
+    """
 
     term: int = 0
     number: int = 0
     age_s: float = 0.0
+    commit_silence_s: float = 0.0
--- a/lentilring/gateways/sampling.py
+++ b/lentilring/gateways/sampling.py
@@ -36,6 +36,7 @@
         self._clock, self._telemetry = clock, telemetry
         self._wanted_at: dict[str, float] = {}
         self._running: dict[str, asyncio.Task[None]] = {}
+        self._commit_silence_s: dict[str, float] = {}
         self._task: asyncio.Task[None] | None = None
         gateways.refresh_positions = self.refresh
         gateways.note_interest = self.note_interest
@@ -53,6 +54,10 @@
         """Sample a service for the next seconds."""
         self._wanted_at[service] = self._clock.monotonic()
 
+    def commit_silence_s(self, service: str) -> float:
+        """Return for how long a primary's commits have failed to be confirmed."""
+        return self._commit_silence_s.get(service, 0.0)
+
     async def refresh(self, service: str) -> None:
         """Take one sample of a service now; calls at one time share it."""
         self.note_interest(service)
@@ -88,6 +93,7 @@
             log.info("position_missing", service=service, primary=primary.id)
             return
         position = Position(term=proven.term, number=proven.number)
+        self._commit_silence_s[service] = proven.commit_silence_s
         # The answer was written after it was asked for, so its age counts from then.
         self._gateways.history(service).note(position, sent_at - proven.age_s)
         self._telemetry.count("position_samples", result="taken")
--- a/lentilring/gateways/server.py
+++ b/lentilring/gateways/server.py
@@ -50,11 +50,15 @@
 
 @dataclass(frozen=True, kw_only=True)
 class ServerStatus:
-    """Hold what a backend server says of itself; `received` may be ahead of what reads see."""
+    """Hold what a backend server says of itself; `received` may be ahead of what reads see.
+
+    `held_term` is the term below which a paused replica receives nothing.
+    """
 
     role: ServerRole
     term: int
     received: Position
+    held_term: int = 0
 
 
 class ServerSession(Protocol):
--- a/lentilring/gateways/service.py
+++ b/lentilring/gateways/service.py
@@ -52,7 +52,7 @@
         self._gateways: dict[str, ServerGateway] = {}
         self._histories: dict[str, PositionHistory] = {}
         self._owners: dict[str, ServerGateway] = {}
-        self._proofs: dict[str, asyncio.Task[None]] = {}
+        self._proofs: dict[str, asyncio.Task[bool]] = {}
         self._transaction_numbers = itertools.count(1)
         self._transaction_prefix = f"{vm}.{incarnation}."
         self.refresh_positions: Callable[[str], Awaitable[None]] = _refresh_nothing
@@ -116,24 +116,37 @@
             term=newest.position.term,
             number=newest.position.number,
             age_s=self._clock.boottime() - newest.taken_at,
+            commit_silence_s=self._open_gateway(server).commit_silence_s(),
         )
 
+    def hold(self, server: str) -> None:
+        """Let new work that needs a primary wait, because another one is about to lead."""
+        if server in self._gateways:
+            self._gateways[server].hold()
+
+    def release(self, server: str) -> None:
+        """End a hold; what waited is told to look for the primary again."""
+        if server in self._gateways:
+            self._gateways[server].release()
+
+    async def prove(self, server: ServerEntry) -> bool:
+        """Tell whether a server proves now that it is the primary."""
+        accounts = self._catalog.accounts()
+        if not accounts:
+            return False
+        position = await self._open_gateway(server).prove_lead(accounts[0].name)
+        self._note_proof(server, position)
+        return position is not None
+
     async def _prove(self, server: ServerEntry) -> None:
         """Prove a primary's position; calls at one time share the proof."""
         task = self._proofs.get(server.id)
         if task is None:
-            task = asyncio.ensure_future(self._prove_now(server))
+            task = asyncio.ensure_future(self.prove(server))
             self._proofs[server.id] = task
             task.add_done_callback(lambda _: self._proofs.pop(server.id, None))
         await asyncio.shield(task)
 
-    async def _prove_now(self, server: ServerEntry) -> None:
-        accounts = self._catalog.accounts()
-        if not accounts:
-            return
-        position = await self._open_gateway(server).prove_lead(accounts[0].name)
-        self._note_proof(server, position)
-
     def _note_proof(self, server: ServerEntry, position: Position | None) -> None:
         if position is None:
             self._telemetry.count("position_proofs", result="failed")
@@ -159,6 +172,7 @@
                 transaction_idle_s=self._transaction_idle_s,
                 refresh_positions=lambda: self.refresh_positions(server.service),
                 note_interest=lambda: self.note_interest(server.service),
+                is_primary=lambda: self._is_primary(server),
             )
             log.info("gateway_opened", server=server.id, limit=gateway.pool.limit)
         return gateway
@@ -168,12 +182,13 @@
         entry = self._catalog.servers.entries.get(server.id)
         if entry is None:
             return Failed(failure=Failure.WRONG_SERVER, detail="the server is gone")
-        if self._catalog.is_evacuated(entry):
-            return Failed(failure=Failure.OVERLOADED, detail="the failure domain is evacuated")
-        primary = self._catalog.find_primary(entry.service)
-        if entry.is_draining and (primary is None or primary.id != entry.id):
-            return Failed(failure=Failure.OVERLOADED, detail="the server is leaving")
-        return None
+        if self._catalog.takes_new_work(entry):
+            return None
+        return Failed(failure=Failure.OVERLOADED, detail="the server is leaving or evacuated")
+
+    def _is_primary(self, server: ServerEntry) -> bool:
+        primary = self._catalog.find_primary(server.service)
+        return primary is not None and primary.id == server.id
 
     def _drop_replaced(self) -> None:
         """Close gateways of servers that are gone or that started again."""
@@ -223,6 +238,7 @@
             age_s=result.age_s,
         )
     return StatementAnswer(
+        is_unreachable=result.is_unreachable,
         failure=outcome.failure,
         detail=outcome.detail,
         retry_after_s=outcome.retry_after_s,
--- a/lentilring/platform/boot.py
+++ b/lentilring/platform/boot.py
@@ -14,6 +14,8 @@
 # A configuration is given up before the platform's own bound for it ends.
 AGE_MARGIN_S = 2.0
 DRAIN_MARGIN_S = 0.6
+# For the way of the announcement here and of the work to the server.
+WITHDRAWAL_MARGIN_S = 1.5
 
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 
@@ -37,6 +39,8 @@
     config_apply_ms: float = 3000
     outer_ms: float = 0
     grace_s: float = 6
+    drain_ms: float = 7000
+    evacuate_ms: float = 5000
 
 
 class _Endpoint(_Document):
@@ -83,6 +87,8 @@
         max_configuration_age_s=max(
             1.0, (bounds.config_apply_ms + bounds.outer_ms) / 1000 - AGE_MARGIN_S
         ),
+        leaving_grace_s=max(0.0, bounds.drain_ms / 1000 - WITHDRAWAL_MARGIN_S),
+        evacuation_grace_s=max(0.0, bounds.evacuate_ms / 1000 - WITHDRAWAL_MARGIN_S),
         drain_timeout_s=max(0.5, bounds.grace_s - DRAIN_MARGIN_S),
         **others,
     )
--- a/lentilring/platform/objects.py
+++ b/lentilring/platform/objects.py
@@ -76,7 +76,7 @@
 
     async def start(self) -> None:
         """Open the session; each call has its own connection, since idle ones may go silent."""
-        connector = aiohttp.TCPConnector(limit=0, force_close=True, socket_factory=_open_socket)
+        connector = aiohttp.TCPConnector(limit=0, force_close=True, socket_factory=open_socket)
         self._session = aiohttp.ClientSession(
             connector=connector,
             cookie_jar=aiohttp.DummyCookieJar(),
@@ -221,7 +221,8 @@
     return found if isinstance(found, list) else []
 
 
-def _open_socket(info: tuple[Any, ...]) -> socket.socket:
+def open_socket(info: tuple[Any, ...]) -> socket.socket:
+    """Return a socket that notices a dark far end."""
     family, kind, protocol = info[0], info[1], info[2]
     opened = socket.socket(family, kind, protocol)
     opened.setblocking(False)
--- a/lentilring/platform/servers.py
+++ b/lentilring/platform/servers.py
@@ -214,7 +214,12 @@
         received = decode_position(fields[2]) if len(fields) >= STATUS_FIELDS else None
         if received is None or fields[0] not in ROLES or not fields[1].isdecimal():
             return Failure.MALFORMED
-        return ServerStatus(role=ROLES[fields[0]], term=int(fields[1]), received=received)
+        return ServerStatus(
+            role=ROLES[fields[0]],
+            term=int(fields[1]),
+            received=received,
+            held_term=int(fields[3]) if fields[3].isdecimal() else 0,
+        )
 
 
 def _add_position(text: str, after: Position | None) -> str:
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -19,6 +19,7 @@
 from .outcomes import JsonValue
 from .peers.tcp import TcpTransport
 from .platform.objects import ObjectClient
+from .platform.promotion import PlatformPromotion
 from .platform.records import PlatformRecords, PlatformStore
 from .platform.servers import PlatformServers
 from .platform.statements import LineCodec
@@ -28,6 +29,8 @@
 from .sessions.readiness import SessionReadiness
 from .sessions.router import StatementRouter
 from .settings import SessionProxySettings
+from .takeover.authority import PromotionAuthority
+from .takeover.service import TakeoverService
 from .telemetry.log import Log
 from .telemetry.metrics import Telemetry
 
@@ -111,6 +114,8 @@
         random=source,
         telemetry=telemetry,
         max_age_s=settings.max_configuration_age_s,
+        leaving_grace_s=settings.leaving_grace_s,
+        evacuation_grace_s=settings.evacuation_grace_s,
     )
     fleet = FleetService(
         local=_describe_local(settings, incarnation),
@@ -148,6 +153,18 @@
     sampler = PositionSampler(
         catalog=catalog, gateways=gateways, dispatcher=dispatcher, clock=clock, telemetry=telemetry
     )
+    promotion = PlatformPromotion(address=settings.promotion_address)
+    takeover = TakeoverService(
+        catalog=catalog,
+        fleet=fleet,
+        gateways=gateways,
+        sampler=sampler,
+        connector=PlatformServers(),
+        authority=PromotionAuthority(store=PlatformStore(objects=objects), vm=settings.vm),
+        promotion=promotion,
+        clock=clock,
+        telemetry=telemetry,
+    )
     router = StatementRouter(
         catalog=catalog,
         dispatcher=dispatcher,
@@ -180,6 +197,8 @@
         "gateways": gateways,
         "dispatcher": dispatcher,
         "positions": sampler,
+        "promotion": promotion,
+        "takeover": takeover,
         "statements": router,
         "sessions": listener,
         "readiness": readiness,
--- a/lentilring/sessions/router.py
+++ b/lentilring/sessions/router.py
@@ -277,12 +277,12 @@
             primary=self._catalog.find_primary(service),
             place=self._place,
             region_of=self._find_region,
-            is_usable=lambda server: self._is_allowed(admission, server) and not server.is_draining,
+            is_usable=lambda server: self._is_allowed(admission, server),
             wait_s=lambda server: self._load.wait_s(server) + self._trouble.wait_s(server),
         )
 
     def _is_allowed(self, admission: Admission, server: ServerEntry) -> bool:
-        if self._catalog.is_evacuated(server):
+        if not self._catalog.takes_new_work(server):
             return False
         manifest = self._catalog.manifest
         homes = manifest.account_regions.get(admission.account, ()) if manifest else ()
--- a/lentilring/settings.py
+++ b/lentilring/settings.py
@@ -99,6 +99,12 @@
     max_configuration_age_s: Annotated[
         float, Check(gt=0, le=3600, description="unconfirmed configuration is refused after this")
     ] = 15.0
+    leaving_grace_s: Annotated[
+        float, Check(ge=0, le=3600, description="work for a primary that leaves, in seconds")
+    ] = 5.0
+    evacuation_grace_s: Annotated[
+        float, Check(ge=0, le=3600, description="work for an evacuated primary, in seconds")
+    ] = 3.0
     drain_timeout_s: Annotated[
         float, Check(ge=0, le=300, description="time from SIGTERM to the end, in seconds")
     ] = 6.0
--- /dev/null
+++ b/lentilring/takeover/__init__.py
@@ -0,0 +1,1 @@
+"""Replacement of primaries through the platform's promotion service."""
--- /dev/null
+++ b/lentilring/takeover/authority.py
@@ -0,0 +1,86 @@
+"""The right to ask for a promotion: a fencing token from a conditional write."""
+
+from dataclasses import dataclass
+from enum import StrEnum, unique
+from typing import Protocol
+
+from ..outcomes import JsonValue
+from ..platform.store import Kind, Store, VersionConflict
+
+
+@unique
+class PromotionResult(StrEnum):
+    """Say how the promotion service answered."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    BUSY = "busy"
+    UNKNOWN = "unknown"
+
+
+class PromotionService(Protocol):
+    """Ask the platform to let a backend server lead."""
+
+    async def promote(
+        self, *, service: str, server: str, holder: str, token: int
+    ) -> PromotionResult:
+        """Ask once; an unknown result may still take effect, seconds later."""
+        ...
+
+
+@dataclass(frozen=True, kw_only=True)
+class Intent:
+    """Hold the newest recorded promotion; an open one may still take effect."""
+
+    version: int
+    server: str
+    is_open: bool
+
+
+class PromotionAuthority:
+    """Take tokens that rise with each claim of a service, whoever makes it."""
+
+    def __init__(self, *, store: Store, vm: str) -> None:
+        self._store, self._vm = store, vm
+
+    async def read(self, service: str) -> Intent:
+        """Return the newest intent; raise StoreUnavailable."""
+        current = await self._store.get(Kind.PROMOTION, service)
+        if current is None:
+            return Intent(version=0, server="", is_open=False)
+        value = current.value or {}
+        server = value.get("server")
+        return Intent(
+            version=current.version,
+            server=server if isinstance(server, str) else "",
+            is_open=bool(value.get("open")),
+        )
+
+    async def claim(self, service: str, server: str, *, seen: Intent) -> Intent | None:
+        """Record the intent to promote a server; None if another proxy recorded one meanwhile.
+
+        The version of the returned intent is the fencing token. Raise StoreUnavailable.
+        """
+        return await self._write(service, server, seen=seen, is_open=True)
+
+    async def settle(self, service: str, *, seen: Intent) -> None:
+        """Record that a promotion took effect; raise StoreUnavailable."""
+        await self._write(service, seen.server, seen=seen, is_open=False)
+
+    async def _write(
+        self, service: str, server: str, *, seen: Intent, is_open: bool
+    ) -> Intent | None:
+        # The version makes each intent differ from the one before, so that its own version rises.
+        value: dict[str, JsonValue] = {
+            "vm": self._vm,
+            "server": server,
+            "open": is_open,
+            "after": seen.version,
+        }
+        try:
+            written = await self._store.put(
+                Kind.PROMOTION, service, value, expected_version=seen.version
+            )
+        except VersionConflict:
+            return None
+        return Intent(version=written.version, server=server, is_open=is_open)
--- /dev/null
+++ b/lentilring/takeover/service.py
@@ -0,0 +1,258 @@
+"""The service `takeover`: supervises primaries and has them replaced."""
+
+import asyncio
+from dataclasses import dataclass
+
+from ..catalog.fleet import FleetService
+from ..catalog.model import ServerEntry, ServerRole
+from ..catalog.service import CatalogService
+from ..clock import SuspensionClock
+from ..gateways.placement import rank_gateways
+from ..gateways.sampling import PositionSampler
+from ..gateways.server import ServerConnector, ServerStatus
+from ..gateways.service import GatewayService
+from ..kernel import Service
+from ..placement import rank_members
+from ..platform.store import StoreUnavailable
+from ..telemetry.log import Log
+from ..telemetry.metrics import Telemetry
+from .authority import Intent, PromotionAuthority, PromotionResult, PromotionService
+from .replicas import ReplicaControl
+from .succession import Candidate, Successor, Undecided, choose_successor
+from .trouble import PLANNED, Observation, Trouble, TroubleWatch, find_trouble
+
+TICK_S = 0.25
+# The first acts, the second and third step in when it does not.
+SUPERVISORS = 3
+# What runs at a primary that is to be replaced ends within this time, or is rolled back.
+SETTLE_S = 0.06
+LEAD_TIMEOUT_S = 2.5
+LEAD_POLL_S = 0.05
+RETRY_S = 0.5
+BUSY_RETRY_S = 0.2
+
+log = Log(source="takeover")
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Case:
+    """Hold the state of a service when its takeover begins."""
+
+    service: str
+    trouble: Trouble
+    old: ServerEntry | None
+    replicas: tuple[ServerEntry, ...]
+
+
+class TakeoverService(Service):
+    """Watch the primaries that this proxy supervises and replace those in trouble."""
+
+    def __init__(
+        self,
+        *,
+        catalog: CatalogService,
+        fleet: FleetService,
+        gateways: GatewayService,
+        sampler: PositionSampler,
+        connector: ServerConnector,
+        authority: PromotionAuthority,
+        promotion: PromotionService,
+        clock: SuspensionClock,
+        telemetry: Telemetry,
+    ) -> None:
+        self._catalog, self._fleet, self._gateways = catalog, fleet, gateways
+        self._sampler, self._connector = sampler, connector
+        self._authority, self._promotion = authority, promotion
+        self._clock, self._telemetry = clock, telemetry
+        self._watches: dict[str, TroubleWatch] = {}
+        self._running: dict[str, asyncio.Task[None]] = {}
+        self._retry_at: dict[str, float] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to supervise."""
+        self._task = asyncio.ensure_future(self._run())
+
+    async def stop(self) -> None:
+        """End supervision; a takeover that runs is left to the next supervisor."""
+        for task in [*self._running.values(), *([self._task] if self._task else [])]:
+            task.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            await self._clock.sleep(TICK_S)
+            if not self._catalog.is_complete():
+                continue
+            manifest = self._catalog.manifest
+            for service in manifest.services if manifest is not None else ():
+                rank = self._find_rank(service)
+                if rank is None:
+                    self._watches.pop(service, None)
+                else:
+                    self._watch(service, rank)
+
+    def _find_rank(self, service: str) -> int | None:
+        """Return this proxy's place among a service's supervisors, if it is one."""
+        members = self._fleet.members()
+        primary = self._catalog.find_primary(service)
+        if primary is None:
+            ranked = rank_members(f"primary-{service}", members)
+        else:
+            ranked = rank_gateways(primary, members, is_suspect=self._fleet.is_suspect)
+        local = self._fleet.local.vm
+        ranks = [index for index, member in enumerate(ranked) if member.vm == local]
+        return ranks[0] if ranks and ranks[0] < SUPERVISORS else None
+
+    def _watch(self, service: str, rank: int) -> None:
+        self._sampler.note_interest(service)
+        now = self._clock.monotonic()
+        watch = self._watches.setdefault(service, TroubleWatch())
+        primary = self._catalog.find_primary(service)
+        trouble = find_trouble(self._observe(service, primary))
+        watch.note(trouble, now)
+        if trouble is None or service in self._running or now < self._retry_at.get(service, 0.0):
+            return
+        was_proved = self._gateways.history(service).newest() is not None
+        if not watch.is_due(rank=rank, was_proved=was_proved, now=now):
+            return
+        entries = self._catalog.servers.by_service.get(service, ())
+        replicas = tuple(entry for entry in entries if primary is None or entry.id != primary.id)
+        if not replicas:
+            return
+        case = _Case(service=service, trouble=trouble, old=primary, replicas=replicas)
+        task = asyncio.ensure_future(self._take_over(case))
+        self._running[service] = task
+        task.add_done_callback(lambda done: self._finish(service, done))
+
+    def _observe(self, service: str, primary: ServerEntry | None) -> Observation:
+        newest = self._gateways.history(service).newest()
+        proof_age_s = None if newest is None else self._clock.boottime() - newest.taken_at
+        if primary is None:
+            return Observation(
+                is_registered=False,
+                is_draining=False,
+                is_evacuated=False,
+                proof_age_s=proof_age_s,
+                commit_silence_s=0.0,
+            )
+        return Observation(
+            is_registered=primary.id not in self._catalog.missing_servers(),
+            is_draining=primary.is_draining,
+            is_evacuated=self._catalog.is_evacuated(primary),
+            proof_age_s=proof_age_s,
+            commit_silence_s=self._sampler.commit_silence_s(service),
+        )
+
+    def _finish(self, service: str, task: asyncio.Task[None]) -> None:
+        self._running.pop(service, None)
+        self._retry_at[service] = self._clock.monotonic() + RETRY_S
+        if not task.cancelled() and (error := task.exception()) is not None:
+            log.error("takeover_failed", service=service, error=repr(error))
+
+    async def _take_over(self, case: _Case) -> None:
+        accounts = self._catalog.accounts()
+        if not accounts:
+            return
+        log.warning(
+            "takeover_begun",
+            service=case.service,
+            trouble=case.trouble,
+            primary="-" if case.old is None else case.old.id,
+            replicas=",".join(entry.id for entry in case.replicas),
+        )
+        control = ReplicaControl(
+            connector=self._connector, account=accounts[0].name, clock=self._clock
+        )
+        held = case.old if case.trouble in PLANNED else None
+        done = False
+        try:
+            if held is not None:
+                self._gateways.hold(held.id)
+                await self._clock.sleep(SETTLE_S)
+            done = await self._replace(case, control)
+        except StoreUnavailable as error:
+            log.warning("takeover_postponed", service=case.service, detail=error.detail)
+        finally:
+            if not done:
+                await control.resume_all()
+            control.close()
+            if held is not None:
+                self._gateways.release(held.id)
+
+    async def _replace(self, case: _Case, control: ReplicaControl) -> bool:
+        """Promote the furthest replica; tell whether a promotion may take effect."""
+        intent = await self._authority.read(case.service)
+        statuses = await control.read_all(case.replicas)
+        leading = [server for server, status in statuses.items() if _leads(status)]
+        if leading:
+            log.info("takeover_needless", service=case.service, leading=leading[0])
+            self._catalog.leadership.note_lead(case.service, leading[0], statuses[leading[0]].term)
+            return True
+        known_terms = [max(status.term, status.held_term) for status in statuses.values()]
+        term = max(known_terms, default=0) + 1
+        paused = await control.pause_all(case.replicas, term=term)
+        choice = choose_successor(
+            [
+                self._build_candidate(entry, paused[entry.id])
+                for entry in case.replicas
+                if entry.id in paused
+            ],
+            replicas=[entry.id for entry in case.replicas],
+            place_of_old="" if case.old is None else case.old.failure_domain,
+            intended=intent.server if intent.is_open else "",
+        )
+        if isinstance(choice, Undecided):
+            log.warning("takeover_undecided", service=case.service, reason=choice.reason)
+            return False
+        if case.trouble is Trouble.SILENT and self._is_proved_again(case.service):
+            log.info("takeover_needless", service=case.service, leading="the old primary")
+            return False
+        return await self._promote(case, choice, intent)
+
+    async def _promote(self, case: _Case, choice: Successor, intent: Intent) -> bool:
+        claimed = await self._authority.claim(case.service, choice.server.id, seen=intent)
+        if claimed is None:
+            log.info("takeover_left", service=case.service, detail="another proxy promotes")
+            return False
+        log.warning(
+            "promotion_asked",
+            service=case.service,
+            server=choice.server.id,
+            received=choice.received,
+            token=claimed.version,
+        )
+        result = await self._promotion.promote(
+            service=case.service,
+            server=choice.server.id,
+            holder=self._fleet.local.vm,
+            token=claimed.version,
+        )
+        self._telemetry.count("promotions", result=result)
+        if result in (PromotionResult.REFUSED, PromotionResult.BUSY):
+            return False
+        if await self._wait_for_lead(choice.server):
+            await self._authority.settle(case.service, seen=claimed)
+        return True
+
+    async def _wait_for_lead(self, server: ServerEntry) -> bool:
+        """Wait until a promoted server proves its lead."""
+        end = self._clock.monotonic() + LEAD_TIMEOUT_S
+        while self._clock.monotonic() < end:
+            await self._clock.sleep(LEAD_POLL_S)
+            if await self._gateways.prove(server):
+                log.warning("lead_changed", service=server.service, server=server.id)
+                return True
+        return False
+
+    def _is_proved_again(self, service: str) -> bool:
+        seen = self._observe(service, self._catalog.find_primary(service))
+        return find_trouble(seen) is None
+
+    def _build_candidate(self, entry: ServerEntry, status: ServerStatus) -> Candidate:
+        current = self._catalog.servers.entries.get(entry.id, entry)
+        eligible = not current.is_draining and not self._catalog.is_evacuated(current)
+        return Candidate(server=current, received=status.received, is_eligible=eligible)
+
+
+def _leads(status: ServerStatus) -> bool:
+    return status.role is ServerRole.PRIMARY
--- /dev/null
+++ b/lentilring/takeover/succession.py
@@ -0,0 +1,66 @@
+"""Which backend server may lead next without losing an acknowledged commit."""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from ..catalog.model import ServerEntry
+from ..statements.model import Position
+
+
+@dataclass(frozen=True, kw_only=True)
+class Candidate:
+    """Hold what a replica received before it was stopped from receiving."""
+
+    server: ServerEntry
+    received: Position
+    is_eligible: bool
+
+
+@dataclass(frozen=True, kw_only=True)
+class Successor:
+    """Name the server to promote."""
+
+    server: ServerEntry
+    received: Position
+
+
+@dataclass(frozen=True, kw_only=True)
+class Undecided:
+    """Say why no server can be promoted safely now."""
+
+    reason: str
+
+
+def choose_successor(
+    candidates: Collection[Candidate],
+    *,
+    replicas: Collection[str],
+    place_of_old: str,
+    intended: str = "",
+) -> Successor | Undecided:
+    """Return the eligible candidate that has everything that any replica received.
+
+    A commit is acknowledged once one replica has it, whichever that is. So all replicas must have
+    answered, after they were stopped from receiving, and the successor must be the furthest one.
+    An earlier promotion without an answer may still run, so its server is preferred.
+    """
+    answered = {candidate.server.id for candidate in candidates}
+    missing = sorted(set(replicas) - answered)
+    if missing:
+        return Undecided(reason=f"no answer from {','.join(missing)}")
+    if not candidates:
+        return Undecided(reason="no replica is registered")
+    furthest = max(candidate.received for candidate in candidates)
+    able = [entry for entry in candidates if entry.received == furthest and entry.is_eligible]
+    if not able:
+        return Undecided(reason="the furthest replica is leaving or evacuated")
+    # The old primary's failure domain has the gateway and the callers that wrote most.
+    best = min(
+        able,
+        key=lambda entry: (
+            entry.server.id != intended,
+            entry.server.failure_domain != place_of_old,
+            entry.server.id,
+        ),
+    )
+    return Successor(server=best.server, received=furthest)
