--- a/lentilring/catalog/service.py
+++ b/lentilring/catalog/service.py
@@ -2,20 +2,27 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 
 from ..clock import SuspensionClock
 from ..configuration.models import ClientAccount, hash_key
 from ..kernel import Service
+from ..limits.window import LimitWindow, fit_account
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
-from .follower import Follower
+from .follower import WATCH_WAIT_S, Follower
 from .leadership import Leadership
 from .model import DatabaseRoute, Manifest, ServerEntry, ServerTable
 from .source import Evacuation, Record, RecordKind, Records, RecordSource
 
 # Registrations that lapsed during an outage of the store are back within 2 s of its return.
 REMOVAL_DELAY_S = 2.5
+# The age of the configuration is known to this accuracy; withdrawn keys depend on it.
+MANIFEST_WAIT_S = 4.0
+# A proxy whose configuration was not confirmed for this part of its greatest age takes no new
+# callers, so that they go to proxies that know more.
+READY_AGE_FRACTION = 0.5
 
 log = Log(source="catalog")
 
@@ -33,12 +40,14 @@
         max_age_s: float,
         leaving_grace_s: float,
         evacuation_grace_s: float,
+        limit_window: LimitWindow | None = None,
     ) -> None:
         self.manifest: Manifest | None = None
         self.servers = ServerTable()
         self.evacuated: frozenset[str] = frozenset()
         self.leadership = Leadership()
         self._clock, self._max_age_s = clock, max_age_s
+        self._limit_window = limit_window
         self._leaving_grace_s = leaving_grace_s
         self._evacuation_grace_s = evacuation_grace_s
         self._draining_since: dict[str, float] = {}
@@ -51,6 +60,7 @@
             kind: RecordKind,
             replace_all: Callable[[Records], None],
             apply_changes: Callable[[Records], None],
+            wait_s: float = WATCH_WAIT_S,
         ) -> Follower:
             return Follower(
                 kind=kind,
@@ -60,9 +70,12 @@
                 telemetry=telemetry,
                 replace_all=replace_all,
                 apply_changes=apply_changes,
+                wait_s=wait_s,
             )
 
-        self._manifests = follow(RecordKind.MANIFEST, self._take_manifests, self._take_manifests)
+        self._manifests = follow(
+            RecordKind.MANIFEST, self._take_manifests, self._take_manifests, MANIFEST_WAIT_S
+        )
         self._registrations = follow(
             RecordKind.SERVERS, self._replace_servers, self._change_servers
         )
@@ -95,6 +108,10 @@
         """Tell whether no configuration older than the greatest age can be in use."""
         return self.manifest is not None and self.manifest_age_s() <= self._max_age_s
 
+    def is_current(self) -> bool:
+        """Tell whether the configuration was confirmed recently enough for new callers."""
+        return self.manifest_age_s() <= self._max_age_s * READY_AGE_FRACTION
+
     def manifest_age_s(self) -> float:
         """Return how long ago the store confirmed the configuration."""
         return self._manifests.confirmation_age_s()
@@ -158,6 +175,7 @@
                 continue
             if self.manifest is not None and manifest.version <= self.manifest.version:
                 continue
+            manifest = self._fit_limits(manifest)
             self._log_changed_limits(manifest)
             self.manifest = manifest
             log.info(
@@ -169,6 +187,13 @@
             )
             self._announce()
 
+    def _fit_limits(self, manifest: Manifest) -> Manifest:
+        window = self._limit_window
+        if window is None:
+            return manifest
+        fitted = {name: fit_account(entry, window) for name, entry in manifest.accounts.items()}
+        return replace(manifest, accounts=fitted)
+
     def _log_changed_limits(self, manifest: Manifest) -> None:
         for name, account in manifest.accounts.items():
             known = self.account(name)
--- a/lentilring/platform/boot.py
+++ b/lentilring/platform/boot.py
@@ -40,6 +40,9 @@
     outer_ms: float = 0
     grace_s: float = 6
     drain_ms: float = 7000
+    quota_window_s: float = 5
+    quota_overage: float = 0
+    quota_slack: float = 0
     evacuate_ms: float = 5000
 
 
@@ -87,6 +90,9 @@
         max_configuration_age_s=max(
             1.0, (bounds.config_apply_ms + bounds.outer_ms) / 1000 - AGE_MARGIN_S
         ),
+        limit_window_s=bounds.quota_window_s,
+        limit_overage=bounds.quota_overage,
+        limit_slack=bounds.quota_slack,
         leaving_grace_s=max(0.0, bounds.drain_ms / 1000 - WITHDRAWAL_MARGIN_S),
         evacuation_grace_s=max(0.0, bounds.evacuate_ms / 1000 - WITHDRAWAL_MARGIN_S),
         drain_timeout_s=max(0.5, bounds.grace_s - DRAIN_MARGIN_S),
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -15,7 +15,9 @@
 from .gateways.service import GatewayService
 from .http.probe import ProbeServer
 from .kernel import Kernel
+from .limits.allowance import LocalAllowance, TolerantLimiter
 from .limits.service import LimitService
+from .limits.window import LimitWindow
 from .outcomes import JsonValue
 from .peers.tcp import TcpTransport
 from .platform.objects import ObjectClient
@@ -116,6 +118,11 @@
         max_age_s=settings.max_configuration_age_s,
         leaving_grace_s=settings.leaving_grace_s,
         evacuation_grace_s=settings.evacuation_grace_s,
+        limit_window=LimitWindow(
+            length_s=settings.limit_window_s,
+            overage=settings.limit_overage,
+            slack=settings.limit_slack,
+        ),
     )
     fleet = FleetService(
         local=_describe_local(settings, incarnation),
@@ -168,7 +175,11 @@
     router = StatementRouter(
         catalog=catalog,
         dispatcher=dispatcher,
-        limits=limits,
+        limits=TolerantLimiter(
+            limits=limits,
+            allowance=LocalAllowance(clock=clock, count_proxies=lambda: len(fleet.members())),
+            telemetry=telemetry,
+        ),
         place=Place(failure_domain=settings.failure_domain, region=settings.region),
         regions=settings.regions,
         clock=clock,
--- a/lentilring/sessions/readiness.py
+++ b/lentilring/sessions/readiness.py
@@ -39,7 +39,7 @@
         ready = (
             not self._is_stopping
             and self._catalog.is_complete()
-            and self._catalog.is_fresh()
+            and self._catalog.is_current()
             and self._fleet.is_synchronized
         )
         if ready != self._was_ready:
--- a/lentilring/settings.py
+++ b/lentilring/settings.py
@@ -99,6 +99,15 @@
     max_configuration_age_s: Annotated[
         float, Check(gt=0, le=3600, description="unconfirmed configuration is refused after this")
     ] = 15.0
+    limit_window_s: Annotated[
+        float, Check(gt=0, le=3600, description="window of the accounts' limits, in seconds")
+    ] = 5.0
+    limit_overage: Annotated[
+        float, Check(ge=0, le=10, description="tolerance of the accounts' limits, relative")
+    ] = 0.0
+    limit_slack: Annotated[
+        float, Check(ge=0, le=1e6, description="tolerance of the accounts' limits, in requests")
+    ] = 0.0
     leaving_grace_s: Annotated[
         float, Check(ge=0, le=3600, description="work for a primary that leaves, in seconds")
     ] = 5.0
