Limit accounts by regional pools without leases on the prepared platform

Ruled out: the promotion (it was over in 1 s) and the servers (a tenth of their arrivals were refused). Conclusion: a part for each proxy that is heard needs no lease and loses only what is cut off.

--- a/lentilring/catalog/fleet.py
+++ b/lentilring/catalog/fleet.py
@@ -1,8 +1,10 @@
 """The service `fleet`: the proxies that registered in the store, and which of them answer."""
 
 import asyncio
+from collections.abc import Coroutine
 from dataclasses import dataclass, replace
 from random import Random
+from typing import Any
 
 from ..clock import SuspensionClock
 from ..kernel import Service
@@ -46,6 +48,7 @@
         self._members: tuple[ProxyEntry, ...] = (local,)
         self._suspicions: dict[str, Suspicion] = {}
         self._revision: int | None = None
+        self._revisions: dict[str, int] = {}
         self._follower = Follower(
             kind=RecordKind.PROXIES,
             source=source,
@@ -83,12 +86,25 @@
         """Register that this process takes no new work."""
         self._local = replace(self._local, is_leaving=True)
         self._rebuild()
-        self._tasks.append(asyncio.ensure_future(self._register()))
+        self._spawn(self._register())
 
     def members(self) -> tuple[ProxyEntry, ...]:
         """Return the proxies that take work, with the local one unless it leaves."""
         return self._members
 
+    def others(self) -> tuple[ProxyEntry, ...]:
+        """Return all other registered proxies, leaving ones among them."""
+        return tuple(self._entries.values())
+
+    def count_registered(self) -> int:
+        """Return the number of registered proxies, whether they answer or not."""
+        return 1 + len(self._entries)
+
+    def forget(self, entry: ProxyEntry, *, silence_s: float) -> None:
+        """Take a proxy off the register; one that still runs registers again."""
+        log.warning("proxy_forgotten", peer=entry.vm, silence_s=round(silence_s, 1))
+        self._spawn(self._forget(entry))
+
     def find(self, vm: str) -> ProxyEntry | None:
         """Return the registration of a VM."""
         return self._local if vm == self._local.vm else self._entries.get(vm)
@@ -120,6 +136,17 @@
         self._telemetry.count("peers_suspected")
         log.warning("peer_lost", peer=vm, for_s=wait_s, detail=detail)
 
+    async def _forget(self, entry: ProxyEntry) -> None:
+        try:
+            await self._source.forget(entry.vm, revision=self._revisions.get(entry.vm, 0))
+        except StoreUnavailable as error:
+            log.info("proxy_not_forgotten", peer=entry.vm, detail=error.detail)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.append(task)
+        task.add_done_callback(self._tasks.remove)
+
     async def _register(self) -> None:
         while True:
             try:
@@ -142,7 +169,12 @@
     def _put(self, record: Record) -> None:
         entry = record.value
         if record.name == self._local.vm:
+            if record.value is None and self._revision is not None:
+                log.warning("registration_removed", vm=record.name)
+                self._revision = None
+                self._spawn(self._register())
             return
+        self._revisions[record.name] = record.revision
         if not isinstance(entry, ProxyEntry):
             self._entries.pop(record.name, None)
             return
--- a/lentilring/catalog/source.py
+++ b/lentilring/catalog/source.py
@@ -73,6 +73,10 @@
         """Create or replace the entry of a proxy and return its revision."""
         ...
 
+    async def forget(self, vm: str, *, revision: int) -> None:
+        """Remove the entry of a proxy unless it has another revision by now."""
+        ...
+
 
 class HistoryForgotten(Exception):
     """Report that changes after a revision are no longer available; list again."""
--- a/lentilring/limits/limits.thrift
+++ b/lentilring/limits/limits.thrift
@@ -60,3 +60,26 @@
 struct ShareOffer {
   1: i32 share
 }
+
+struct TakeTokens {
+  1: string account,
+  2: i64 wanted,
+}
+
+struct TokensTaken {
+  1: i64 granted,
+  2: double retry_after_s,
+}
+
+struct LendTokens {
+  1: string account,
+  2: double wanted,
+}
+
+struct TokensLent {
+  1: double amount,
+}
+
+struct ProxyPresence {
+  1: i64 incarnation,
+}
--- a/lentilring/limits/messages.py
+++ b/lentilring/limits/messages.py
@@ -122,3 +122,46 @@
     """Offer a share that its holder has just released."""
 
     share: int
+
+
+@message
+@dataclass(frozen=True, kw_only=True)
+class TakeTokens:
+    """Ask a region's pool for whole tokens."""
+
+    account: str
+    wanted: int
+
+
+@message
+@dataclass(frozen=True, kw_only=True)
+class TokensTaken:
+    """Grant tokens; `retry_after_s` says when the next one is there."""
+
+    granted: int
+    retry_after_s: float = 0.0
+
+
+@message
+@dataclass(frozen=True, kw_only=True)
+class LendTokens:
+    """Ask the pool of another region for a loan."""
+
+    account: str
+    wanted: float
+
+
+@message
+@dataclass(frozen=True, kw_only=True)
+class TokensLent:
+    """Lend tokens."""
+
+    amount: float
+
+
+@message
+@dataclass(frozen=True, kw_only=True)
+class ProxyPresence:
+    """Tell a region's pool that its sender uses it."""
+
+    incarnation: int
--- /dev/null
+++ b/lentilring/limits/regional.py
@@ -0,0 +1,237 @@
+"""The service `limits` of session proxies: admits through the pool of the proxy's region."""
+
+import asyncio
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from ..catalog.fleet import FleetService
+from ..catalog.source import ProxyEntry
+from ..clock import Clock
+from ..configuration.models import ClientAccount
+from ..kernel import Service
+from ..outcomes import NotRun, RefusalReason
+from ..peers.transport import (
+    PeerAnswerLost,
+    PeerRejected,
+    PeerTransport,
+    PeerUnreachable,
+    Sender,
+)
+from ..placement import rank_members
+from ..telemetry.log import Log
+from ..telemetry.metrics import Telemetry
+from .allowance import LocalAllowance
+from .messages import LendTokens, ProxyPresence, TakeTokens, TokensLent, TokensTaken
+from .pools import RegionalPools
+
+PRESENCE_INTERVAL_S = 0.5
+# In a region an answer takes a few milliseconds; callers wait for it.
+TAKE_TIMEOUT_S = 0.15
+LEND_TIMEOUT_S = 0.25
+# Pools that had nothing to lend are not asked again at once.
+DRY_S = 0.2
+PREFETCH_S = 0.15
+STOCK_LIFETIME_S = 0.4
+DEMAND_MEMORY_S = 0.5
+# While an account is over its limit, its pool is asked again this often.
+OVER_LIMIT_S = 0.1
+# A registered proxy that its region has not heard for this long is taken off the register.
+GONE_S = 10.0
+
+log = Log(source="limits")
+
+
+@dataclass(kw_only=True)
+class _Stock:
+    """Hold an account's tokens at this proxy and its recent demand."""
+
+    tokens: int = 0
+    taken_at: float = 0.0
+    demand_per_s: float = 0.0
+    demand_at: float = 0.0
+    refused_until: float = 0.0
+
+
+class RegionalLimiter(Service):
+    """Admit operations; implements Limiter."""
+
+    def __init__(
+        self,
+        *,
+        fleet: FleetService,
+        transport: PeerTransport,
+        clock: Clock,
+        random: Random,
+        telemetry: Telemetry,
+        find_account: Callable[[str], ClientAccount | None],
+    ) -> None:
+        self._fleet, self._transport = fleet, transport
+        self._clock, self._random, self._telemetry = clock, random, telemetry
+        self._find_account = find_account
+        self.pools = RegionalPools(
+            clock=clock, local_vm=fleet.local.vm, count_registered=fleet.count_registered
+        )
+        self._allowance = LocalAllowance(clock=clock, count_proxies=fleet.count_registered)
+        self._stocks: dict[str, _Stock] = {}
+        self._dry_until: dict[str, float] = {}
+        self._borrowing: dict[str, asyncio.Task[None]] = {}
+        self._started_at = math.inf
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Answer peers and report to the region's pool."""
+        self._transport.handle(TakeTokens, self._handle_take)
+        self._transport.handle(LendTokens, self._handle_lend)
+        self._transport.handle_datagram(ProxyPresence, self._handle_presence)
+        self._started_at = self._clock.monotonic()
+        self._task = asyncio.ensure_future(self._run())
+
+    async def stop(self) -> None:
+        """End reporting."""
+        for task in [*self._borrowing.values(), *([self._task] if self._task else [])]:
+            task.cancel()
+
+    async def acquire(self, account: ClientAccount, *, timeout_s: float) -> NotRun | None:
+        """Admit one operation of an account; None: admitted."""
+        stock, now = self._stocks.setdefault(account.name, _Stock()), self._clock.monotonic()
+        self._note_demand(stock, now)
+        if now - stock.taken_at > STOCK_LIFETIME_S:
+            stock.tokens = 0
+        if stock.tokens > 0:
+            stock.tokens -= 1
+            return None
+        if now < stock.refused_until:
+            return self._refuse(account, stock.refused_until - now)
+        answer = await self._take(account, 1 + math.floor(stock.demand_per_s * PREFETCH_S))
+        if answer is None:
+            return self._admit_locally(account)
+        if answer.granted > 0:
+            stock.tokens += answer.granted - 1
+            stock.taken_at = self._clock.monotonic()
+            return None
+        wait_s = min(OVER_LIMIT_S, answer.retry_after_s)
+        stock.refused_until = self._clock.monotonic() + wait_s
+        return self._refuse(account, answer.retry_after_s)
+
+    async def take_here(self, account: ClientAccount, wanted: int) -> TokensTaken:
+        """Grant tokens of this proxy's pool; borrow from other regions when it is empty."""
+        granted = self.pools.take(account, wanted)
+        if granted == 0 and self._clock.monotonic() >= self._dry_until.get(account.name, 0.0):
+            await self._borrow(account)
+            granted = self.pools.take(account, 1)
+        retry_after_s = 0.0 if granted else self.pools.retry_after_s(account)
+        return TokensTaken(granted=granted, retry_after_s=retry_after_s)
+
+    def _admit_locally(self, account: ClientAccount) -> NotRun | None:
+        if self._allowance.take(account):
+            self._telemetry.count("limit_local_admissions")
+            return None
+        self._telemetry.count("limit_refusals", reason=RefusalReason.LIMIT_UNAVAILABLE)
+        return NotRun(reason=RefusalReason.LIMIT_UNAVAILABLE, retry_after_s=OVER_LIMIT_S)
+
+    def _refuse(self, account: ClientAccount, retry_after_s: float) -> NotRun:
+        self._telemetry.count("limit_refusals", reason=RefusalReason.RATE_EXCEEDED)
+        return NotRun(
+            reason=RefusalReason.RATE_EXCEEDED,
+            detail=f"client account {account.name}",
+            retry_after_s=retry_after_s,
+        )
+
+    def _note_demand(self, stock: _Stock, now: float) -> None:
+        kept = math.exp(-max(0.0, now - stock.demand_at) / DEMAND_MEMORY_S)
+        stock.demand_per_s = stock.demand_per_s * kept + 1 / DEMAND_MEMORY_S
+        stock.demand_at = now
+
+    async def _take(self, account: ClientAccount, wanted: int) -> TokensTaken | None:
+        """Ask the region's pool; None without an answer."""
+        holder = self._find_pool(self._fleet.local.region)
+        if holder is None or holder.vm == self._fleet.local.vm:
+            return await self.take_here(account, wanted)
+        request = TakeTokens(account=account.name, wanted=wanted)
+        answer = await self._call(holder, request, TAKE_TIMEOUT_S + LEND_TIMEOUT_S)
+        return answer if isinstance(answer, TokensTaken) else None
+
+    async def _borrow(self, account: ClientAccount) -> None:
+        """Ask the pools of other regions once; calls at one time share the loan."""
+        task = self._borrowing.get(account.name)
+        if task is None:
+            task = asyncio.ensure_future(self._borrow_now(account))
+            self._borrowing[account.name] = task
+            task.add_done_callback(lambda _: self._borrowing.pop(account.name, None))
+        await asyncio.shield(task)
+
+    async def _borrow_now(self, account: ClientAccount) -> None:
+        regions = sorted({member.region for member in self._fleet.members()})
+        others = [region for region in regions if region != self._fleet.local.region]
+        self._random.shuffle(others)
+        for region in others:
+            holder = self._find_pool(region)
+            if holder is None:
+                continue
+            request = LendTokens(account=account.name, wanted=self.pools.wanted_loan(account))
+            answer = await self._call(holder, request, LEND_TIMEOUT_S)
+            if isinstance(answer, TokensLent) and answer.amount > 0:
+                self.pools.deposit(account, answer.amount)
+            if self.pools.retry_after_s(account) <= 0.05:
+                return
+        self._dry_until[account.name] = self._clock.monotonic() + DRY_S
+
+    async def _call(self, holder: ProxyEntry, request: object, timeout_s: float) -> object | None:
+        try:
+            answer = await self._transport.call(holder.address, request, timeout_s=timeout_s)
+        except (PeerUnreachable, PeerAnswerLost, PeerRejected) as error:
+            self._telemetry.count("limit_call_failures", reason=type(error).__name__)
+            self._fleet.note_silence(holder.vm, str(error))
+            return None
+        self._fleet.note_answer(holder.vm)
+        return answer
+
+    def _find_pool(self, region: str) -> ProxyEntry | None:
+        """Return the proxy that holds a region's pools."""
+        members = [entry for entry in self._fleet.members() if entry.region == region]
+        ranked: list[ProxyEntry] = rank_members(f"limits-{region}", members)
+        ranked.sort(key=lambda entry: self._fleet.is_suspect(entry.vm))
+        return ranked[0] if ranked else None
+
+    async def _run(self) -> None:
+        while True:
+            holder = self._find_pool(self._fleet.local.region)
+            if holder is not None and holder.vm != self._fleet.local.vm:
+                presence = ProxyPresence(incarnation=self._fleet.local.incarnation)
+                self._transport.send_datagram(holder.address, presence)
+            elif holder is not None:
+                self._forget_gone_proxies()
+            await self._clock.sleep(PRESENCE_INTERVAL_S * self._random.uniform(0.9, 1.1))
+
+    def _forget_gone_proxies(self) -> None:
+        """Take proxies of this region off the register that it has not heard for long."""
+        now = self._clock.monotonic()
+        if now - self._started_at < GONE_S:
+            return
+        for entry in self._fleet.others():
+            if entry.region != self._fleet.local.region:
+                continue
+            silence_s = self.pools.silence_s(entry.vm)
+            if silence_s is None:
+                self.pools.hear(entry.vm)
+            elif silence_s >= GONE_S:
+                self._fleet.forget(entry, silence_s=silence_s)
+                self.pools.hear(entry.vm)
+
+    async def _handle_take(self, sender: Sender, request: TakeTokens) -> TokensTaken:
+        self.pools.hear(sender.vm)
+        account = self._find_account(request.account)
+        if account is None:
+            return TokensTaken(granted=0, retry_after_s=OVER_LIMIT_S)
+        return await self.take_here(account, request.wanted)
+
+    async def _handle_lend(self, sender: Sender, request: LendTokens) -> TokensLent:
+        account = self._find_account(request.account)
+        return TokensLent(
+            amount=0.0 if account is None else self.pools.lend(account, request.wanted)
+        )
+
+    def _handle_presence(self, sender: Sender, presence: ProxyPresence) -> None:
+        self.pools.hear(sender.vm)
--- a/lentilring/platform/records.py
+++ b/lentilring/platform/records.py
@@ -67,6 +67,13 @@
                 )
         return written.revision
 
+    async def forget(self, vm: str, *, revision: int) -> None:
+        """Remove the entry of a proxy unless it has another revision by now."""
+        try:
+            await self._objects.delete(KINDS[RecordKind.PROXIES], vm, revision=revision)
+        except ObjectConflict:
+            log.info("proxy_changed_meanwhile", vm=vm, revision=revision)
+
 
 class PlatformStore:
     """Implement Store for lentilring's own kinds; an object's version is its revision."""
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -9,14 +9,12 @@
 from .catalog.service import CatalogService
 from .catalog.source import ProxyEntry
 from .clock import BootClock
-from .configuration.models import LimitSettings
 from .gateways.dispatch import Dispatcher
 from .gateways.sampling import PositionSampler
 from .gateways.service import GatewayService
 from .http.probe import ProbeServer
 from .kernel import Kernel
-from .limits.allowance import LocalAllowance, TolerantLimiter
-from .limits.service import LimitService
+from .limits.regional import RegionalLimiter
 from .limits.window import LimitWindow
 from .outcomes import JsonValue
 from .peers.tcp import TcpTransport
@@ -40,9 +38,6 @@
 SECRET_NAME = "peers"
 SECRET_BYTES = 32
 SECRET_RETRY_S = 0.3
-# Long enough for outages of the store of some 10 s; a crashed holder's VM takes its share back.
-LEASE_DURATION_S = 30.0
-LEASE_MARGIN_S = 1.0
 DEFAULT_IDLE_S = 3.0
 
 log = Log(source="process")
@@ -131,18 +126,13 @@
         random=source,
         telemetry=telemetry,
     )
-    limits = LimitService(
+    limits = RegionalLimiter(
+        fleet=fleet,
+        transport=transport,
         clock=clock,
         random=source,
-        store=PlatformStore(objects=objects),
-        transport=transport,
         telemetry=telemetry,
-        membership=fleet,
         find_account=catalog.account,
-        limit_settings=LimitSettings,
-        list_accounts=catalog.accounts,
-        lease_duration_s=LEASE_DURATION_S,
-        lease_margin_s=LEASE_MARGIN_S,
     )
     gateways = GatewayService(
         vm=settings.vm,
@@ -175,11 +165,7 @@
     router = StatementRouter(
         catalog=catalog,
         dispatcher=dispatcher,
-        limits=TolerantLimiter(
-            limits=limits,
-            allowance=LocalAllowance(clock=clock, count_proxies=lambda: len(fleet.members())),
-            telemetry=telemetry,
-        ),
+        limits=limits,
         place=Place(failure_domain=settings.failure_domain, region=settings.region),
         regions=settings.regions,
         clock=clock,
