--- a/lentilring/catalog/fleet.py
+++ b/lentilring/catalog/fleet.py
@@ -1,8 +1,8 @@
 """The service `fleet`: the proxies that registered in the store, and which of them answer."""
 
 import asyncio
-from collections.abc import Coroutine
-from dataclasses import dataclass, replace
+from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from random import Random
 from typing import Any
 
@@ -15,21 +15,10 @@
 from .source import ProxyEntry, Record, RecordKind, Records, RecordSource
 
 REGISTER_RETRY_S = 0.5
-# A peer that missed an answer gets no new work for this time, doubled with each further miss.
-SUSPICION_S = 0.5
-MAX_SUSPICION_S = 4.0
 
 log = Log(source="fleet")
 
 
-@dataclass(frozen=True, kw_only=True)
-class Suspicion:
-    """Say until when a peer gets no work, and how long the next suspicion lasts."""
-
-    until: float
-    next_s: float
-
-
 class FleetService(Service):
     """Register this process and know the others; implements LimitMembership."""
 
@@ -46,7 +35,8 @@
         self._telemetry = telemetry
         self._entries: dict[str, ProxyEntry] = {}
         self._members: tuple[ProxyEntry, ...] = (local,)
-        self._suspicions: dict[str, Suspicion] = {}
+        self._suspects: set[str] = set()
+        self.on_suspected: Callable[[ProxyEntry], None] = _ignore_suspect
         self._revision: int | None = None
         self._revisions: dict[str, int] = {}
         self._follower = Follower(
@@ -115,26 +105,24 @@
         return entry is not None and entry.incarnation > incarnation
 
     def is_suspect(self, vm: str) -> bool:
-        """Tell whether a peer recently missed an answer."""
-        suspicion = self._suspicions.get(vm)
-        return suspicion is not None and self._clock.monotonic() < suspicion.until
+        """Tell whether a peer missed an answer and has given none since."""
+        return vm in self._suspects
 
     def note_answer(self, vm: str) -> None:
         """End the suspicion of a peer."""
-        if self._suspicions.pop(vm, None) is not None:
+        if vm in self._suspects:
+            self._suspects.discard(vm)
             log.info("peer_regained", peer=vm)
 
     def note_silence(self, vm: str, detail: str) -> None:
-        """Suspect a peer that did not answer."""
-        known = self._suspicions.get(vm)
-        if known is not None and self._clock.monotonic() < known.until:
+        """Suspect a peer that did not answer, until it answers a probe."""
+        entry = self._entries.get(vm)
+        if entry is None or vm in self._suspects:
             return
-        wait_s = SUSPICION_S if known is None else known.next_s
-        self._suspicions[vm] = Suspicion(
-            until=self._clock.monotonic() + wait_s, next_s=min(MAX_SUSPICION_S, 2 * wait_s)
-        )
+        self._suspects.add(vm)
         self._telemetry.count("peers_suspected")
-        log.warning("peer_lost", peer=vm, for_s=wait_s, detail=detail)
+        log.warning("peer_lost", peer=vm, detail=detail)
+        self.on_suspected(entry)
 
     async def _forget(self, entry: ProxyEntry) -> None:
         try:
@@ -180,7 +168,7 @@
             return
         known = self._entries.get(record.name)
         if known is None or known.incarnation != entry.incarnation:
-            self._suspicions.pop(record.name, None)
+            self._suspects.discard(record.name)
             log.info("peer_registered", peer=entry.vm, incarnation=entry.incarnation)
         self._entries[record.name] = entry
 
@@ -188,3 +176,7 @@
         known = [self._local, *self._entries.values()]
         usable = [entry for entry in known if not entry.is_leaving]
         self._members = tuple(sorted(usable, key=lambda entry: entry.vm))
+
+
+def _ignore_suspect(entry: ProxyEntry) -> None:
+    """Stand in until a prober is registered."""
--- a/lentilring/catalog/service.py
+++ b/lentilring/catalog/service.py
@@ -53,6 +53,7 @@
         self._draining_since: dict[str, float] = {}
         self._evacuated_since: dict[str, float] = {}
         self._leaving: dict[str, asyncio.TimerHandle] = {}
+        self._waiters: list[asyncio.Future[None]] = []
         self._callbacks: list[Callable[[], None]] = []
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -99,6 +100,21 @@
         """Call back after each change."""
         self._callbacks.append(callback)
 
+    def store_answers(self) -> bool:
+        """Tell whether the store answered the last call of a follower."""
+        followers = (self._manifests, self._registrations, self._evacuations)
+        return any(entry.failed_at < entry.confirmed_at for entry in followers) or all(
+            entry.failed_at == float("-inf") for entry in followers
+        )
+
+    async def wait_for_change(self, *, timeout_s: float) -> None:
+        """Wait for the next change, but no longer than a time."""
+        waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        await asyncio.wait({waiter}, timeout=timeout_s)
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+
     def is_complete(self) -> bool:
         """Tell whether a configuration, registrations and evacuations are known."""
         followers = (self._registrations, self._evacuations)
@@ -287,6 +303,10 @@
         self._announce()
 
     def _announce(self) -> None:
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
         for callback in self._callbacks:
             callback()
 
--- a/lentilring/gateways/dispatch.py
+++ b/lentilring/gateways/dispatch.py
@@ -7,7 +7,7 @@
 from ..catalog.source import ProxyEntry
 from ..clock import SuspensionClock
 from ..kernel import Service
-from ..peers.transport import PeerAnswerLost, PeerRejected, PeerTransport, PeerUnreachable
+from ..peers.transport import PeerAnswerLost, PeerRejected, PeerUnreachable
 from ..statements.model import Failure
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
@@ -21,6 +21,7 @@
     Work,
 )
 from .placement import rank_gateways
+from .probing import PeerProber
 from .service import GatewayService
 
 # The gateway answers within the statement's time; the way there and back takes a little more.
@@ -54,11 +55,11 @@
         *,
         fleet: FleetService,
         gateways: GatewayService,
-        transport: PeerTransport,
+        prober: PeerProber,
         clock: SuspensionClock,
         telemetry: Telemetry,
     ) -> None:
-        self._fleet, self._gateways, self._transport = fleet, gateways, transport
+        self._fleet, self._gateways, self._prober = fleet, gateways, prober
         self._clock, self._telemetry = clock, telemetry
         self._cut_off_until: dict[tuple[str, str], float] = {}
 
@@ -103,8 +104,8 @@
         if gateway.vm == self._fleet.local.vm:
             return Dispatched(answer=await self._gateways.run(request), gateway=gateway)
         try:
-            answer = await self._transport.call(
-                gateway.address, request, timeout_s=request.timeout_s + ANSWER_MARGIN_S
+            answer = await self._prober.call(
+                gateway, request, timeout_s=request.timeout_s + ANSWER_MARGIN_S
             )
         except PeerUnreachable as error:
             self._note_failure(gateway, request, "unreachable", error.detail)
@@ -126,8 +127,8 @@
             await self._gateways.end_transaction(transaction)
             return
         try:
-            await self._transport.call(
-                gateway.address, EndTransaction(transaction=transaction), timeout_s=END_TIMEOUT_S
+            await self._prober.call(
+                gateway, EndTransaction(transaction=transaction), timeout_s=END_TIMEOUT_S
             )
         except (PeerUnreachable, PeerAnswerLost, PeerRejected) as error:
             log.info("transaction_end_unconfirmed", transaction=transaction, detail=error)
@@ -147,7 +148,7 @@
         if gateway.vm == self._fleet.local.vm:
             return await self._gateways.ask_position(request)
         try:
-            answer = await self._transport.call(gateway.address, request, timeout_s=timeout_s)
+            answer = await self._prober.call(gateway, request, timeout_s=timeout_s)
         except (PeerUnreachable, PeerAnswerLost, PeerRejected) as error:
             self._fleet.note_silence(gateway.vm, str(error))
             return None
--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -30,6 +30,8 @@
 ABANDONED_MARGIN_S = 1.0
 # A lead is proved without a slot; a slower answer counts as a missing one.
 PROOF_TIMEOUT_S = 0.35
+# New work does not wait in vain for a server that takes no connection; proofs try it meanwhile.
+UNREACHABLE_S = 0.4
 # One lost answer says nothing of the commits after it.
 MIN_FAILED_COMMITS = 2
 # A planned change of the primary takes about half a second.
@@ -111,6 +113,7 @@
         self._held: asyncio.Event | None = None
         self._commits_fail_since: float | None = None
         self._failed_commits = 0
+        self._unreachable_until = 0.0
 
     async def run(self, request: RunStatement) -> RunResult:
         """Run one statement and tell truthfully whether it can have run."""
@@ -126,6 +129,9 @@
                     return _fail(Failure.NOT_PRIMARY, "another server leads now")
             if (refusal := self._refuse_new_work(self.server)) is not None:
                 return RunResult(outcome=refusal)
+            if self._clock.monotonic() < self._unreachable_until:
+                result = _fail(Failure.OVERLOADED, "the server did not take a connection lately")
+                return replace(result, is_unreachable=True)
         rank = IN_TRANSACTION if request.transaction else 1 + request.priority
         refused = await self.slots.acquire(
             request.account, rank=rank, patience_s=min(request.patience_s, request.timeout_s)
@@ -158,6 +164,7 @@
             connection = await self.pool.take(account, timeout_s=PROOF_TIMEOUT_S)
         except (ServerUnreachable, ServerRefused):
             return None
+        self._unreachable_until = 0.0
         try:
             reply = await self._begin(
                 connection, read_only=False, after=None, timeout_s=PROOF_TIMEOUT_S
@@ -231,6 +238,7 @@
         except ServerRefused as error:
             return self._end_broken(attempt, error.failure, error.detail)
         except ServerUnreachable as error:
+            self._unreachable_until = self._clock.monotonic() + UNREACHABLE_S
             result = self._end_broken(attempt, Failure.OVERLOADED, error.detail)
             return replace(result, is_unreachable=attempt.transaction is None)
         except ServerLost as error:
--- a/lentilring/gateways/gateways.thrift
+++ b/lentilring/gateways/gateways.thrift
@@ -58,3 +58,11 @@
   3: double age_s,
   4: double commit_silence_s,
 }
+
+struct Ping {
+  1: i64 incarnation,
+}
+
+struct Pong {
+  1: i64 incarnation,
+}
--- a/lentilring/gateways/messages.py
+++ b/lentilring/gateways/messages.py
@@ -101,6 +101,22 @@
     known: bool
 
 
+@message
+@dataclass(frozen=True, kw_only=True)
+class Ping:
+    """Ask whether a peer answers."""
+
+    incarnation: int
+
+
+@message
+@dataclass(frozen=True, kw_only=True)
+class Pong:
+    """Answer a ping."""
+
+    incarnation: int
+
+
 @message
 @dataclass(frozen=True, kw_only=True)
 class AskPosition:
--- a/lentilring/gateways/pool.py
+++ b/lentilring/gateways/pool.py
@@ -18,7 +18,8 @@
     ServerUnreachable,
 )
 
-CONNECT_TIMEOUT_S = 1.0
+# A handshake waits for a slot; with a full queue that is some 0.2 s.
+CONNECT_TIMEOUT_S = 0.5
 # Statements without a slot answer within a round trip.
 CONTROL_TIMEOUT_S = 1.0
 # A closed connection counts at the server until its end arrives there.
--- /dev/null
+++ b/lentilring/gateways/probing.py
@@ -0,0 +1,90 @@
+"""Probes of peers that missed an answer, and of peers that take long to give one."""
+
+import asyncio
+
+from ..catalog.fleet import FleetService
+from ..catalog.source import ProxyEntry
+from ..clock import Clock
+from ..kernel import Service
+from ..peers.transport import (
+    PeerAnswerLost,
+    PeerRejected,
+    PeerTransport,
+    PeerUnreachable,
+    Sender,
+)
+from ..telemetry.log import Log
+from .messages import Ping, Pong
+
+# Ten times the way between regions; an answer within it needs no slot and no server.
+PING_TIMEOUT_S = 0.3
+PING_INTERVAL_S = 0.4
+MAX_PING_INTERVAL_S = 2.0
+# A call without an answer for this long is followed by a probe of the peer.
+PATIENCE_S = 0.3
+
+log = Log(source="peers")
+
+
+class PeerProber(Service):
+    """Find out whether peers are there, so that callers' statements need not."""
+
+    def __init__(self, *, fleet: FleetService, transport: PeerTransport, clock: Clock) -> None:
+        self._fleet, self._transport, self._clock = fleet, transport, clock
+        self._probes: dict[str, asyncio.Task[None]] = {}
+        fleet.on_suspected = self._begin
+
+    async def start(self) -> None:
+        """Answer probes."""
+        self._transport.handle(Ping, self._answer)
+
+    async def stop(self) -> None:
+        """End probing."""
+        for task in self._probes.values():
+            task.cancel()
+
+    async def call(self, peer: ProxyEntry, request: object, *, timeout_s: float) -> object:
+        """Call a peer, but give up early when it does not answer a probe either.
+
+        Raise PeerUnreachable, PeerAnswerLost or PeerRejected.
+        """
+        call = asyncio.ensure_future(
+            self._transport.call(peer.address, request, timeout_s=timeout_s)
+        )
+        try:
+            while True:
+                done, _ = await asyncio.wait({call}, timeout=PATIENCE_S)
+                if done:
+                    return call.result()
+                if not await self._ping(peer) and not call.done():
+                    raise PeerAnswerLost(address=peer.address, detail="no answer to a probe")
+        finally:
+            if not call.done():
+                call.cancel()
+
+    def _begin(self, peer: ProxyEntry) -> None:
+        if peer.vm not in self._probes:
+            task = asyncio.ensure_future(self._probe(peer))
+            self._probes[peer.vm] = task
+            task.add_done_callback(lambda _: self._probes.pop(peer.vm, None))
+
+    async def _probe(self, peer: ProxyEntry) -> None:
+        """Ping until the peer answers or its registration changes."""
+        interval_s = PING_INTERVAL_S
+        while self._fleet.is_suspect(peer.vm) and self._fleet.find(peer.vm) == peer:
+            if await self._ping(peer):
+                self._fleet.note_answer(peer.vm)
+                return
+            await self._clock.sleep(interval_s)
+            interval_s = min(MAX_PING_INTERVAL_S, 1.5 * interval_s)
+
+    async def _ping(self, peer: ProxyEntry) -> bool:
+        ping = Ping(incarnation=self._fleet.local.incarnation)
+        try:
+            await self._transport.call(peer.address, ping, timeout_s=PING_TIMEOUT_S)
+        except (PeerUnreachable, PeerAnswerLost, PeerRejected):
+            return False
+        return True
+
+    async def _answer(self, sender: Sender, ping: Ping) -> Pong:
+        return Pong(incarnation=self._fleet.local.incarnation)
--- a/lentilring/limits/window.py
+++ b/lentilring/limits/window.py
@@ -4,9 +4,12 @@
 
 from ..configuration.models import ClientAccount
 
-# Requests are counted where they arrive, up to half a second after their admission, so a full
-# window may hold a tenth more of them than were admitted within its length.
-ARRIVAL_MARGIN = 0.1
+# Requests are counted where they arrive, up to 0.4 s after their admission, so a full window may
+# hold this much more than was admitted within its length.
+ARRIVAL_MARGIN = 0.08
+# A smaller burst leaves more of a window's requests to the sustained rate.
+BURST_FRACTION = 0.25
+MIN_BURST = 8.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -25,8 +28,10 @@
 def fit_account(account: ClientAccount, window: LimitWindow) -> ClientAccount:
     """Return an account whose bucket admits nearly what the operator allows in each window.
 
-    A bucket of the plain rate would refuse requests that are within the operator's limit.
+    The operator allows a burst in each window. A bucket that admits it once, and the plain rate
+    from then on, refuses requests of a busy account that are within its limit.
     """
     allowed = window.count_allowed(account.rate_per_s, account.burst) * (1 - ARRIVAL_MARGIN)
-    rate_per_s = max(account.rate_per_s, (allowed - account.burst) / window.length_s)
-    return replace(account, rate_per_s=rate_per_s)
+    burst = min(account.burst, max(MIN_BURST, account.burst * BURST_FRACTION))
+    rate_per_s = max(account.rate_per_s, (allowed - burst) / window.length_s)
+    return replace(account, rate_per_s=rate_per_s, burst=burst)
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -10,6 +10,7 @@
 from .catalog.source import ProxyEntry
 from .clock import BootClock
 from .gateways.dispatch import Dispatcher
+from .gateways.probing import PeerProber
 from .gateways.sampling import PositionSampler
 from .gateways.service import GatewayService
 from .http.probe import ProbeServer
@@ -39,6 +40,8 @@
 SECRET_BYTES = 32
 SECRET_RETRY_S = 0.3
 DEFAULT_IDLE_S = 3.0
+# Ten times the way between regions, which the handshake takes twice.
+PEER_CONNECT_TIMEOUT_S = 0.5
 
 log = Log(source="process")
 
@@ -104,6 +107,7 @@
         deployment=DEPLOYMENT,
         secret=secret.encode(),
         telemetry=telemetry,
+        connect_timeout_s=PEER_CONNECT_TIMEOUT_S,
     )
     catalog = CatalogService(
         source=records,
@@ -144,8 +148,9 @@
         random=source,
         telemetry=telemetry,
     )
+    prober = PeerProber(fleet=fleet, transport=transport, clock=clock)
     dispatcher = Dispatcher(
-        fleet=fleet, gateways=gateways, transport=transport, clock=clock, telemetry=telemetry
+        fleet=fleet, gateways=gateways, prober=prober, clock=clock, telemetry=telemetry
     )
     sampler = PositionSampler(
         catalog=catalog, gateways=gateways, dispatcher=dispatcher, clock=clock, telemetry=telemetry
@@ -192,6 +197,7 @@
         "fleet": fleet,
         "limits": limits,
         "gateways": gateways,
+        "prober": prober,
         "dispatcher": dispatcher,
         "positions": sampler,
         "promotion": promotion,
--- a/lentilring/sessions/router.py
+++ b/lentilring/sessions/router.py
@@ -29,6 +29,9 @@
 # A statement that waits longer for a slot than this part of its objective is refused at once.
 PATIENCE_FRACTION = 0.5
 MAX_ATTEMPTS = 4
+# The rest of a statement's time is left for its run.
+TAKEOVER_PATIENCE_FRACTION = 0.8
+PRIMARY_POLL_S = 0.1
 NO_PRIMARY_RETRY_S = 0.3
 STALE_RETRY_S = 1.0
 
@@ -235,12 +238,15 @@
         call: StatementCall,
         opening: Opening,
     ) -> Dispatched:
-        last, tried = None, set()
-        for _ in range(MAX_ATTEMPTS):
+        last = None
+        deadline = self._clock.monotonic() + admission.route.statement_timeout_s
+        patient_until = self._clock.monotonic() + self._find_patience(admission)
+        while True:
             server = self._catalog.find_primary(admission.route.service)
-            if server is None or server.id in tried or not self._is_allowed(admission, server):
-                break
-            tried.add(server.id)
+            if server is None or not self._is_allowed(admission, server):
+                if not await self._await_primary(patient_until):
+                    break
+                continue
             request = self._build(
                 context,
                 admission,
@@ -248,17 +254,41 @@
                 server.id,
                 opening,
                 proves_lead=call.work is Work.READ and opening is Opening.NONE,
+                timeout_s=max(0.01, deadline - self._clock.monotonic()),
             )
             last = await self._try(admission, call, server, request)
-            failure = last.answer.failure
-            if failure == Failure.NOT_PRIMARY:
-                entry = self._catalog.servers.entries.get(server.id, server)
-                self._catalog.leadership.note_denial(entry)
-                log.info("primary_denied", service=server.service, server=server.id)
-            elif failure != Failure.WRONG_SERVER:
+            if not self._lacks_primary(server, last.answer):
                 return last
+            if not await self._await_primary(patient_until):
+                break
         return last or self._refuse(admission, "no primary is known")
 
+    def _lacks_primary(self, server: ServerEntry, answer: StatementAnswer) -> bool:
+        """Tell whether a statement has not run for want of a primary."""
+        if answer.failure == Failure.NOT_PRIMARY:
+            entry = self._catalog.servers.entries.get(server.id, server)
+            self._catalog.leadership.note_denial(entry)
+            log.info("primary_denied", service=server.service, server=server.id)
+            return True
+        return answer.is_unreachable or answer.failure == Failure.WRONG_SERVER
+
+    def _find_patience(self, admission: Admission) -> float:
+        """Return how long a statement may wait for another primary.
+
+        While the store answers, a takeover is over within about 2 s; without it there is none.
+        """
+        if not self._catalog.store_answers():
+            return 0.0
+        return admission.route.statement_timeout_s * TAKEOVER_PATIENCE_FRACTION
+
+    async def _await_primary(self, until: float) -> bool:
+        """Wait a moment for another primary; False when there is no time left."""
+        remaining_s = until - self._clock.monotonic()
+        if remaining_s <= 0:
+            return False
+        await self._catalog.wait_for_change(timeout_s=min(PRIMARY_POLL_S, remaining_s))
+        return True
+
     async def _try(
         self, admission: Admission, call: StatementCall, server: ServerEntry, request: RunStatement
     ) -> Dispatched:
