--- a/lentilring/gateways/service.py
+++ b/lentilring/gateways/service.py
@@ -78,6 +78,10 @@
         """Return the servers that this proxy is the gateway of at present."""
         return [gateway.server for gateway in self._gateways.values()]
 
+    def count_transactions(self) -> int:
+        """Return the transactions that are open at this proxy's gateways."""
+        return sum(len(gateway.transactions) for gateway in self._gateways.values())
+
     async def run(self, request: RunStatement) -> StatementAnswer:
         """Run a statement on a backend server through its gateway here."""
         server = self._catalog.servers.entries.get(request.server)
--- a/lentilring/sessions/listener.py
+++ b/lentilring/sessions/listener.py
@@ -186,6 +186,9 @@
                     return
         except (OSError, EOFError, TimeoutError) as error:
             log.debug("session_lost", detail=repr(error))
+        except asyncio.CancelledError:
+            # The listener stops; asyncio would log the cancelled callback as an error.
+            log.debug("session_cancelled")
         finally:
             if self._session is not None:
                 self._session.abandon()
--- /dev/null
+++ b/lentilring/standin/prepared/servers.py
@@ -0,0 +1,310 @@
+"""Stand-ins of the platform's backend servers: a primary and replicas with lag and faults."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+Position = tuple[int, int]
+NOWHERE: Position = (1, 0)
+
+
+@dataclass(kw_only=True)
+class ServerFaults:
+    """Switch faults on; `lose_answers` statements run without an answer."""
+
+    silent: bool = False
+    refuses_connections: bool = False
+    lose_answers: int = 0
+    busy: bool = False
+
+
+@dataclass(frozen=True, kw_only=True)
+class Run:
+    """Record a caller's statement as a server ran it."""
+
+    request_id: str
+    text: str
+    account: str
+    server: str
+    in_transaction: bool
+    values: tuple[tuple[str, str], ...]
+    shape: str = ""
+
+
+@dataclass(kw_only=True, eq=False)
+class StandinServer:
+    """Serve one copy of a database on a loopback port."""
+
+    id: str
+    zone: str
+    group: "ServerGroup"
+    faults: ServerFaults = field(default_factory=ServerFaults)
+    received: Position = NOWHERE
+    paused_term: int = 0
+    address: str = ""
+    opened: int = 0
+    _server: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    @property
+    def leads(self) -> bool:
+        """Tell whether this server is the primary."""
+        return self.group.leader is self
+
+    @property
+    def applied(self) -> Position:
+        """Return the position that reads see."""
+        return self.received if self.leads else self.group.applied_by(self)
+
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, host, port, limit=4 * 1024 * 1024)
+        bound = self._server.sockets[0].getsockname()
+        self.address = f"{bound[0]}:{bound[1]}"
+
+    async def stop(self) -> None:
+        """Stop like a crash: all connections break."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.faults.refuses_connections:
+            writer.transport.abort()
+            return
+        self._writers.add(writer)
+        self.opened += 1
+        try:
+            await _Connection(server=self, reader=reader, writer=writer).serve()
+        except (OSError, EOFError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+
+class ServerGroup:
+    """Join the copies of one database; commits reach replicas at once unless they are paused."""
+
+    def __init__(self, *, service: str, zones: tuple[str, ...], lag_s: float = 0.0) -> None:
+        self.service, self.lag_s = service, lag_s
+        self.runs: list[Run] = []
+        self.term = 1
+        self.servers = [
+            StandinServer(id=f"i-{service}-{index}", zone=zone, group=self)
+            for index, zone in enumerate(zones)
+        ]
+        self.leader: StandinServer | None = self.servers[0]
+        self.items: dict[str, str] = {}
+        self._applied: dict[str, Position] = {}
+
+    async def start(self) -> None:
+        """Start all servers."""
+        for server in self.servers:
+            await server.start()
+
+    async def stop(self) -> None:
+        """Stop all servers."""
+        for server in self.servers:
+            await server.stop()
+
+    def entry(self, server: StandinServer, *, state: str = "ready") -> dict[str, object]:
+        """Return what a server registers."""
+        return {
+            "service": self.service,
+            "address": server.address,
+            "zone": server.zone,
+            "version": "v1",
+            "capacity": 2,
+            "state": state,
+            "cold-remaining-ms": 0,
+            "db-role": "primary" if server.leads else "replica",
+            "sequence": 1,
+            "born": 1,
+        }
+
+    def find(self, server: str) -> StandinServer:
+        """Return a server by its id."""
+        return next(entry for entry in self.servers if entry.id == server)
+
+    def promote(self, server: str) -> None:
+        """Let a server lead the next term with what it has received."""
+        self.leader = self.find(server)
+        self.term += 1
+        for entry in self.servers:
+            entry.paused_term = 0
+            entry.received = min(entry.received, self.leader.received)
+
+    def commit(self) -> Position | None:
+        """Append a commit; None if no replica receives it."""
+        assert self.leader is not None
+        position = (self.term, self.leader.received[1] + 1)
+        self.leader.received = position
+        receiving = [
+            entry for entry in self.servers if entry is not self.leader and not entry.paused_term
+        ]
+        for entry in receiving:
+            entry.received = position
+            if not self.lag_s:
+                self._applied[entry.id] = position
+            else:
+                loop = asyncio.get_running_loop()
+                loop.call_later(self.lag_s, self._apply, entry.id, position)
+        return position if receiving else None
+
+    def applied_by(self, server: StandinServer) -> Position:
+        """Return what a replica has applied."""
+        return min(self._applied.get(server.id, NOWHERE), server.received)
+
+    def _apply(self, server: str, position: Position) -> None:
+        self._applied[server] = max(self._applied.get(server, NOWHERE), position)
+
+
+class _Connection:
+    def __init__(
+        self,
+        *,
+        server: StandinServer,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._server, self._group = server, server.group
+        self._reader, self._writer = reader, writer
+        self._state, self._read_only = "I", False
+        self._lead_term = 0
+        self._account = ""
+        self._wrote = False
+        self._values: dict[str, str] = {}
+        self._prepared: dict[str, tuple[str, str]] = {}
+
+    async def serve(self) -> None:
+        start = (await self._reader.readuntil(b"\n")).decode().split()
+        if len(start) < 4 or start[1] != self._group.service or start[3] != self._server.id:
+            self._writer.write(b"ERROR MISROUTED other server\r\n")
+            return
+        self._account = start[2]
+        self._send_ready()
+        while True:
+            line = (await self._reader.readuntil(b"\n")).decode().rstrip("\r\n")
+            if self._server.faults.silent:
+                continue
+            word, _, rest = line.partition(" ")
+            if word != "QUERY":
+                return
+            request_id, _, text = rest.partition(" ")
+            await self._query(request_id, text)
+
+    async def _query(self, request_id: str, text: str) -> None:
+        error = self._run(request_id, text)
+        if self._server.faults.lose_answers > 0 and request_id != "-":
+            self._server.faults.lose_answers -= 1
+            return
+        if error is None:
+            return
+        if error == "":
+            proof = "-" if request_id == "-" else f"proof.{self._server.id}.{request_id}"
+            self._writer.write(f"COMPLETE {proof}\r\n".encode())
+        else:
+            if self._state == "T":
+                self._state = "E"
+            self._writer.write(f"ERROR {error} {self._server.id}\r\n".encode())
+        self._send_ready()
+
+    def _run(self, request_id: str, text: str) -> str | None:
+        """Run a statement; return its error, empty for none, None for no answer."""
+        word, _, rest = text.partition(" ")
+        if word == "AFTERLSN":
+            wanted, _, text = rest.partition(" ")
+            term, _, number = wanted.partition(".")
+            if self._server.applied < (int(term), int(number)):
+                return "LAGGING"
+            word, _, rest = text.partition(" ")
+        if word in ("SET", "PREPARE", "RESET", "STATUS", "PAUSE", "RESUME"):
+            return self._run_control(word, rest)
+        if self._state == "E" and word != "ROLLBACK":
+            return "MALFORMED"
+        if word == "BEGIN":
+            return self._begin(read_only=bool(rest))
+        if word == "ROLLBACK":
+            self._state, self._wrote = "I", False
+            return ""
+        return self._run_caller(request_id, text, word, rest)
+
+    def _run_caller(self, request_id: str, text: str, word: str, rest: str) -> str | None:
+        if self._server.faults.busy:
+            return "BUSY"
+        shape = ""
+        writes = word == "WRITE"
+        if word == "EXECUTE":
+            name = rest.split(" ")[0]
+            if name not in self._prepared:
+                return "NOSTMT"
+            kind, shape = self._prepared[name]
+            writes = kind == "WRITE"
+        lost_lead = self._state == "T" and not self._read_only and not self._leads_still()
+        if (writes and not self._leads_still()) or (lost_lead and word != "COMMIT"):
+            return "READONLY"
+        if lost_lead and self._wrote:
+            return "READONLY"
+        self._group.runs.append(
+            Run(
+                request_id=request_id,
+                text=text,
+                account=self._account,
+                server=self._server.id,
+                in_transaction=self._state == "T",
+                values=tuple(sorted(self._values.items())),
+                shape=shape,
+            )
+        )
+        return self._finish(word, rest, writes, reads=word in ("READ", "EXECUTE") and not writes)
+
+    def _finish(self, word: str, rest: str, writes: bool, *, reads: bool) -> str | None:
+        if word == "COMMIT":
+            self._state = "I"
+            writes, self._wrote = self._wrote, False
+        elif self._state == "T":
+            self._wrote = self._wrote or writes
+            writes = False
+        if writes and self._group.commit() is None:
+            return None
+        if reads:
+            self._writer.write(f"DATAROW {self._group.items.get(rest, 'empty')}\r\n".encode())
+        return ""
+
+    def _begin(self, *, read_only: bool) -> str:
+        if not read_only and not self._server.leads:
+            return "READONLY"
+        self._state, self._read_only, self._lead_term = "T", read_only, self._group.term
+        return ""
+
+    def _leads_still(self) -> bool:
+        if self._state == "T" and not self._read_only and self._lead_term != self._group.term:
+            return False
+        return self._server.leads
+
+    def _run_control(self, word: str, rest: str) -> str:
+        if word == "SET":
+            name, _, value = rest.partition(" ")
+            self._values[name] = value
+        elif word == "PREPARE":
+            name, kind, shape = rest.split(" ", 2)
+            self._prepared[name] = (kind, shape)
+        elif word == "RESET":
+            self._values.clear()
+            self._prepared.clear()
+        else:
+            if word == "PAUSE":
+                self._server.paused_term = int(rest)
+            elif word == "RESUME":
+                self._server.paused_term = 0
+            role = "primary" if self._server.leads else "replica"
+            term, number = self._server.received
+            held = self._server.paused_term
+            row = f"DATAROW {role} {self._group.term} {term}.{number} {held} 0 0 1\r\n"
+            self._writer.write(row.encode())
+        return ""
+
+    def _send_ready(self) -> None:
+        term, number = self._server.applied
+        self._writer.write(f"READY {self._state} {term}.{number}\r\n".encode())
--- /dev/null
+++ b/tests/prepared.py
@@ -0,0 +1,233 @@
+"""A prepared platform on loopback with stand-ins and several proxies in one process."""
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator, Callable, Coroutine
+from contextlib import asynccontextmanager
+from typing import Any
+
+from lentilring.kernel import Kernel
+from lentilring.platform.objects import ObjectClient
+from lentilring.session_process import register_session_services
+from lentilring.sessions.readiness import SessionReadiness
+from lentilring.settings import SessionProxySettings
+from lentilring.standin.prepared.servers import ServerGroup, StandinServer
+from lentilring.standin.prepared.store import PreparedStore
+from lentilring.telemetry.metrics import Telemetry
+
+ZONES = ("casa-a", "mrk-a", "fes-a")
+REGIONS = {"casa-a": "casablanca", "mrk-a": "marrakech", "fes-a": "fes"}
+SECRET = "a secret of the tests"
+READY_WITHIN_S = 10.0
+
+
+def find_free_port() -> int:
+    """Return a port that is free for TCP and UDP."""
+    while True:
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            tcp.bind(("127.0.0.1", 0))
+            port = tcp.getsockname()[1]
+            try:
+                udp.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return int(port)
+
+
+def build_route(name: str, kind: str, *, service: str = "rental", **others: Any) -> dict[str, Any]:
+    return {
+        "name": f"r-{name}",
+        "host": name,
+        "path-prefix": "/",
+        "type": kind,
+        "timeout-ms": 1500,
+        "target-latency-ms": 800,
+        "priority": 1,
+        "service": service,
+        "max-attempts": 2,
+        "max-staleness-ms": 1500,
+        "allow-anonymous": False,
+        "allowed-regions": [],
+        **others,
+    }
+
+
+def build_manifest(version: int = 1, **others: Any) -> dict[str, Any]:
+    return {
+        "version": version,
+        "routes": [
+            build_route("booking", "primary"),
+            build_route("stock", "bounded_staleness"),
+            build_route("delivery", "read_your_writes"),
+        ],
+        "services": [{"name": "rental", "max-connections": 16, "sync-replicas": 1}],
+        "limits": {"tx-idle-ms": 3000, "max-body-bytes": 262144},
+        "tenants": [
+            {"name": "planner", "api-keys": ["plan-key"], "rate-per-s": 200, "burst": 200},
+            {"name": "crew", "api-keys": ["crew-key"], "rate-per-s": 200, "burst": 200},
+        ],
+        **others,
+    }
+
+
+class SessionClient:
+    """Speak the statement protocol as a caller does."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._reader, self._writer = reader, writer
+        self._number = 0
+
+    @classmethod
+    async def open(cls, address: str, database: str, key: str) -> "SessionClient":
+        host, _, port = address.rpartition(":")
+        client = cls(*await asyncio.open_connection(host, int(port)))
+        client.send(f"START {database} {key}")
+        client.greeting = await client.read_line()
+        return client
+
+    greeting = ""
+
+    def send(self, line: str) -> None:
+        self._writer.write(line.encode() + b"\r\n")
+
+    async def read_line(self) -> str:
+        return (await asyncio.wait_for(self._reader.readline(), 5)).decode().rstrip("\r\n")
+
+    async def query(self, text: str, request_id: str = "") -> list[str]:
+        """Run a statement; return all lines of its answer."""
+        self._number += 1
+        self.send(f"QUERY {request_id or f'q{id(self):x}{self._number}'} {text}")
+        return await self.read_answer()
+
+    async def read_answer(self) -> list[str]:
+        lines = []
+        while True:
+            lines.append(await self.read_line())
+            if not lines[-1] or lines[-1].startswith("READY"):
+                return lines
+
+    def close(self) -> None:
+        self._writer.close()
+
+
+class Prepared:
+    """Hold the stand-ins and the proxies."""
+
+    def __init__(self, *, group: ServerGroup) -> None:
+        self.group = group
+        self.store = PreparedStore(promote=self._promote)
+        self.proxies: dict[str, Proxy] = {}
+        self.promote_delay_s = 0.05
+
+    def register(self, server: StandinServer, *, state: str = "ready") -> None:
+        self.store.put("servers", server.id, self.group.entry(server, state=state))
+
+    def register_all(self) -> None:
+        for server in self.group.servers:
+            self.register(server)
+
+    def _promote(self, service: str, server: str) -> bool:
+        if service != self.group.service:
+            return False
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.promote_delay_s, self._finish_promotion, server)
+        return True
+
+    def _finish_promotion(self, server: str) -> None:
+        if self.group.leader is not None and self.group.leader.id == server:
+            return
+        self.group.promote(server)
+        for entry in self.group.servers:
+            if entry.id in (self.store._objects.get("servers") or {}):
+                self.register(entry)
+
+    async def add_proxy(self, vm: str, zone: str, **settings: Any) -> "Proxy":
+        proxy = Proxy(vm=vm, zone=zone, store_address=self.store.address, settings=settings)
+        await proxy.start()
+        self.proxies[vm] = proxy
+        return proxy
+
+    async def wait_ready(self) -> None:
+        await wait_until(
+            lambda: all(proxy.readiness.is_ready() for proxy in self.proxies.values()),
+            within_s=READY_WITHIN_S,
+        )
+
+
+class Proxy:
+    """Run one proxy's services in the test's loop."""
+
+    def __init__(self, *, vm: str, zone: str, store_address: str, settings: dict[str, Any]) -> None:
+        values: dict[str, Any] = {
+            "vm": vm,
+            "failure_domain": zone,
+            "region": REGIONS[zone],
+            "regions": REGIONS,
+            "session_address": f"127.0.0.1:{find_free_port()}",
+            "readiness_address": f"127.0.0.1:{find_free_port()}",
+            "metrics_address": f"127.0.0.1:{find_free_port()}",
+            "peer_address": f"127.0.0.1:{find_free_port()}",
+            "store_address": store_address,
+            "promotion_address": store_address,
+            "drain_timeout_s": 1.0,
+            **settings,
+        }
+        self.settings = SessionProxySettings(**values)
+        self.telemetry = Telemetry()
+        self.kernel = Kernel()
+        self._objects = ObjectClient(address=store_address, telemetry=self.telemetry)
+        self.readiness: SessionReadiness = register_session_services(
+            self.kernel,
+            settings=self.settings,
+            incarnation=1,
+            objects=self._objects,
+            secret=SECRET,
+            telemetry=self.telemetry,
+        )
+
+    async def start(self) -> None:
+        await self._objects.start()
+        await self.kernel.start()
+
+    async def stop(self) -> None:
+        await self.kernel.stop()
+        await self._objects.stop()
+
+    async def open(self, database: str, key: str = "plan-key") -> SessionClient:
+        return await SessionClient.open(self.settings.session_address, database, key)
+
+
+@asynccontextmanager
+async def run_prepared(
+    *, proxies: int = 3, lag_s: float = 0.0, manifest: dict[str, Any] | None = None
+) -> AsyncIterator[Prepared]:
+    """Start a group of three servers, the store and proxies in three zones."""
+    prepared = Prepared(group=ServerGroup(service="rental", zones=ZONES, lag_s=lag_s))
+    await prepared.group.start()
+    await prepared.store.start()
+    prepared.store.put("config", "main", manifest or build_manifest())
+    prepared.register_all()
+    try:
+        for index in range(proxies):
+            await prepared.add_proxy(f"vm-{index}", ZONES[index % len(ZONES)])
+        await prepared.wait_ready()
+        yield prepared
+    finally:
+        for proxy in prepared.proxies.values():
+            await proxy.stop()
+        await prepared.store.stop()
+        await prepared.group.stop()
+
+
+async def wait_until(holds: Callable[[], bool], *, within_s: float) -> None:
+    """Wait for a condition; raise AssertionError when it does not hold in time."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + within_s
+    while not holds():
+        assert loop.time() < end, f"the condition does not hold within {within_s} s"
+        await asyncio.sleep(0.02)
+
+
+def run(scenario: Coroutine[Any, Any, None], *, within_s: float = 30.0) -> None:
+    """Run a scenario on a new loop."""
+    asyncio.run(asyncio.wait_for(scenario, within_s))
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,296 @@
+"""Replacement of primaries: decisions alone, and the whole of it against stand-ins."""
+
+import asyncio
+
+from testtools import TestCase
+
+from lentilring.catalog.leadership import Leadership
+from lentilring.catalog.model import ServerEntry, ServerRole, build_server_table
+from lentilring.platform.store import Kind, StoredObject, VersionConflict
+from lentilring.statements.model import Position
+from lentilring.takeover.authority import PromotionAuthority
+from lentilring.takeover.succession import Candidate, Successor, Undecided, choose_successor
+from lentilring.takeover.trouble import Observation, Trouble, TroubleWatch, find_trouble
+
+from .prepared import run, run_prepared, wait_until
+
+
+def build_entry(
+    name: str, *, role: ServerRole = ServerRole.REPLICA, **others: object
+) -> ServerEntry:
+    values: dict[str, object] = {
+        "id": name,
+        "service": "rental",
+        "address": "127.0.0.1:1",
+        "failure_domain": "casa-a",
+        "slots": 2,
+        "is_draining": False,
+        "role": role,
+        "cold_s": 0.0,
+        "born_ms": 1,
+        "revision": 1,
+        **others,
+    }
+    return ServerEntry(**values)  # type: ignore[arg-type]
+
+
+def build_candidate(name: str, number: int, *, eligible: bool = True, term: int = 1) -> Candidate:
+    position = Position(term=term, number=number)
+    return Candidate(server=build_entry(name), received=position, is_eligible=eligible)
+
+
+class SuccessionTest(TestCase):
+    def test_furthest_replica_is_chosen(self) -> None:
+        """Guards against the loss of a commit that only one replica has."""
+        choice = choose_successor(
+            [build_candidate("a", 5), build_candidate("b", 9)],
+            replicas=["a", "b"],
+            place_of_old="casa-a",
+        )
+        assert isinstance(choice, Successor)
+        self.assertEqual("b", choice.server.id)
+
+    def test_greater_term_is_further_than_a_greater_number(self) -> None:
+        """Guards against comparing numbers of different terms."""
+        choice = choose_successor(
+            [build_candidate("a", 50, term=1), build_candidate("b", 9, term=2)],
+            replicas=["a", "b"],
+            place_of_old="",
+        )
+        assert isinstance(choice, Successor)
+        self.assertEqual("b", choice.server.id)
+
+    def test_missing_replica_prevents_the_choice(self) -> None:
+        """Guards against promoting while the replica that acknowledged may be silent."""
+        choice = choose_successor([build_candidate("a", 5)], replicas=["a", "b"], place_of_old="")
+        self.assertIsInstance(choice, Undecided)
+
+    def test_behind_replica_is_not_taken_for_an_ineligible_one(self) -> None:
+        """Guards against losing commits to avoid an evacuated failure domain."""
+        choice = choose_successor(
+            [build_candidate("a", 5), build_candidate("b", 9, eligible=False)],
+            replicas=["a", "b"],
+            place_of_old="",
+        )
+        self.assertIsInstance(choice, Undecided)
+
+    def test_server_of_an_open_promotion_is_preferred(self) -> None:
+        """Guards against two promotions of which the earlier one runs late."""
+        choice = choose_successor(
+            [build_candidate("a", 9), build_candidate("b", 9)],
+            replicas=["a", "b"],
+            place_of_old="",
+            intended="b",
+        )
+        assert isinstance(choice, Successor)
+        self.assertEqual("b", choice.server.id)
+
+
+class TroubleTest(TestCase):
+    def observe(self, **values: object) -> Observation:
+        known: dict[str, object] = {
+            "is_registered": True,
+            "is_draining": False,
+            "is_evacuated": False,
+            "proof_age_s": 0.1,
+            "commit_silence_s": 0.0,
+            **values,
+        }
+        return Observation(**known)  # type: ignore[arg-type]
+
+    def test_reasons(self) -> None:
+        """Guards against a primary in trouble that nobody replaces, and the reverse."""
+        cases = {
+            None: {},
+            Trouble.LEAVING: {"is_draining": True},
+            Trouble.EVACUATED: {"is_evacuated": True},
+            Trouble.MISSING: {"is_registered": False},
+            Trouble.SILENT: {"proof_age_s": 0.8},
+            Trouble.CANNOT_COMMIT: {"commit_silence_s": 1.7},
+        }
+        for expected, values in cases.items():
+            self.assertEqual(expected, find_trouble(self.observe(**values)))
+
+    def test_later_supervisors_wait_longer_and_planned_trouble_is_due_at_once(self) -> None:
+        """Guards against two supervisors that act together, and against slow planned changes."""
+        watch = TroubleWatch()
+        watch.note(Trouble.LEAVING, 10.0)
+        self.assertTrue(watch.is_due(rank=0, was_proved=True, now=10.0))
+        self.assertFalse(watch.is_due(rank=1, was_proved=True, now=11.0))
+        self.assertTrue(watch.is_due(rank=1, was_proved=True, now=11.6))
+
+    def test_short_silence_is_not_due(self) -> None:
+        """Guards against replacing a primary after one missed proof or right after a start."""
+        watch = TroubleWatch()
+        watch.note(Trouble.SILENT, 10.0)
+        self.assertFalse(watch.is_due(rank=0, was_proved=True, now=10.3))
+        self.assertTrue(watch.is_due(rank=0, was_proved=True, now=10.5))
+        self.assertFalse(watch.is_due(rank=0, was_proved=False, now=11.0))
+        watch.note(None, 10.6)
+        watch.note(Trouble.SILENT, 10.7)
+        self.assertFalse(watch.is_due(rank=0, was_proved=True, now=10.8))
+
+
+class LeadershipTest(TestCase):
+    def test_denied_primary_is_not_believed_until_it_registers_again(self) -> None:
+        """Guards against sending writes to a server that says that it does not lead."""
+        leadership = Leadership()
+        entry = build_entry("a", role=ServerRole.PRIMARY)
+        table = build_server_table({"a": entry})
+        self.assertEqual(entry, leadership.find("rental", table))
+        leadership.note_denial(entry)
+        self.assertIsNone(leadership.find("rental", table))
+        newer = build_entry("a", role=ServerRole.PRIMARY, revision=2)
+        self.assertEqual(newer, leadership.find("rental", build_server_table({"a": newer})))
+
+    def test_proof_of_an_older_term_does_not_return_the_lead(self) -> None:
+        """Guards against a late answer of the old primary."""
+        leadership = Leadership()
+        table = build_server_table({"a": build_entry("a"), "b": build_entry("b")})
+        leadership.note_lead("rental", "b", 2)
+        leadership.note_lead("rental", "a", 1)
+        found = leadership.find("rental", table)
+        self.assertEqual("b", found.id if found else None)
+
+
+class MemoryStore:
+    """Hold objects with conditional updates."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, StoredObject] = {}
+        self.revision = 0
+
+    async def get(self, kind: str, name: str) -> StoredObject | None:
+        return self.objects.get(name)
+
+    async def put(self, kind, name, value, *, expected_version):  # type: ignore[no-untyped-def]
+        current = self.objects.get(name)
+        if (current.version if current else 0) != expected_version:
+            raise VersionConflict(
+                kind=kind, name=name, expected_version=expected_version, current=current
+            )
+        if current is None or current.value != value:
+            self.revision += 1
+            self.objects[name] = StoredObject(
+                kind=kind, name=name, version=self.revision, revision=self.revision, value=value
+            )
+        return self.objects[name]
+
+
+class AuthorityTest(TestCase):
+    def test_tokens_rise_and_a_concurrent_claim_fails(self) -> None:
+        """Guards against two proxies that promote with one token."""
+
+        async def scenario() -> None:
+            store = MemoryStore()
+            first = PromotionAuthority(store=store, vm="vm-a")  # type: ignore[arg-type]
+            second = PromotionAuthority(store=store, vm="vm-b")  # type: ignore[arg-type]
+            seen_first, seen_second = await first.read("rental"), await second.read("rental")
+            claimed = await first.claim("rental", "a", seen=seen_first)
+            assert claimed is not None
+            self.assertIsNone(await second.claim("rental", "b", seen=seen_second))
+            seen = await second.read("rental")
+            self.assertTrue(seen.is_open)
+            again = await second.claim("rental", "a", seen=seen)
+            assert again is not None
+            self.assertTrue(again.version > claimed.version)
+            same = await second.claim("rental", "a", seen=again)
+            assert same is not None
+            self.assertTrue(same.version > again.version)
+            await second.settle("rental", seen=same)
+            self.assertFalse((await first.read("rental")).is_open)
+            self.assertEqual(Kind.PROMOTION, "promotion")
+
+        asyncio.run(scenario())
+
+
+class TakeoverProcessTest(TestCase):
+    def test_leaving_primary_is_replaced_and_writes_go_on(self) -> None:
+        """Guards against work that still goes to a primary after its time to leave."""
+
+        async def scenario() -> None:
+            async with run_prepared() as prepared:
+                client = await prepared.proxies["vm-1"].open("booking")
+                await client.query("WRITE a 1")
+                prepared.register(prepared.group.servers[0], state="draining")
+                await asyncio.sleep(0.3)
+                answer = await client.query("WRITE a 2")
+                self.assertTrue(answer[0].startswith("COMPLETE proof."), answer)
+                await wait_until(lambda: prepared.group.term == 2, within_s=3)
+                assert prepared.group.leader is not None
+                self.assertNotEqual("i-rental-0", prepared.group.leader.id)
+                answer = await client.query("WRITE a 3")
+                self.assertTrue(answer[0].startswith("COMPLETE proof."), answer)
+                tokens = [token for _, _, _, token in prepared.store.promotions]
+                self.assertEqual(len(tokens), len(set(tokens)))
+
+        run(scenario())
+
+    def test_crashed_primary_is_replaced_without_losing_a_commit(self) -> None:
+        """Guards against promoting a replica that lacks an acknowledged commit."""
+
+        async def scenario() -> None:
+            async with run_prepared() as prepared:
+                servers = prepared.group.servers
+                client = await prepared.proxies["vm-2"].open("booking")
+                await client.query("WRITE a 1")
+                # From here on only one replica has the commits that are acknowledged.
+                servers[1].paused_term = 9
+                await client.query("WRITE a 2")
+                await client.query("WRITE a 3")
+                servers[1].paused_term = 0
+                await servers[0].stop()
+                servers[0].faults.refuses_connections = True
+                await wait_until(lambda: prepared.group.leader is servers[2], within_s=6)
+                self.assertEqual((1, 3), servers[2].received)
+                await asyncio.sleep(0.2)
+                answer = await client.query("WRITE a 4")
+                self.assertTrue(answer[0].startswith("COMPLETE proof."), answer)
+
+        run(scenario())
+
+    def test_silent_replica_prevents_a_promotion_until_it_answers(self) -> None:
+        """Guards against a promotion while the replica that acknowledged cannot be asked."""
+
+        async def scenario() -> None:
+            async with run_prepared() as prepared:
+                servers = prepared.group.servers
+                client = await prepared.proxies["vm-0"].open("booking")
+                await client.query("WRITE a 1")
+                servers[2].faults.silent = True
+                await servers[0].stop()
+                await asyncio.sleep(3.0)
+                self.assertEqual([], prepared.store.promotions)
+                servers[2].faults.silent = False
+                await wait_until(lambda: prepared.group.term == 2, within_s=6)
+
+        run(scenario())
+
+    def test_store_outage_postpones_the_promotion(self) -> None:
+        """Guards against promotions without a fencing token."""
+
+        async def scenario() -> None:
+            async with run_prepared() as prepared:
+                prepared.store.faults.down = True
+                await prepared.group.servers[0].stop()
+                await asyncio.sleep(2.5)
+                self.assertEqual([], prepared.store.promotions)
+                prepared.store.faults.down = False
+                await wait_until(lambda: prepared.group.term == 2, within_s=6)
+
+        run(scenario())
+
+    def test_evacuated_primary_is_replaced_elsewhere(self) -> None:
+        """Guards against work in a failure domain after its evacuation."""
+
+        async def scenario() -> None:
+            async with run_prepared() as prepared:
+                prepared.store.put("evacuations", "casa-a", {})
+                await wait_until(lambda: prepared.group.term == 2, within_s=4)
+                client = await prepared.proxies["vm-0"].open("stock")
+                for _ in range(5):
+                    await client.query("READ a")
+                late = {entry.server for entry in prepared.group.runs}
+                self.assertNotIn("i-rental-0", late)
+
+        run(scenario())
