--- /dev/null
+++ b/tests/test_reads.py
@@ -0,0 +1,156 @@
+"""Freshness of reads, choice of servers and order at a server's slots, without a network."""
+
+import asyncio
+
+from testtools import TestCase
+
+from lentilring.catalog.model import ServerRole
+from lentilring.clock import LoopClock
+from lentilring.gateways.positions import FRESHNESS_MARGIN_S, PositionHistory
+from lentilring.gateways.slots import AHEAD, SlotQueue, SlotRefusal
+from lentilring.sessions.choice import LoadView, Place, rank_readers
+from lentilring.statements.model import Position
+
+from .prepared import REGIONS
+from .test_takeover import build_entry
+from .virtual_time import run_virtual
+
+
+def position(number: int, term: int = 1) -> Position:
+    return Position(term=term, number=number)
+
+
+class PositionHistoryTest(TestCase):
+    def test_oldest_position_within_the_bound_is_found(self) -> None:
+        """Guards against reads that miss a commit older than the bound, and needless LAGGING."""
+        history = PositionHistory()
+        for step in range(20):
+            history.note(position(step), step * 0.2)
+        found = history.find(max_staleness_s=1.5, now=4.0)
+        assert found is not None
+        self.assertTrue(found.taken_at >= 4.0 - 1.5 + FRESHNESS_MARGIN_S)
+        self.assertTrue(found.taken_at < 4.0 - 1.5 + FRESHNESS_MARGIN_S + 0.2 + 1e-9)
+
+    def test_samples_from_before_a_freeze_do_not_count(self) -> None:
+        """Guards against a VM that wakes up and serves from what it knew before."""
+        history = PositionHistory()
+        history.note(position(1), 10.0)
+        self.assertIsNone(history.find(max_staleness_s=1.5, now=14.0))
+
+    def test_late_answer_does_not_take_the_position_back(self) -> None:
+        """Guards against samples whose answers arrive out of order."""
+        history = PositionHistory()
+        history.note(position(5), 10.0)
+        history.note(position(4), 10.1)
+        history.note(position(9), 9.9)
+        newest = history.newest()
+        assert newest is not None
+        self.assertEqual(position(5), newest.position)
+
+    def test_frequent_samples_leave_old_ones_in_place(self) -> None:
+        """Guards against merging all samples of a busy primary into the newest."""
+        history = PositionHistory()
+        for step in range(400):
+            history.note(position(step), step * 0.005)
+        found = history.find(max_staleness_s=1.5, now=2.0)
+        assert found is not None
+        self.assertTrue(found.taken_at < 0.75, found)
+
+
+class ChoiceTest(TestCase):
+    place = Place(failure_domain="mrk-a", region="marrakech")
+    servers = [
+        build_entry("p", role=ServerRole.PRIMARY, failure_domain="casa-a"),
+        build_entry("r1", failure_domain="mrk-a"),
+        build_entry("r2", failure_domain="fes-a"),
+    ]
+
+    def rank(self, waits: dict[str, float], *, without: str = "") -> list[str]:
+        ranked = rank_readers(
+            self.servers,
+            primary=self.servers[0],
+            place=self.place,
+            region_of=lambda domain: REGIONS[domain],
+            is_usable=lambda server: server.id != without,
+            wait_s=lambda server: waits.get(server, 0.0),
+        )
+        return [server.id for server in ranked]
+
+    def test_near_replica_is_first_until_its_queue_costs_more_than_the_way(self) -> None:
+        """Guards against reads that cross regions for nothing or wait beside idle servers."""
+        self.assertEqual(["r1", "r2", "p"], self.rank({}))
+        self.assertEqual(["r2", "p", "r1"], self.rank({"r1": 0.2}))
+        self.assertEqual(["r2", "p"], self.rank({}, without="r1"))
+
+    def test_old_news_of_load_fades(self) -> None:
+        """Guards against avoiding a server for long after its queue is gone."""
+        now = [0.0]
+        view = LoadView(now=lambda: now[0])
+        view.note("r1", 0.4)
+        self.assertEqual(0.4, view.wait_s("r1"))
+        now[0] = 1.0
+        self.assertTrue(view.wait_s("r1") < 0.03)
+
+
+class SlotQueueTest(TestCase):
+    def test_transactions_and_urgent_work_run_first(self) -> None:
+        """Guards against urgent work behind a queue of less urgent work."""
+
+        async def scenario() -> list[str]:
+            queue = SlotQueue(clock=LoopClock(), slots=1)
+            order: list[str] = []
+
+            async def work(name: str, rank: int) -> None:
+                assert await queue.acquire(name, rank=rank, patience_s=10) is None
+                order.append(name)
+                await asyncio.sleep(0.01)
+                queue.release(name, rank=rank, cost_s=0.01)
+
+            running = [asyncio.ensure_future(work(f"first{i}", 3)) for i in range(1 + AHEAD)]
+            await asyncio.sleep(0)
+            for name, rank in (("low", 3), ("high", 1), ("transaction", 0)):
+                running.append(asyncio.ensure_future(work(name, rank)))
+                await asyncio.sleep(0)
+            await asyncio.gather(*running)
+            return order[1 + AHEAD :]
+
+        self.assertEqual(["transaction", "high", "low"], run_virtual(scenario()))
+
+    def test_work_that_would_wait_too_long_is_refused_at_once(self) -> None:
+        """Guards against holding what cannot be served in time."""
+
+        async def scenario() -> tuple[SlotRefusal | None, float]:
+            clock = LoopClock()
+            queue = SlotQueue(clock=clock, slots=1)
+            for _ in range(1 + AHEAD):
+                await queue.acquire("a", rank=2, patience_s=1)
+            waiting = [
+                asyncio.ensure_future(queue.acquire("b", rank=2, patience_s=5)) for _ in range(40)
+            ]
+            await asyncio.sleep(0)
+            before = clock.monotonic()
+            refused = await queue.acquire("c", rank=3, patience_s=0.05)
+            for task in waiting:
+                task.cancel()
+            return refused, clock.monotonic() - before
+
+        refused, waited = run_virtual(scenario())
+        self.assertIsInstance(refused, SlotRefusal)
+        self.assertEqual(0.0, waited)
+
+    def test_cancelled_waiter_keeps_no_slot(self) -> None:
+        """Guards against slots that are lost with callers that leave."""
+
+        async def scenario() -> int:
+            queue = SlotQueue(clock=LoopClock(), slots=1)
+            for _ in range(1 + AHEAD):
+                await queue.acquire("a", rank=1, patience_s=1)
+            waiter = asyncio.ensure_future(queue.acquire("b", rank=1, patience_s=5))
+            await asyncio.sleep(0)
+            queue.release("a", rank=1, cost_s=0.01)
+            waiter.cancel()
+            await asyncio.gather(waiter, return_exceptions=True)
+            queue.release("a", rank=1, cost_s=0.01)
+            return queue.running
+
+        self.assertEqual(0, run_virtual(scenario()))
--- /dev/null
+++ b/tests/test_regional_limits.py
@@ -0,0 +1,191 @@
+"""Limits by regional pools: the bound over the fleet, and what callers get."""
+
+import asyncio
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from lentilring.configuration.models import ClientAccount
+from lentilring.limits.allowance import LocalAllowance
+from lentilring.limits.pools import HEARD_S, RegionalPools
+from lentilring.limits.window import LimitWindow, fit_account
+
+from .prepared import build_manifest, run, run_prepared
+
+
+class ManualClock:
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def boottime(self) -> float:
+        return self.now
+
+    async def sleep(self, seconds: float) -> None:
+        await asyncio.sleep(0)
+
+
+def build_account(rate_per_s: float = 60.0, burst: float = 30.0) -> ClientAccount:
+    return ClientAccount(
+        name="planner",
+        rate_per_s=rate_per_s,
+        burst=burst,
+        max_staleness_s=None,
+        services=(),
+        open_routes=(),
+        key_hashes=(),
+    )
+
+
+def build_pools(clock: ManualClock, vm: str, registered: int) -> RegionalPools:
+    return RegionalPools(clock=clock, local_vm=vm, count_registered=lambda: registered)
+
+
+class PoolTest(TestCase):
+    def test_pool_owns_the_part_of_the_proxies_that_it_hears(self) -> None:
+        """Guards against a pool that also gives out what cut-off proxies use on their own."""
+        clock = ManualClock()
+        pools = build_pools(clock, "a1", 9)
+        self.assertEqual(1 / 9, pools.fraction())
+        pools.hear("a2")
+        pools.hear("a3")
+        self.assertEqual(3 / 9, pools.fraction())
+        clock.now += HEARD_S + 0.1
+        self.assertEqual(1 / 9, pools.fraction())
+
+    def test_loan_is_debited_before_it_is_credited(self) -> None:
+        """Guards against loans that make tokens."""
+        clock = ManualClock()
+        lender, borrower = build_pools(clock, "a1", 2), build_pools(clock, "b1", 2)
+        account = build_account()
+        clock.now += 10
+        lender.take(account, 0)
+        borrower.take(account, 0)
+        clock.now += 10
+        before = lender.take(account, 0)
+        lent = lender.lend(account, 10)
+        self.assertEqual(0, before)
+        self.assertTrue(0 < lent <= 7.5)
+        borrower.deposit(account, lent)
+        total = lender.take(account, 100) + borrower.take(account, 100)
+        self.assertTrue(total <= 30, total)
+
+    @settings(max_examples=40, deadline=None)
+    @given(seed=st.integers(min_value=0, max_value=2**32))
+    def test_fleet_stays_within_rate_and_burst_under_cuts(self, seed: int) -> None:
+        """Guards against a limit that is exceeded while proxies are cut off from their pools.
+
+        The bound allows each change of a proxy's pool its part of the rate for HEARD_S.
+        """
+        source, clock = Random(seed), ManualClock()
+        account = build_account()
+        names = [f"{region}{index}" for region in "abc" for index in range(3)]
+        pools = {region: build_pools(clock, f"{region}0", 9) for region in "abc"}
+        alone = {name: LocalAllowance(clock=clock, count_proxies=lambda: 9) for name in names}
+        cut: set[str] = set()
+        admissions: list[float] = []
+        changes = 0
+        for step in range(2000):
+            clock.now += 0.01
+            if source.random() < 0.002:
+                name = source.choice([entry for entry in names if not entry.endswith("0")])
+                cut ^= {name}
+                changes += 1
+            if step % 50 == 0:
+                for name in names:
+                    if name not in cut:
+                        pools[name[0]].hear(name)
+            for name in names:
+                if source.random() < 0.5:
+                    taken = (
+                        alone[name].take(account)
+                        if name in cut
+                        else pools[name[0]].take(account, 1) == 1
+                    )
+                    if taken:
+                        admissions.append(clock.now)
+        window_s = 5.0
+        worst = max(
+            sum(1 for at in admissions if start <= at < start + window_s) for start in admissions
+        )
+        part = account.rate_per_s / 9
+        # Local buckets keep up to one proxy's burst each while they are not used.
+        moved = changes * (part * HEARD_S + account.burst / 9)
+        self.assertTrue(worst <= 60 * window_s + 30 + 9 + moved, (worst, changes))
+
+
+class WindowTest(TestCase):
+    window = LimitWindow(length_s=5.0, overage=0.1, slack=20.0)
+
+    @given(rate=st.floats(min_value=1, max_value=500), ratio=st.floats(min_value=0.5, max_value=2))
+    def test_fitted_bucket_stays_within_the_operators_window(
+        self, rate: float, ratio: float
+    ) -> None:
+        """Guards against a fitted bucket that admits more than the operator allows."""
+        burst = max(1.0, rate * ratio)
+        fitted = fit_account(build_account(rate, burst), self.window)
+        admitted = fitted.rate_per_s * 5 + fitted.burst
+        if fitted.rate_per_s > rate:
+            allowed = self.window.count_allowed(rate, burst)
+            self.assertTrue(admitted <= 0.9201 * allowed, (admitted, allowed))
+
+    def test_busy_account_gets_rate_and_burst_in_each_window(self) -> None:
+        """Guards against refusing a busy account below what the operator allows."""
+        for rate in (12.0, 37.0, 64.0):
+            fitted = fit_account(build_account(rate, rate), self.window)
+            self.assertTrue(fitted.rate_per_s * 5 >= rate * 5 + 0.9 * rate, rate)
+
+
+class LimitedFleetTest(TestCase):
+    def test_account_over_its_rate_is_refused_with_a_time_and_others_are_not(self) -> None:
+        """Guards against limits that count at one proxy only, and against refusing others."""
+        manifest = build_manifest()
+        manifest["tenants"][0].update({"rate-per-s": 10, "burst": 5})
+
+        async def scenario() -> None:
+            async with run_prepared(manifest=manifest) as prepared:
+                await asyncio.sleep(1.0)
+                clients = [await proxy.open("stock") for proxy in prepared.proxies.values()]
+                served, refused = 0, []
+                for _ in range(20):
+                    answers = await asyncio.gather(*(entry.query("READ a") for entry in clients))
+                    served += sum("COMPLETE" in answer[1] for answer in answers)
+                    refused += [answer[0] for answer in answers if "BUSY" in answer[0]]
+                self.assertTrue(1 <= served <= 25, served)
+                self.assertTrue(all("retry after" in line for line in refused), refused[:1])
+                other = await prepared.proxies["vm-0"].open("stock", "crew-key")
+                self.assertIn("COMPLETE", (await other.query("READ a"))[1])
+
+        run(scenario())
+
+    def test_gone_proxy_is_taken_off_the_register(self) -> None:
+        """Guards against a proxy that is gone and keeps its part of all limits for ever."""
+        from lentilring.limits import regional
+
+        async def scenario() -> None:
+            async with run_prepared() as prepared:
+                entry = {
+                    "address": "127.0.0.1:1",
+                    "failure-domain": "casa-a",
+                    "region": "casablanca",
+                    "incarnation": 1,
+                    "weight": 1.0,
+                    "leaving": False,
+                }
+                prepared.store.put("lentilring-proxies", "vm-gone", entry)
+                for _ in range(100):
+                    await asyncio.sleep(0.1)
+                    if prepared.store.read("lentilring-proxies", "vm-gone") is None:
+                        break
+                self.assertIsNone(prepared.store.read("lentilring-proxies", "vm-gone"))
+                self.assertIsNotNone(prepared.store.read("lentilring-proxies", "vm-0"))
+
+        saved, regional.GONE_S = regional.GONE_S, 1.0
+        try:
+            run(scenario())
+        finally:
+            regional.GONE_S = saved
