--- a/lentilring/gateways/service.py
+++ b/lentilring/gateways/service.py
@@ -82,6 +82,12 @@
         """Return the transactions that are open at this proxy's gateways."""
         return sum(len(gateway.transactions) for gateway in self._gateways.values())
 
+    def count_running(self) -> int:
+        """Return the statements that run or wait at this proxy's gateways."""
+        return sum(
+            gateway.slots.running + len(gateway.slots) for gateway in self._gateways.values()
+        )
+
     async def run(self, request: RunStatement) -> StatementAnswer:
         """Run a statement on a backend server through its gateway here."""
         server = self._catalog.servers.entries.get(request.server)
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -184,7 +184,9 @@
         max_sessions=settings.max_sessions,
         transaction_idle_s=lambda: _read_idle_time(catalog),
     )
-    readiness = SessionReadiness(catalog=catalog, fleet=fleet, listener=listener, clock=clock)
+    readiness = SessionReadiness(
+        catalog=catalog, fleet=fleet, listener=listener, gateways=gateways, clock=clock
+    )
     probe = ProbeServer(
         readiness_address=settings.readiness_address,
         metrics_address=settings.metrics_address,
--- a/lentilring/sessions/readiness.py
+++ b/lentilring/sessions/readiness.py
@@ -3,6 +3,7 @@
 from ..catalog.fleet import FleetService
 from ..catalog.service import CatalogService
 from ..clock import Clock
+from ..gateways.service import GatewayService
 from ..kernel import Service
 from ..telemetry.log import Log
 from .listener import SessionListener
@@ -27,10 +28,11 @@
         catalog: CatalogService,
         fleet: FleetService,
         listener: SessionListener,
+        gateways: GatewayService,
         clock: Clock,
     ) -> None:
         self._catalog, self._fleet, self._listener = catalog, fleet, listener
-        self._clock = clock
+        self._gateways, self._clock = gateways, clock
         self._is_stopping = False
         self._was_ready = False
 
@@ -63,7 +65,20 @@
         for step in range(CLOSE_STEPS):
             self._listener.close_idle(share=1 / (CLOSE_STEPS - step))
             await self._clock.sleep(POLL_S)
-        while self._clock.monotonic() < end and self._listener.session_count:
+        while self._clock.monotonic() < end and self._has_work():
             self._listener.close_idle()
             await self._clock.sleep(POLL_S)
-        log.info("sessions_drained", left=self._listener.session_count)
+        log.info(
+            "sessions_drained",
+            sessions=self._listener.session_count,
+            transactions=self._gateways.count_transactions(),
+            running=self._gateways.count_running(),
+        )
+
+    def _has_work(self) -> bool:
+        """Tell whether callers here or at peers still depend on this process."""
+        return bool(
+            self._listener.session_count
+            or self._gateways.count_transactions()
+            or self._gateways.count_running()
+        )
