--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -1,6 +1,7 @@
 """The gateway of one backend server: its connections, slots and open transactions."""
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, field, replace
@@ -24,8 +25,11 @@
 from .server import ServerConnector, ServerLost, ServerRefused, ServerReply, ServerUnreachable
 from .slots import IN_TRANSACTION, SlotQueue, SlotRefusal
 
-# Two connections of a server stay free for supervision and for a second gateway.
-RESERVED_CONNECTIONS = 2
+# What stays free of a server's connections for leases, takeovers and other gateways: the first
+# gateway left 2 of 16 free, and takeovers were refused connections (khaima-ops trouble-1).
+RESERVED_FRACTION = 0.4
+MIN_RESERVED = 4
+OTHER_GATEWAY_CONNECTIONS = 2
 # A caller's proxy that disappears leaves its transactions open; this much after its own limit.
 ABANDONED_MARGIN_S = 1.0
 # A lead is proved without a slot; a slower answer counts as a missing one.
@@ -97,6 +101,7 @@
         note_interest: Callable[[], None],
         is_primary: Callable[[], bool],
         ensure_lead: Callable[[], Awaitable[bool]],
+        is_first: Callable[[], bool],
     ) -> None:
         self.server = server
         self.history = history
@@ -104,7 +109,7 @@
         self.pool = ConnectionPool(
             server=server,
             connector=connector,
-            limit=max(1, max_connections - RESERVED_CONNECTIONS),
+            limit=lambda: find_limit(max_connections, is_first=is_first()),
             clock=clock,
             telemetry=telemetry,
         )
@@ -452,6 +457,13 @@
             self.pool.discard(connection)
 
 
+def find_limit(max_connections: int, *, is_first: bool) -> int:
+    """Return how many connections a gateway may hold."""
+    reserved = max(MIN_RESERVED, math.ceil(max_connections * RESERVED_FRACTION))
+    own = max(1, max_connections - reserved)
+    return own if is_first else min(own, OTHER_GATEWAY_CONNECTIONS)
+
+
 def _is_open(attempt: _Attempt) -> bool:
     opens = attempt.request.opening is not Opening.NONE
     return attempt.transaction is not None or opens or attempt.request.proves_lead
--- a/lentilring/gateways/pool.py
+++ b/lentilring/gateways/pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ..catalog.model import ServerEntry
@@ -47,17 +48,23 @@
         *,
         server: ServerEntry,
         connector: ServerConnector,
-        limit: int,
+        limit: Callable[[], int],
         clock: Clock,
         telemetry: Telemetry,
     ) -> None:
-        self.server, self.limit = server, limit
+        self.server, self._limit = server, limit
+        self._is_closed = False
         self._connector, self._clock, self._telemetry = connector, clock, telemetry
         self._idle: dict[str, list[PooledConnection]] = {}
         self._in_use: set[PooledConnection] = set()
         self._opening = 0
         self._waiters: deque[asyncio.Future[None]] = deque()
 
+    @property
+    def limit(self) -> int:
+        """Return how many connections may be open now."""
+        return 0 if self._is_closed else self._limit()
+
     @property
     def open_count(self) -> int:
         """Return how many connections count against the limit."""
@@ -78,7 +85,8 @@
     def give(self, connection: PooledConnection) -> None:
         """Take a connection back whose session is outside of a transaction."""
         self._in_use.discard(connection)
-        if connection.session.is_closed:
+        if connection.session.is_closed or self.open_count >= self.limit:
+            connection.session.close()
             self._wake()
             return
         connection.used_at = self._clock.monotonic()
@@ -93,7 +101,7 @@
 
     def close(self) -> None:
         """Close all idle connections; those in use are closed when they come back."""
-        self.limit = 0
+        self._is_closed = True
         for entries in self._idle.values():
             for connection in entries:
                 connection.session.close()
--- a/lentilring/gateways/renewal.py
+++ b/lentilring/gateways/renewal.py
@@ -19,6 +19,7 @@
 )
 
 CONNECT_TIMEOUT_S = 0.35
+UNUSED_S = 3.0
 
 log = Log(source="leases")
 
@@ -38,6 +39,7 @@
         self._clock, self._telemetry = clock, telemetry
         self._sessions: dict[str, ServerSession] = {}
         self._busy: set[str] = set()
+        self._used_at: dict[str, float] = {}
         self._leases: dict[str, LeadLease] = {}
         self._rounds: dict[str, asyncio.Task[bool]] = {}
 
@@ -74,6 +76,7 @@
         replicas = [entry for entry in entries if entry.id != server.id]
         asked_at = self._clock.boottime()
         own, *others = await asyncio.gather(*(self._ask(entry) for entry in [server, *replicas]))
+        self._close_unused()
         proved = self.lease(server.id).note(
             own,
             [status for status in others if status is not None],
@@ -104,6 +107,14 @@
             self._busy.discard(server.id)
         return None if isinstance(answer, Failure) else answer
 
+    def _close_unused(self) -> None:
+        """Close connections that no round has used for long; a server allows few."""
+        oldest = self._clock.monotonic() - UNUSED_S
+        for server, session in list(self._sessions.items()):
+            if self._used_at.get(server, 0.0) < oldest and server not in self._busy:
+                del self._sessions[server]
+                session.close()
+
     async def _open(self, server: ServerEntry) -> ServerSession:
         session = self._sessions.get(server.id)
         if session is None or session.is_closed:
@@ -114,6 +125,7 @@
                 timeout_s=CONNECT_TIMEOUT_S,
             )
             self._sessions[server.id] = session
+        self._used_at[server.id] = self._clock.monotonic()
         return session
 
 
--- a/lentilring/gateways/service.py
+++ b/lentilring/gateways/service.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from random import Random
 
+from ..catalog.fleet import FleetService
 from ..catalog.model import ServerEntry
 from ..catalog.service import CatalogService
 from ..clock import SuspensionClock
@@ -22,6 +23,7 @@
     StatementAnswer,
     TransactionEnded,
 )
+from .placement import rank_gateways
 from .positions import PositionHistory
 from .renewal import LeaseRenewal
 from .server import ServerConnector
@@ -42,6 +44,7 @@
         vm: str,
         incarnation: int,
         catalog: CatalogService,
+        fleet: FleetService,
         connector: ServerConnector,
         transport: PeerTransport,
         clock: SuspensionClock,
@@ -50,6 +53,7 @@
     ) -> None:
         self._catalog, self._connector, self._transport = catalog, connector, transport
         self._clock, self._random, self._telemetry = clock, random, telemetry
+        self._fleet = fleet
         self._gateways: dict[str, ServerGateway] = {}
         self._histories: dict[str, PositionHistory] = {}
         self._owners: dict[str, ServerGateway] = {}
@@ -189,6 +193,7 @@
                 note_interest=lambda: self.note_interest(server.service),
                 is_primary=lambda: self._is_primary(server),
                 ensure_lead=lambda: self._renewal.ensure(server),
+                is_first=lambda: self._is_first(server),
             )
             log.info("gateway_opened", server=server.id, limit=gateway.pool.limit)
         return gateway
@@ -202,6 +207,11 @@
             return None
         return Failed(failure=Failure.OVERLOADED, detail="the server is leaving or evacuated")
 
+    def _is_first(self, server: ServerEntry) -> bool:
+        """Tell whether this proxy is the one that a server's work goes to."""
+        ranked = rank_gateways(server, self._fleet.members(), is_suspect=self._fleet.is_suspect)
+        return bool(ranked) and ranked[0].vm == self._fleet.local.vm
+
     def _is_primary(self, server: ServerEntry) -> bool:
         primary = self._catalog.find_primary(server.service)
         return primary is not None and primary.id == server.id
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -142,6 +142,7 @@
         vm=settings.vm,
         incarnation=incarnation,
         catalog=catalog,
+        fleet=fleet,
         connector=PlatformServers(),
         transport=transport,
         clock=clock,
--- a/lentilring/standin/prepared/servers.py
+++ b/lentilring/standin/prepared/servers.py
@@ -153,7 +153,9 @@
         position = (self.term, self.leader.received[1] + 1)
         self.leader.received = position
         receiving = [
-            entry for entry in self.servers if entry is not self.leader and not entry.paused_term
+            entry
+            for entry in self.servers
+            if entry is not self.leader and not entry.paused_term and not entry.cut_off_term
         ]
         for entry in receiving:
             entry.received = position
