--- a/lentilring/gateways/renewal.py
+++ b/lentilring/gateways/renewal.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from ..catalog.model import ServerEntry
+from ..catalog.model import ServerEntry, ServerRole
 from ..catalog.service import CatalogService
 from ..clock import SuspensionClock
 from ..statements.model import Failure
@@ -77,6 +77,7 @@
         asked_at = self._clock.boottime()
         own, *others = await asyncio.gather(*(self._ask(entry) for entry in [server, *replicas]))
         self._close_unused()
+        self._note_leads(replicas, others)
         proved = self.lease(server.id).note(
             own,
             [status for status in others if status is not None],
@@ -93,6 +94,14 @@
             )
         return proved
 
+    def _note_leads(self, servers: list[ServerEntry], statuses: list[ServerStatus | None]) -> None:
+        """Believe a server that leads a later term than the one that was asked for."""
+        for server, status in zip(servers, statuses, strict=True):
+            if status is None or status.role is not ServerRole.PRIMARY:
+                continue
+            if self._catalog.leadership.note_lead(server.service, server.id, status.term):
+                log.info("lead_seen", service=server.service, server=server.id, term=status.term)
+
     async def _ask(self, server: ServerEntry) -> ServerStatus | None:
         if server.id in self._busy:
             return None
