Check before a promotion that no replica received anything since the choice

Cause: found in review: a second supervisor that gives up lets the replicas receive again while the first one is between its choice and the promotion, so an acknowledged commit could be lost.

--- a/lentilring/takeover/authority.py
+++ b/lentilring/takeover/authority.py
@@ -35,6 +35,7 @@
     version: int
     server: str
     is_open: bool
+    vm: str = ""
 
 
 class PromotionAuthority:
@@ -54,6 +55,7 @@
             version=current.version,
             server=server if isinstance(server, str) else "",
             is_open=bool(value.get("open")),
+            vm=str(value.get("vm", "")),
         )
 
     async def claim(self, service: str, server: str, *, seen: Intent) -> Intent | None:
@@ -83,4 +85,4 @@
             )
         except VersionConflict:
             return None
-        return Intent(version=written.version, server=server, is_open=is_open)
+        return Intent(version=written.version, server=server, is_open=is_open, vm=self._vm)
--- a/lentilring/takeover/service.py
+++ b/lentilring/takeover/service.py
@@ -178,12 +178,20 @@
         finally:
             # An earlier promotion without an answer may still run. Replicas that receive again
             # would let the old primary be taken as the only one until then.
-            if not done and intent is not None and not intent.is_open:
+            if not done and intent is not None and await self._may_resume(case, intent):
                 await control.resume_all()
             control.close()
             if held is not None:
                 self._gateways.release(held.id)
 
+    async def _may_resume(self, case: _Case, intent: Intent) -> bool:
+        """Tell whether no promotion that was recorded by anyone can still run."""
+        try:
+            newest = await self._authority.read(case.service)
+        except StoreUnavailable:
+            return False
+        return not newest.is_open or (newest.vm == self._fleet.local.vm and not intent.is_open)
+
     async def _replace(self, case: _Case, control: ReplicaControl, intent: Intent) -> bool:
         """Promote the furthest replica; tell whether a promotion may take effect."""
         if case.trouble not in PLANNED and self._is_proved_again(case.service):
@@ -221,8 +229,24 @@
             # Gateways that cannot be told use the old primary until their leases end.
             wait_s = paused_at + LEASE_S - self._clock.monotonic()
             await self._clock.sleep(max(0.0, wait_s))
+        if not await self._is_still_paused(case, control, choice, term):
+            log.warning("takeover_overtaken", service=case.service)
+            return False
         return await self._promote(case, choice, claimed)
 
+    async def _is_still_paused(
+        self, case: _Case, control: ReplicaControl, choice: Successor, term: int
+    ) -> bool:
+        """Tell whether no replica has received anything since the choice.
+
+        Another supervisor that gave up may have let the replicas receive again.
+        """
+        statuses = await control.read_all(case.replicas)
+        return len(statuses) == len(case.replicas) and all(
+            status.held_term >= term and status.received <= choice.received
+            for status in statuses.values()
+        )
+
     async def _depose(self, old: ServerEntry | None, control: ReplicaControl, term: int) -> bool:
         if old is None:
             return False
--- a/lentilring/takeover/trouble.py
+++ b/lentilring/takeover/trouble.py
@@ -11,8 +11,9 @@
 UNPROVED_PERSISTENCE_S = 2.0
 # Writes that time out while proofs succeed: the primary has lost its replicas.
 COMMIT_SILENCE_S = 1.6
-# Each later supervisor waits this much longer, so that the first one acts alone.
-RANK_PATIENCE_S = 1.5
+# Each later supervisor waits this much longer, so that the first one acts alone: longer than a
+# takeover from a primary that is dark.
+RANK_PATIENCE_S = 2.5
 
 
 @unique
