--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -124,8 +124,9 @@
         watch = TroubleWatch()
         watch.note(Trouble.LEAVING, 10.0)
         self.assertTrue(watch.is_due(rank=0, was_proved=True, now=10.0))
-        self.assertFalse(watch.is_due(rank=1, was_proved=True, now=11.0))
-        self.assertTrue(watch.is_due(rank=1, was_proved=True, now=11.6))
+        late = 10.0 + RANK_PATIENCE_S
+        self.assertFalse(watch.is_due(rank=1, was_proved=True, now=late - 0.1))
+        self.assertTrue(watch.is_due(rank=1, was_proved=True, now=late + 0.1))
 
     def test_short_silence_is_not_due(self) -> None:
         """Guards against replacing a primary after one missed proof or right after a start."""
