--- a/lentilring/gateways/dispatch.py
+++ b/lentilring/gateways/dispatch.py
@@ -45,6 +45,7 @@
 
     answer: StatementAnswer
     gateway: ProxyEntry
+    server: str = ""
 
 
 class Dispatcher(Service):
@@ -102,24 +103,25 @@
     async def run_at(self, gateway: ProxyEntry, request: RunStatement) -> Dispatched:
         """Run a statement at one gateway; a missing answer becomes a truthful failure."""
         if gateway.vm == self._fleet.local.vm:
-            return Dispatched(answer=await self._gateways.run(request), gateway=gateway)
+            answer = await self._gateways.run(request)
+            return Dispatched(answer=answer, gateway=gateway, server=request.server)
         try:
             answer = await self._prober.call(
                 gateway, request, timeout_s=request.timeout_s + ANSWER_MARGIN_S
             )
         except PeerUnreachable as error:
             self._note_failure(gateway, request, "unreachable", error.detail)
-            loss = _build_loss(gateway, Failure.ABORTED, GATEWAY_UNREACHABLE)
+            loss = _build_loss(gateway, request, Failure.ABORTED, GATEWAY_UNREACHABLE)
             return replace(loss, answer=replace(loss.answer, is_unreachable=True))
         except PeerRejected as error:
             self._note_failure(gateway, request, "rejected", error.detail)
-            return _build_loss(gateway, _name_loss(request), "the gateway failed")
+            return _build_loss(gateway, request, _name_loss(request), "the gateway failed")
         except PeerAnswerLost as error:
             self._note_failure(gateway, request, "lost", error.detail)
-            return _build_loss(gateway, _name_loss(request), GATEWAY_LOST)
+            return _build_loss(gateway, request, _name_loss(request), GATEWAY_LOST)
         assert isinstance(answer, StatementAnswer)
         self._fleet.note_answer(gateway.vm)
-        return Dispatched(answer=answer, gateway=gateway)
+        return Dispatched(answer=answer, gateway=gateway, server=request.server)
 
     async def end_transaction(self, gateway: ProxyEntry, transaction: str) -> None:
         """Roll a transaction back; without an answer the gateway ends it when it is idle."""
@@ -187,5 +189,8 @@
     return Failure.ABORTED
 
 
-def _build_loss(gateway: ProxyEntry, failure: Failure, detail: str) -> Dispatched:
-    return Dispatched(answer=StatementAnswer(failure=failure, detail=detail), gateway=gateway)
+def _build_loss(
+    gateway: ProxyEntry, request: RunStatement, failure: Failure, detail: str
+) -> Dispatched:
+    answer = StatementAnswer(failure=failure, detail=detail)
+    return Dispatched(answer=answer, gateway=gateway, server=request.server)
--- a/lentilring/sessions/router.py
+++ b/lentilring/sessions/router.py
@@ -172,7 +172,7 @@
         )
         opening = Opening.READ_ONLY if from_replicas else Opening.READ_WRITE
         dispatched = await self._run_new(context, admission, call, opening, read_only=from_replicas)
-        transaction.gateway = dispatched.gateway
+        transaction.gateway, transaction.server = dispatched.gateway, dispatched.server
         return dispatched
 
     async def _continue(
@@ -182,10 +182,11 @@
         request = self._build(
             context, transaction.admission, call, transaction.server, Opening.NONE
         )
+        started_at = self._clock.monotonic()
         dispatched = await self._dispatcher.run_at(
             transaction.gateway, _in_transaction(request, transaction.id)
         )
-        self._log_run(transaction.admission, call, transaction.server, dispatched)
+        self._log_run(transaction.admission, call, dispatched, started_at)
         return dispatched
 
     async def _run_new(
@@ -295,12 +296,13 @@
     async def _try(
         self, admission: Admission, call: StatementCall, server: ServerEntry, request: RunStatement
     ) -> Dispatched:
+        started_at = self._clock.monotonic()
         dispatched = await self._dispatcher.run(server, request)
         answer = dispatched.answer
         self._load.note(server.id, answer.wait_s)
         if answer.failure in (Failure.ABORTED, Failure.TIMED_OUT, Failure.UNCERTAIN):
             self._trouble.note(server.id, admission.route.objective_s)
-        self._log_run(admission, call, server.id, dispatched)
+        self._log_run(admission, call, dispatched, started_at)
         return dispatched
 
     def _rank_readers(self, admission: Admission) -> list[ServerEntry]:
@@ -378,7 +380,11 @@
         )
 
     def _log_run(
-        self, admission: Admission, call: StatementCall, server: str, dispatched: Dispatched
+        self,
+        admission: Admission,
+        call: StatementCall,
+        dispatched: Dispatched,
+        started_at: float,
     ) -> None:
         answer = dispatched.answer
         self._telemetry.count("statements", work=call.work, outcome=answer.failure or "done")
@@ -388,8 +394,9 @@
             work=call.work,
             database=admission.route.database,
             account=admission.account,
-            server=server,
+            server=dispatched.server,
             gateway=dispatched.gateway.vm,
+            took_ms=round((self._clock.monotonic() - started_at) * 1000, 1),
             outcome=answer.failure or "done",
             detail=answer.detail or "-",
             position_age_s="-" if answer.age_s is None else round(answer.age_s, 3),
