--- a/lentilring/gateways/dispatch.py
+++ b/lentilring/gateways/dispatch.py
@@ -88,13 +88,14 @@
         deadline = self._clock.monotonic() + request.timeout_s
         last: Dispatched | None = None
         for gateway in self.choose_gateways(server):
-            last = await self.run_at(gateway, request)
+            remaining_s = deadline - self._clock.monotonic()
+            if last is not None and remaining_s <= 0:
+                return last
+            last = await self.run_at(gateway, replace(request, timeout_s=remaining_s))
             if last.answer.is_unreachable:
                 self._cut_off_until[gateway.vm, server.id] = self._clock.monotonic() + CUT_OFF_S
             if not self._may_go_elsewhere(request, last.answer):
                 return last
-            if self._clock.monotonic() >= deadline:
-                return last
         if last is None:
             answer = StatementAnswer(failure=Failure.OVERLOADED, detail="no gateway is known")
             return Dispatched(answer=answer, gateway=self._fleet.local)
@@ -103,8 +104,8 @@
     async def run_at(self, gateway: ProxyEntry, request: RunStatement) -> Dispatched:
         """Run a statement at one gateway; a missing answer becomes a truthful failure."""
         if gateway.vm == self._fleet.local.vm:
-            answer = await self._gateways.run(request)
-            return Dispatched(answer=answer, gateway=gateway, server=request.server)
+            own = await self._gateways.run(request)
+            return Dispatched(answer=own, gateway=gateway, server=request.server)
         try:
             answer = await self._prober.call(
                 gateway, request, timeout_s=request.timeout_s + ANSWER_MARGIN_S
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -14,6 +14,7 @@
 from lentilring.takeover.succession import Candidate, Successor, Undecided, choose_successor
 from lentilring.takeover.trouble import (
     PERSISTENCE_S,
+    RANK_PATIENCE_S,
     Observation,
     Trouble,
     TroubleWatch,
