--- a/lentilring/catalog/fleet.py
+++ b/lentilring/catalog/fleet.py
@@ -15,6 +15,7 @@
 from .source import ProxyEntry, Record, RecordKind, Records, RecordSource
 
 REGISTER_RETRY_S = 0.5
+SETTLE_S = 0.3
 
 log = Log(source="fleet")
 
@@ -47,6 +48,7 @@
             telemetry=telemetry,
             replace_all=self._replace,
             apply_changes=self._change,
+            settle_s=SETTLE_S,
         )
         self._tasks: list[asyncio.Task[None]] = []
 
--- a/lentilring/catalog/follower.py
+++ b/lentilring/catalog/follower.py
@@ -35,6 +35,7 @@
         replace_all: Callable[[Records], None],
         apply_changes: Callable[[Records], None],
         wait_s: float = WATCH_WAIT_S,
+        settle_s: float = 0.0,
     ) -> None:
         self.kind = kind
         self.confirmed_at = float("-inf")
@@ -42,7 +43,7 @@
         self._source, self._clock, self._random = source, clock, random
         self._telemetry = telemetry
         self._replace_all, self._apply_changes = replace_all, apply_changes
-        self._wait_s = wait_s
+        self._wait_s, self._settle_s = wait_s, settle_s
         self._revision: int | None = None
         self._retry_s = RETRY_S
 
@@ -86,3 +87,6 @@
         waited = self._clock.boottime() - sent_at
         certain_wait = self._wait_s * WAITED_FRACTION if waited >= self._wait_s else 0.0
         self.confirmed_at = max(self.confirmed_at, sent_at + certain_wait)
+        if found.records and self._settle_s:
+            # Registrations come in groups, and each answered watch is a call.
+            await asyncio.sleep(self._settle_s)
--- a/lentilring/gateways/lease.py
+++ b/lentilring/gateways/lease.py
@@ -12,11 +12,14 @@
 from ..catalog.model import ServerRole
 from .server import ServerStatus
 
-LEASE_S = 0.6
+# A takeover from a dark primary waits this long; status calls are priced, so a shorter lease costs
+# more of them.
+LEASE_S = 1.0
 # For the time from the check to the read at the server, and for clocks of different rates.
 LEASE_MARGIN_S = 0.05
-RENEWAL_S = 0.2
-STATUS_TIMEOUT_S = 0.35
+# Leaves time for a silent replica and for a round with the others before the lease ends.
+RENEWAL_S = 0.4
+STATUS_TIMEOUT_S = 0.25
 
 
 class LeadLease:
@@ -34,6 +37,13 @@
         """Tell whether the lease should be renewed."""
         return now - self._proved_at >= RENEWAL_S
 
+    def renew(self, status: ServerStatus | None, *, asked_at: float) -> bool:
+        """Extend a proved lead by one replica's status; False if it does not prove it."""
+        if status is None or not self.term or not _follows(status, self.term):
+            return False
+        self._proved_at = max(self._proved_at, asked_at)
+        return True
+
     def note(
         self,
         own: ServerStatus | None,
--- a/lentilring/gateways/renewal.py
+++ b/lentilring/gateways/renewal.py
@@ -40,6 +40,7 @@
         self._sessions: dict[str, ServerSession] = {}
         self._busy: set[str] = set()
         self._used_at: dict[str, float] = {}
+        self._witnesses: dict[str, str] = {}
         self._leases: dict[str, LeadLease] = {}
         self._rounds: dict[str, asyncio.Task[bool]] = {}
 
@@ -74,6 +75,8 @@
     async def _renew(self, server: ServerEntry) -> bool:
         entries = self._catalog.servers.by_service.get(server.service, ())
         replicas = [entry for entry in entries if entry.id != server.id]
+        if await self._renew_by_one(server, replicas):
+            return True
         asked_at = self._clock.boottime()
         own, *others = await asyncio.gather(*(self._ask(entry) for entry in [server, *replicas]))
         self._close_unused()
@@ -116,6 +119,22 @@
             self._busy.discard(server.id)
         return None if isinstance(answer, Failure) else answer
 
+    async def _renew_by_one(self, server: ServerEntry, replicas: list[ServerEntry]) -> bool:
+        """Extend a lease by asking the replica that proved it last; statuses are priced."""
+        lease = self.lease(server.id)
+        if not lease.term or not replicas:
+            return False
+        preferred = self._witnesses.get(server.id)
+        witness = next((entry for entry in replicas if entry.id == preferred), replicas[0])
+        asked_at = self._clock.boottime()
+        if lease.renew(await self._ask(witness), asked_at=asked_at):
+            self._telemetry.count("lead_leases", result="renewed")
+            return True
+        others = [entry for entry in replicas if entry.id != witness.id]
+        if others:
+            self._witnesses[server.id] = others[0].id
+        return False
+
     def _close_unused(self) -> None:
         """Close connections that no round has used for long; a server allows few."""
         oldest = self._clock.monotonic() - UNUSED_S
--- a/lentilring/gateways/sampling.py
+++ b/lentilring/gateways/sampling.py
@@ -11,8 +11,10 @@
 from .dispatch import Dispatcher
 from .service import GatewayService
 
-# A fifth of the shortest usual staleness bound, so that several samples stand within it.
-SAMPLE_INTERVAL_S = 0.3
+# A third of the shortest usual staleness bound, so that a missed sample does no harm. Supervisors
+# sample twice as often to notice a silent primary; they are mostly in its failure domain.
+SAMPLE_INTERVAL_S = 0.5
+SUPERVISION_INTERVAL_S = 0.25
 SAMPLE_TIMEOUT_S = 0.5
 # Services without reads for this long are no longer sampled.
 INTEREST_S = 5.0
@@ -35,6 +37,8 @@
         self._catalog, self._gateways, self._dispatcher = catalog, gateways, dispatcher
         self._clock, self._telemetry = clock, telemetry
         self._wanted_at: dict[str, float] = {}
+        self._supervised_at: dict[str, float] = {}
+        self._sampled_at: dict[str, float] = {}
         self._running: dict[str, asyncio.Task[None]] = {}
         self._commit_silence_s: dict[str, float] = {}
         self._task: asyncio.Task[None] | None = None
@@ -54,6 +58,10 @@
         """Sample a service for the next seconds."""
         self._wanted_at[service] = self._clock.monotonic()
 
+    def supervise(self, service: str) -> None:
+        """Sample a service more often until its next look."""
+        self._supervised_at[service] = self._clock.monotonic()
+
     def commit_silence_s(self, service: str) -> float:
         """Return for how long a primary's commits have failed to be confirmed."""
         return self._commit_silence_s.get(service, 0.0)
@@ -65,18 +73,25 @@
 
     async def _run(self) -> None:
         while True:
-            await self._clock.sleep(SAMPLE_INTERVAL_S)
-            oldest = self._clock.monotonic() - INTEREST_S
-            for service, wanted_at in list(self._wanted_at.items()):
-                if wanted_at < oldest:
-                    del self._wanted_at[service]
-                else:
+            await self._clock.sleep(SUPERVISION_INTERVAL_S)
+            for service in {*self._wanted_at, *self._supervised_at}:
+                if self._is_due(service):
                     self._begin(service)
 
+    def _is_due(self, service: str) -> bool:
+        now, never = self._clock.monotonic(), float("-inf")
+        if now - self._supervised_at.get(service, never) <= 2 * SUPERVISION_INTERVAL_S:
+            return True
+        wanted = now - self._wanted_at.get(service, never) <= INTEREST_S
+        # Half a tick early rather than a tick late.
+        waited = now - self._sampled_at.get(service, never) + SUPERVISION_INTERVAL_S / 2
+        return wanted and waited >= SAMPLE_INTERVAL_S
+
     def _begin(self, service: str) -> asyncio.Task[None]:
         """Return the running sample of a service, or begin one."""
         task = self._running.get(service)
         if task is None:
+            self._sampled_at[service] = self._clock.monotonic()
             task = asyncio.ensure_future(self._sample(service))
             self._running[service] = task
             task.add_done_callback(lambda _: self._running.pop(service, None))
--- a/lentilring/platform/objects.py
+++ b/lentilring/platform/objects.py
@@ -22,6 +22,10 @@
 CONNECT_TIMEOUT_S = 1.0
 # Unacknowledged bytes close a connection whose far end is dark.
 USER_TIMEOUT_MS = 3000
+# A watch waits long without a byte; keep-alive probes show a connection that went silent.
+KEEPALIVE_IDLE_S = 2
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 3
 
 log = Log(source="store")
 
@@ -227,4 +231,8 @@
     opened = socket.socket(family, kind, protocol)
     opened.setblocking(False)
     opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     return opened
--- a/lentilring/takeover/service.py
+++ b/lentilring/takeover/service.py
@@ -105,7 +105,7 @@
         return ranks[0] if ranks and ranks[0] < SUPERVISORS else None
 
     def _watch(self, service: str, rank: int) -> None:
-        self._sampler.note_interest(service)
+        self._sampler.supervise(service)
         now = self._clock.monotonic()
         watch = self._watches.setdefault(service, TroubleWatch())
         primary = self._catalog.find_primary(service)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -186,6 +186,29 @@
             lease.note(mine, others, has_replicas=True, asked_at=10.0)
             self.assertEqual(expected, lease.is_valid(10.1), (mine, others))
 
+    def test_one_replica_extends_only_a_proved_lead_of_the_same_term(self) -> None:
+        """Guards against a lease that a stopped replica, or one of a later term, extends."""
+        replica = ServerRole.REPLICA
+        unproved = LeadLease()
+        self.assertFalse(unproved.renew(self.status(replica, 3), asked_at=10.0))
+        lease = LeadLease()
+        lease.note(
+            self.status(ServerRole.PRIMARY, 3),
+            [self.status(replica, 3)],
+            has_replicas=True,
+            asked_at=10.0,
+        )
+        for status in (
+            None,
+            self.status(replica, 4),
+            self.status(replica, 3, held=4),
+            self.status(ServerRole.PRIMARY, 4),
+        ):
+            self.assertFalse(lease.renew(status, asked_at=20.0), status)
+        self.assertFalse(lease.is_valid(20.0))
+        self.assertTrue(lease.renew(self.status(replica, 3), asked_at=20.0))
+        self.assertTrue(lease.is_valid(20.5))
+
     def test_lease_counts_from_the_question_and_ends(self) -> None:
         """Guards against a lease that outlasts the wait of a takeover."""
         lease = LeadLease()
