--- a/lentilring/catalog/model.py
+++ b/lentilring/catalog/model.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field, replace
 from enum import StrEnum, unique
 
-from ..configuration.models import ClientAccount
+from ..configuration.accounts import ClientAccount
 
 
 @unique
--- a/lentilring/catalog/service.py
+++ b/lentilring/catalog/service.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from ..clock import SuspensionClock
-from ..configuration.models import ClientAccount, hash_key
+from ..configuration.accounts import ClientAccount, hash_key
 from ..kernel import Service
 from ..limits.window import LimitWindow, fit_account
 from ..telemetry.log import Log
--- a/lentilring/cli/sessions.py
+++ b/lentilring/cli/sessions.py
@@ -11,7 +11,7 @@
 
 from ..platform.boot import BOOT_VARIABLE, read_boot_file
 from ..session_process import run_session_proxy
-from ..settings import LogLevel
+from ..setting_types import LogLevel
 from ..telemetry.log import write_logs
 from ..telemetry.output import BoundedStream
 from .options import VERSION_OPTION, ExitCode
--- a/lentilring/configuration/models.py
+++ b/lentilring/configuration/models.py
@@ -1,14 +1,16 @@
 """Configuration objects; pydantic checks every field when an object is parsed."""
 
-import hashlib
 from enum import StrEnum
 from typing import Annotated, Any
 
 from pydantic import ConfigDict, Field, TypeAdapter
 from pydantic.dataclasses import dataclass
 
-MAX_RATE_PER_S = 1_000_000.0
-MAX_BURST = 1_000_000.0
+from .accounts import MAX_BURST as MAX_BURST
+from .accounts import MAX_RATE_PER_S as MAX_RATE_PER_S
+from .accounts import ClientAccount as ClientAccount
+from .accounts import hash_key as hash_key
+
 MAX_STALENESS_S = 86_400.0
 MAX_SHARES = 512
 PUBLIC_ACCOUNT = "public"
@@ -139,24 +141,6 @@
     shares: Annotated[int, Field(ge=1, le=MAX_SHARES)] = 8
 
 
-@dataclass(frozen=True, kw_only=True)
-class ClientAccount:
-    """Hold a client account's effective values: its parameters over its template."""
-
-    name: str
-    rate_per_s: float
-    burst: float
-    max_staleness_s: float | None
-    services: tuple[str, ...]
-    open_routes: tuple[str, ...]
-    key_hashes: tuple[str, ...]
-
-
-def hash_key(key: str) -> str:
-    """Return the SHA-256 of a caller's key; only hashes are stored."""
-    return hashlib.sha256(key.encode()).hexdigest()
-
-
 def merge_account(parameters: ClientAccountParameters, template: Template) -> ClientAccount:
     """Return the effective client account."""
 
--- a/lentilring/kernel.py
+++ b/lentilring/kernel.py
@@ -3,9 +3,8 @@
 import logging
 from collections.abc import Awaitable
 from dataclasses import dataclass
-from typing import TypeVar, cast
-
-from cherrypy.process import wspbus
+from functools import cached_property
+from typing import Any, TypeVar, cast
 
 from .errors import LentilringError
 
@@ -52,9 +51,21 @@
 class Kernel:
     """Register services by name and start, drain and stop them in order."""
 
-    def __init__(self, *, bus: wspbus.Bus | None = None) -> None:
-        self.bus = bus or wspbus.Bus()
+    def __init__(self) -> None:
         self._services: dict[str, object] = {}
+        self._state = "STOPPED"
+
+    @cached_property
+    def bus(self) -> Any:
+        """Return CherryPy's bus, made when an HTTP server first needs it.
+
+        Importing CherryPy takes a tenth of the start of a process that has no such server.
+        """
+        from cherrypy.process import wspbus
+
+        bus = wspbus.Bus()
+        bus.state = getattr(wspbus.states, self._state)
+        return bus
 
     def register(self, name: str, service: object) -> None:
         """Add a service; raise ServiceNameTaken if the name is in use."""
@@ -76,16 +87,14 @@
 
     async def start(self) -> None:
         """Start all services in the order of registration."""
-        self.bus.state = wspbus.states.STARTING
+        self._enter("STARTING")
         for service in self._managed():
             await service.start()
-        self.bus.state = wspbus.states.STARTED
-        self.bus.publish("start")
+        self._enter("STARTED", event="start")
 
     async def drain(self, *, deadline_s: float) -> None:
         """Drain all services in reverse order of registration."""
-        self.bus.state = wspbus.states.STOPPING
-        self.bus.publish("graceful")
+        self._enter("STOPPING", event="graceful")
         for service in reversed(self._managed()):
             await service.drain(deadline_s=deadline_s)
 
@@ -93,8 +102,20 @@
         """Stop all services in reverse order of registration."""
         for service in reversed(self._managed()):
             await _stop_safely(service.stop())
-        self.bus.publish("stop")
-        self.bus.state = wspbus.states.STOPPED
+        if "bus" in self.__dict__:
+            self.bus.publish("stop")
+        self._enter("STOPPED")
+
+    def _enter(self, state: str, *, event: str = "") -> None:
+        """Change the state and tell the bus if there is one."""
+        self._state = state
+        if "bus" not in self.__dict__:
+            return
+        from cherrypy.process import wspbus
+
+        self.bus.state = getattr(wspbus.states, state)
+        if event:
+            self.bus.publish(event)
 
     def _managed(self) -> list[Service]:
         return [entry for entry in self._services.values() if isinstance(entry, Service)]
--- a/lentilring/limits/allowance.py
+++ b/lentilring/limits/allowance.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from ..clock import Clock
-from ..configuration.models import ClientAccount
+from ..configuration.accounts import ClientAccount
 
 
 @dataclass(kw_only=True)
--- a/lentilring/limits/pools.py
+++ b/lentilring/limits/pools.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 
 from ..clock import Clock
-from ..configuration.models import ClientAccount
+from ..configuration.accounts import ClientAccount
 
 # Three reports of a proxy may be missing before its part is left to itself.
 HEARD_S = 1.6
--- a/lentilring/limits/regional.py
+++ b/lentilring/limits/regional.py
@@ -9,7 +9,7 @@
 from ..catalog.fleet import FleetService
 from ..catalog.source import ProxyEntry
 from ..clock import Clock
-from ..configuration.models import ClientAccount
+from ..configuration.accounts import ClientAccount
 from ..kernel import Service
 from ..outcomes import NotRun, RefusalReason
 from ..peers.transport import (
--- a/lentilring/limits/window.py
+++ b/lentilring/limits/window.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, replace
 
-from ..configuration.models import ClientAccount
+from ..configuration.accounts import ClientAccount
 
 # Requests are counted where they arrive, up to 0.4 s after their admission, so a full window may
 # hold this much more than was admitted within its length.
--- a/lentilring/platform/boot.py
+++ b/lentilring/platform/boot.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ..settings import SessionProxySettings
+from ..session_settings import SessionProxySettings
 
 BOOT_VARIABLE = "LENTILRING_BOOT"
 METRICS_PORT = 9464
--- a/lentilring/platform/documents.py
+++ b/lentilring/platform/documents.py
@@ -17,7 +17,7 @@
     ServerRole,
 )
 from ..catalog.source import Evacuation, ProxyEntry, RecordKind
-from ..configuration.models import MAX_BURST, MAX_RATE_PER_S, ClientAccount, hash_key
+from ..configuration.accounts import MAX_BURST, MAX_RATE_PER_S, ClientAccount, hash_key
 from ..telemetry.log import Log
 
 log = Log(source="platform")
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -25,11 +25,11 @@
 from .platform.servers import PlatformServers
 from .platform.statements import LineCodec
 from .platform.store import Kind, Store, StoreUnavailable, VersionConflict
+from .session_settings import SessionProxySettings
 from .sessions.choice import Place
 from .sessions.listener import SessionListener
 from .sessions.readiness import SessionReadiness
 from .sessions.router import StatementRouter
-from .settings import SessionProxySettings
 from .takeover.authority import PromotionAuthority
 from .takeover.service import TakeoverService
 from .telemetry.log import Log
--- a/lentilring/sessions/router.py
+++ b/lentilring/sessions/router.py
@@ -6,7 +6,7 @@
 from ..catalog.model import Consistency, ServerEntry
 from ..catalog.service import CatalogService
 from ..clock import SuspensionClock
-from ..configuration.models import ClientAccount
+from ..configuration.accounts import ClientAccount
 from ..gateways.dispatch import Dispatched, Dispatcher
 from ..gateways.gateway import UNCERTAIN_LEAD
 from ..gateways.messages import Opening, RunStatement, StatementAnswer, Work
--- a/tests/prepared.py
+++ b/tests/prepared.py
@@ -9,8 +9,8 @@
 from lentilring.kernel import Kernel
 from lentilring.platform.objects import ObjectClient
 from lentilring.session_process import register_session_services
+from lentilring.session_settings import SessionProxySettings
 from lentilring.sessions.readiness import SessionReadiness
-from lentilring.settings import SessionProxySettings
 from lentilring.standin.prepared.servers import ServerGroup, StandinServer
 from lentilring.standin.prepared.store import PreparedStore
 from lentilring.telemetry.metrics import Telemetry
