--- a/lentilring/gateways/pool.py
+++ b/lentilring/gateways/pool.py
@@ -99,6 +99,11 @@
         connection.session.close()
         self._wake()
 
+    def trim(self) -> None:
+        """Close idle connections above the limit, which falls when another gateway comes first."""
+        while self.open_count > self.limit and self._close_oldest_idle():
+            pass
+
     def close(self) -> None:
         """Close all idle connections; those in use are closed when they come back."""
         self._is_closed = True
--- a/lentilring/gateways/service.py
+++ b/lentilring/gateways/service.py
@@ -31,6 +31,7 @@
 # A primary's position is proved again when a younger one is asked for.
 PROOF_AGE_S = 0.15
 DEFAULT_CONNECTIONS = 4
+TRIM_INTERVAL_S = 0.25
 
 log = Log(source="gateway")
 
@@ -60,6 +61,7 @@
         self._proofs: dict[str, asyncio.Task[bool]] = {}
         self._transaction_numbers = itertools.count(1)
         self._transaction_prefix = f"{vm}.{incarnation}."
+        self._trimming: asyncio.Task[None] | None = None
         self._renewal = LeaseRenewal(
             catalog=catalog, connector=connector, clock=clock, telemetry=telemetry
         )
@@ -72,9 +74,12 @@
         self._transport.handle(RunStatement, self._handle_run)
         self._transport.handle(EndTransaction, self._handle_end)
         self._transport.handle(AskPosition, self._handle_ask)
+        self._trimming = asyncio.ensure_future(self._trim_pools())
 
     async def stop(self) -> None:
         """Close all connections to backend servers."""
+        if self._trimming is not None:
+            self._trimming.cancel()
         self._renewal.close()
         for gateway in self._gateways.values():
             gateway.close()
@@ -174,6 +179,13 @@
         if self._catalog.leadership.note_lead(server.service, server.id, position.term):
             log.info("lead_proved", service=server.service, server=server.id, position=position)
 
+    async def _trim_pools(self) -> None:
+        """Leave connections to the gateways that come first now."""
+        while True:
+            await self._clock.sleep(TRIM_INTERVAL_S)
+            for gateway in self._gateways.values():
+                gateway.pool.trim()
+
     def _open_gateway(self, server: ServerEntry) -> ServerGateway:
         gateway = self._gateways.get(server.id)
         if gateway is None:
