--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -289,12 +289,11 @@
                 return reply.outcome, reply.state
             after = None
         attempt.was_sent = True
-        sent_at = self._clock.boottime()
         reply = await connection.session.run(
             request.request_id, request.text, after=after, timeout_s=self._remaining(attempt)
         )
+        # The position of this answer proves nothing: read-only transactions commit on replicas too.
         if request.work in (Work.WRITE, Work.COMMIT) and reply.state is TransactionState.IDLE:
-            self._note_lead(reply, sent_at)
             self._commits_fail_since, self._failed_commits = None, 0
         if not request.proves_lead:
             return reply.outcome, reply.state
--- a/lentilring/standin/prepared/servers.py
+++ b/lentilring/standin/prepared/servers.py
@@ -27,6 +27,7 @@
     server: str
     in_transaction: bool
     values: tuple[tuple[str, str], ...]
+    applied: Position
     shape: str = ""
 
 
@@ -268,6 +269,7 @@
                 server=self._server.id,
                 in_transaction=self._state == "T",
                 values=tuple(sorted(self._values.items())),
+                applied=self._server.applied,
                 shape=shape,
             )
         )
--- a/tests/test_prepared_sessions.py
+++ b/tests/test_prepared_sessions.py
@@ -156,6 +156,32 @@
 
         run(scenario())
 
+    def test_commits_of_read_transactions_make_no_replica_look_fresh(self) -> None:
+        """Guards against taking a replica's position for one that the primary proved.
+
+        Found by a hunt: 5 stale reads from a lagging replica (quiet-1, seed 271592178095).
+        """
+
+        async def scenario() -> None:
+            async with run_prepared(lag_s=6.0) as prepared:
+                reader = await prepared.proxies["vm-1"].open("stock")
+                await reader.query("READ a")
+                self.assertEqual("i-rental-1", prepared.group.runs[-1].server)
+                writer = await prepared.proxies["vm-0"].open("booking")
+                await writer.query("WRITE a 1")
+                loop = asyncio.get_running_loop()
+                too_old = loop.time() + 1.5
+                while loop.time() < too_old + 1.0:
+                    late = loop.time() > too_old
+                    await reader.query("BEGIN READ")
+                    await reader.query("READ a")
+                    if late:
+                        self.assertEqual((1, 1), prepared.group.runs[-1].applied)
+                    await reader.query("COMMIT")
+                    await asyncio.sleep(0.01)
+
+        run(scenario())
+
     def test_lost_answer_of_a_write_is_uncertain_and_not_repeated(self) -> None:
         """Guards against a second run of a write, and against a false 'not run'."""
 
