--- a/lentilring/catalog/model.py
+++ b/lentilring/catalog/model.py
@@ -1,6 +1,6 @@
 """Routes, client accounts and backend servers as one immutable snapshot."""
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from enum import StrEnum, unique
 
 from ..configuration.accounts import ClientAccount
@@ -104,8 +104,3 @@
         services.setdefault(entry.service, []).append(entry)
     indexed = {name: tuple(found) for name, found in services.items()}
     return ServerTable(entries=entries, by_service=indexed)
-
-
-def with_role(entry: ServerEntry, role: ServerRole) -> ServerEntry:
-    """Return an entry with another role."""
-    return replace(entry, role=role)
--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -1,10 +1,9 @@
 """The gateway of one backend server: its connections, slots and open transactions."""
 
 import asyncio
-import math
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from ..catalog.model import ServerEntry
 from ..clock import SuspensionClock
@@ -19,17 +18,22 @@
 )
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
+from .attempt import (
+    Attempt,
+    OpenTransaction,
+    RunResult,
+    commits,
+    fail,
+    find_limit,
+    is_open,
+    needs_primary,
+)
 from .messages import Opening, RunStatement, Work
 from .pool import CONTROL_TIMEOUT_S, ConnectionPool, PooledConnection, apply_session
 from .positions import PositionHistory
 from .server import ServerConnector, ServerLost, ServerRefused, ServerReply, ServerUnreachable
 from .slots import IN_TRANSACTION, SlotQueue, SlotRefusal
 
-# What stays free of a server's connections for leases, takeovers and other gateways: the first
-# gateway left 2 of 16 free, and takeovers were refused connections (khaima-ops trouble-1).
-RESERVED_FRACTION = 0.4
-MIN_RESERVED = 4
-OTHER_GATEWAY_CONNECTIONS = 2
 # A caller's proxy that disappears leaves its transactions open; this much after its own limit.
 ABANDONED_MARGIN_S = 1.0
 # A lead is proved without a slot; a slower answer counts as a missing one.
@@ -48,40 +52,6 @@
 log = Log(source="gateway")
 
 
-@dataclass(kw_only=True, eq=False)
-class OpenTransaction:
-    """Hold the connection of a transaction; only one statement runs at a time."""
-
-    id: str
-    connection: PooledConnection
-    proves_lead: bool
-    is_busy: bool = False
-    timer: asyncio.TimerHandle | None = None
-
-
-@dataclass(frozen=True, kw_only=True)
-class RunResult:
-    """Hold the outcome of a statement and the transaction that stays open after it."""
-
-    outcome: StatementOutcome
-    transaction: str = ""
-    age_s: float | None = None
-    is_unreachable: bool = False
-
-
-@dataclass(kw_only=True)
-class _Attempt:
-    """Collect what a statement's steps learn."""
-
-    request: RunStatement
-    deadline: float
-    transaction: OpenTransaction | None = None
-    connection: PooledConnection | None = None
-    age_s: float | None = None
-    was_sent: bool = False
-    cost_s: float = field(default=0.0)
-
-
 class ServerGateway:
     """Run statements on one backend server."""
 
@@ -127,20 +97,20 @@
 
     async def run(self, request: RunStatement) -> RunResult:
         """Run one statement and tell truthfully whether it can have run."""
-        attempt = _Attempt(request=request, deadline=self._clock.monotonic() + request.timeout_s)
+        attempt = Attempt(request=request, deadline=self._clock.monotonic() + request.timeout_s)
         if request.transaction:
             attempt.transaction = self._claim(request.transaction)
             if attempt.transaction is None:
-                return _fail(Failure.ABORTED, "the transaction has ended")
+                return fail(Failure.ABORTED, "the transaction has ended")
         else:
-            if self._held is not None and _needs_primary(request):
+            if self._held is not None and needs_primary(request):
                 await self._wait_out_hold(self._held, request.patience_s)
                 if not self._is_primary():
-                    return _fail(Failure.NOT_PRIMARY, "another server leads now")
+                    return fail(Failure.NOT_PRIMARY, "another server leads now")
             if (refusal := self._refuse_new_work(self.server)) is not None:
                 return RunResult(outcome=refusal)
             if self._clock.monotonic() < self._unreachable_until:
-                result = _fail(Failure.OVERLOADED, "the server did not take a connection lately")
+                result = fail(Failure.OVERLOADED, "the server did not take a connection lately")
                 return replace(result, is_unreachable=True)
         rank = IN_TRANSACTION if request.transaction else 1 + request.priority
         refused = await self.slots.acquire(
@@ -226,7 +196,7 @@
             transaction.timer.cancel()
         return transaction
 
-    def _refuse_slot(self, attempt: _Attempt, refused: SlotRefusal) -> RunResult:
+    def _refuse_slot(self, attempt: Attempt, refused: SlotRefusal) -> RunResult:
         self._telemetry.count("gateway_refusals", reason="slots")
         log.info(
             "statement_refused",
@@ -239,7 +209,7 @@
         if attempt.transaction is not None:
             self._forget(attempt.transaction)
             self.pool.discard(attempt.transaction.connection)
-            return _fail(Failure.ABORTED, "no slot of the server became free in time")
+            return fail(Failure.ABORTED, "no slot of the server became free in time")
         return RunResult(
             outcome=Failed(
                 failure=Failure.OVERLOADED,
@@ -248,7 +218,7 @@
             )
         )
 
-    async def _run_in_slot(self, attempt: _Attempt) -> RunResult:
+    async def _run_in_slot(self, attempt: Attempt) -> RunResult:
         try:
             outcome, state = await self._run_steps(attempt)
         except ServerRefused as error:
@@ -258,7 +228,7 @@
             result = self._end_broken(attempt, Failure.OVERLOADED, error.detail)
             return replace(result, is_unreachable=attempt.transaction is None)
         except ServerLost as error:
-            if error.timed_out and _commits(attempt):
+            if error.timed_out and commits(attempt):
                 self._note_failed_commit()
             return self._end_broken(attempt, self._name_loss(attempt, error), error.detail)
         except BaseException:
@@ -266,7 +236,7 @@
             raise
         return await self._finish(attempt, outcome, state)
 
-    async def _run_steps(self, attempt: _Attempt) -> tuple[StatementOutcome, TransactionState]:
+    async def _run_steps(self, attempt: Attempt) -> tuple[StatementOutcome, TransactionState]:
         request = attempt.request
         connection = await self._prepare_connection(attempt)
         if attempt.transaction is None:
@@ -300,7 +270,7 @@
         ended = await connection.session.roll_back(timeout_s=CONTROL_TIMEOUT_S)
         return reply.outcome, ended.state
 
-    async def _prepare_connection(self, attempt: _Attempt) -> PooledConnection:
+    async def _prepare_connection(self, attempt: Attempt) -> PooledConnection:
         request = attempt.request
         if attempt.transaction is not None:
             connection = attempt.transaction.connection
@@ -319,7 +289,7 @@
         await apply_session(connection, request.values, prepared)
         return connection
 
-    async def _find_freshness(self, attempt: _Attempt) -> tuple[Position | None, Failed | None]:
+    async def _find_freshness(self, attempt: Attempt) -> tuple[Position | None, Failed | None]:
         """Return the position that a read must include, as of now."""
         request = attempt.request
         if request.max_staleness_s is None or attempt.transaction is not None:
@@ -363,19 +333,19 @@
         if isinstance(reply.outcome, Done) and reply.outcome.position is not None:
             self.history.note(reply.outcome.position, sent_at)
 
-    def _remaining(self, attempt: _Attempt) -> float:
+    def _remaining(self, attempt: Attempt) -> float:
         return max(0.001, attempt.deadline - self._clock.monotonic())
 
-    def _name_loss(self, attempt: _Attempt, error: ServerLost) -> Failure:
+    def _name_loss(self, attempt: Attempt, error: ServerLost) -> Failure:
         """Return what a missing answer means: a transaction is rolled back with its connection."""
         request = attempt.request
-        if request.work is Work.COMMIT or (request.work is Work.WRITE and not _is_open(attempt)):
+        if request.work is Work.COMMIT or (request.work is Work.WRITE and not is_open(attempt)):
             return Failure.UNCERTAIN if attempt.was_sent else Failure.ABORTED
-        if _is_open(attempt):
+        if is_open(attempt):
             return Failure.ABORTED
         return Failure.TIMED_OUT if error.timed_out else Failure.ABORTED
 
-    def _end_broken(self, attempt: _Attempt, failure: Failure, detail: str) -> RunResult:
+    def _end_broken(self, attempt: Attempt, failure: Failure, detail: str) -> RunResult:
         if attempt.transaction is not None:
             self._forget(attempt.transaction)
             if failure is not Failure.UNCERTAIN:
@@ -391,10 +361,10 @@
             sent=attempt.was_sent,
             detail=detail,
         )
-        return _fail(failure, detail)
+        return fail(failure, detail)
 
     async def _finish(
-        self, attempt: _Attempt, outcome: StatementOutcome, state: TransactionState
+        self, attempt: Attempt, outcome: StatementOutcome, state: TransactionState
     ) -> RunResult:
         connection = attempt.connection
         assert connection is not None
@@ -412,7 +382,7 @@
             self.pool.give(connection)
         return RunResult(outcome=outcome, age_s=attempt.age_s)
 
-    def _keep_open(self, attempt: _Attempt, connection: PooledConnection) -> str:
+    def _keep_open(self, attempt: Attempt, connection: PooledConnection) -> str:
         transaction = attempt.transaction
         if transaction is None:
             transaction = OpenTransaction(
@@ -454,30 +424,3 @@
             self.pool.give(connection)
         else:
             self.pool.discard(connection)
-
-
-def find_limit(max_connections: int, *, is_first: bool) -> int:
-    """Return how many connections a gateway may hold."""
-    reserved = max(MIN_RESERVED, math.ceil(max_connections * RESERVED_FRACTION))
-    own = max(1, max_connections - reserved)
-    return own if is_first else min(own, OTHER_GATEWAY_CONNECTIONS)
-
-
-def _is_open(attempt: _Attempt) -> bool:
-    opens = attempt.request.opening is not Opening.NONE
-    return attempt.transaction is not None or opens or attempt.request.proves_lead
-
-
-def _needs_primary(request: RunStatement) -> bool:
-    return (
-        request.opening is Opening.READ_WRITE or request.proves_lead or request.work is Work.WRITE
-    )
-
-
-def _commits(attempt: _Attempt) -> bool:
-    work = attempt.request.work
-    return work is Work.COMMIT or (work is Work.WRITE and not _is_open(attempt))
-
-
-def _fail(failure: Failure, detail: str) -> RunResult:
-    return RunResult(outcome=Failed(failure=failure, detail=detail))
--- a/lentilring/gateways/service.py
+++ b/lentilring/gateways/service.py
@@ -14,7 +14,8 @@
 from ..statements.model import Done, Failed, Failure, Position
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
-from .gateway import RunResult, ServerGateway
+from .attempt import RunResult
+from .gateway import ServerGateway
 from .messages import (
     AskPosition,
     EndTransaction,
--- /dev/null
+++ b/lentilring/sessions/calls.py
@@ -0,0 +1,60 @@
+"""What the router takes and gives: statements, admissions by limits, and gateways' answers."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from ..configuration.accounts import ClientAccount
+from ..gateways.messages import StatementAnswer, Work
+from ..outcomes import NotRun
+from ..statements.model import (
+    Done,
+    Failed,
+    Failure,
+    Position,
+    PreparedStatement,
+    StatementOutcome,
+)
+
+# After these another server may run what can run on several.
+ELSEWHERE = frozenset(
+    {
+        Failure.BEHIND,
+        Failure.OVERLOADED,
+        Failure.CONNECTIONS_EXHAUSTED,
+        Failure.WRONG_SERVER,
+        Failure.NOT_PRIMARY,
+        Failure.ABORTED,
+        Failure.TIMED_OUT,
+    }
+)
+
+
+class Limiter(Protocol):
+    """Admit operations within the rates of accounts."""
+
+    async def acquire(self, account: ClientAccount, *, timeout_s: float) -> NotRun | None:
+        """Take one token; None: admitted."""
+        ...
+
+
+@dataclass(frozen=True, kw_only=True)
+class StatementCall:
+    """Describe one statement of a session for the router."""
+
+    request_id: str
+    text: str
+    work: Work
+    prepared: PreparedStatement | None = None
+
+
+def read_answer(answer: StatementAnswer) -> StatementOutcome:
+    """Return the outcome that a gateway's answer holds."""
+    position = Position(term=answer.term, number=answer.number) if answer.term else None
+    if not answer.failure:
+        return Done(rows=answer.rows, proof=answer.proof, position=position)
+    return Failed(
+        failure=Failure(answer.failure),
+        detail=answer.detail,
+        retry_after_s=answer.retry_after_s,
+        position=position,
+    )
--- a/lentilring/sessions/router.py
+++ b/lentilring/sessions/router.py
@@ -1,27 +1,24 @@
 """The service `statements`: admits operations and finds a backend server for each statement."""
 
-from dataclasses import dataclass, replace
-from typing import Protocol
+from dataclasses import replace
 
 from ..catalog.model import Consistency, ServerEntry
 from ..catalog.service import CatalogService
 from ..clock import SuspensionClock
-from ..configuration.accounts import ClientAccount
 from ..gateways.dispatch import Dispatched, Dispatcher
 from ..gateways.gateway import UNCERTAIN_LEAD
 from ..gateways.messages import Opening, RunStatement, StatementAnswer, Work
 from ..kernel import Service
-from ..outcomes import NotRun
 from ..statements.model import (
     Done,
     Failed,
     Failure,
     Position,
-    PreparedStatement,
     StatementOutcome,
 )
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
+from .calls import ELSEWHERE, Limiter, StatementCall, read_answer
 from .choice import LoadView, Place, rank_readers
 from .context import ANONYMOUS_ACCOUNT, Admission, SessionContext, SessionTransaction
 
@@ -36,40 +33,9 @@
 NO_PRIMARY_RETRY_S = 0.3
 STALE_RETRY_S = 1.0
 
-# After these another server may run what can run on several.
-ELSEWHERE = frozenset(
-    {
-        Failure.BEHIND,
-        Failure.OVERLOADED,
-        Failure.CONNECTIONS_EXHAUSTED,
-        Failure.WRONG_SERVER,
-        Failure.NOT_PRIMARY,
-        Failure.ABORTED,
-        Failure.TIMED_OUT,
-    }
-)
-
 log = Log(source="statements")
 
 
-class Limiter(Protocol):
-    """Admit operations within the rates of accounts."""
-
-    async def acquire(self, account: ClientAccount, *, timeout_s: float) -> NotRun | None:
-        """Take one token; None: admitted."""
-        ...
-
-
-@dataclass(frozen=True, kw_only=True)
-class StatementCall:
-    """Describe one statement of a session for the router."""
-
-    request_id: str
-    text: str
-    work: Work
-    prepared: PreparedStatement | None = None
-
-
 class StatementRouter(Service):
     """Decide where statements run."""
 
@@ -404,18 +370,5 @@
         )
 
 
-def read_answer(answer: StatementAnswer) -> StatementOutcome:
-    """Return the outcome that a gateway's answer holds."""
-    position = Position(term=answer.term, number=answer.number) if answer.term else None
-    if not answer.failure:
-        return Done(rows=answer.rows, proof=answer.proof, position=position)
-    return Failed(
-        failure=Failure(answer.failure),
-        detail=answer.detail,
-        retry_after_s=answer.retry_after_s,
-        position=position,
-    )
-
-
 def _in_transaction(request: RunStatement, transaction: str) -> RunStatement:
     return replace(request, transaction=transaction)
--- a/lentilring/sessions/session.py
+++ b/lentilring/sessions/session.py
@@ -28,8 +28,9 @@
     Write,
 )
 from ..telemetry.log import Log
+from .calls import StatementCall
 from .context import Admission, SessionContext, SessionTransaction
-from .router import StatementCall, StatementRouter
+from .router import StatementRouter
 
 MAX_VALUES = 64
 MAX_PREPARED = 256
