Promote no replica that lacks what the old primary began with

A supervisor that gave up had left the replica stopped, so the new primary could not prove its lead. Ruled out: the first promotion (its server had received 1.49, the furthest). The intent now records what its server had received, and a later choice must reach it; replicas are let go again when one of them leads. The new test failed to be expressible before: there was no floor.

--- a/lentilring/takeover/authority.py
+++ b/lentilring/takeover/authority.py
@@ -6,6 +6,9 @@
 
 from ..outcomes import JsonValue
 from ..platform.store import Kind, Store, VersionConflict
+from ..statements.model import Position
+
+NO_COMMITS = Position(term=0, number=0)
 
 
 @unique
@@ -30,12 +33,16 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Intent:
-    """Hold the newest recorded promotion; an open one may still take effect."""
+    """Hold the newest recorded promotion; an open one may still take effect.
+
+    `received` is what the server had when it was chosen.
+    """
 
     version: int
     server: str
     is_open: bool
     vm: str = ""
+    received: Position = NO_COMMITS
 
 
 class PromotionAuthority:
@@ -56,27 +63,32 @@
             server=server if isinstance(server, str) else "",
             is_open=bool(value.get("open")),
             vm=str(value.get("vm", "")),
+            received=_read_position(value),
         )
 
-    async def claim(self, service: str, server: str, *, seen: Intent) -> Intent | None:
+    async def claim(
+        self, service: str, server: str, *, received: Position, seen: Intent
+    ) -> Intent | None:
         """Record the intent to promote a server; None if another proxy recorded one meanwhile.
 
         The version of the returned intent is the fencing token. Raise StoreUnavailable.
         """
-        return await self._write(service, server, seen=seen, is_open=True)
+        return await self._write(service, server, received, seen=seen, is_open=True)
 
     async def settle(self, service: str, *, seen: Intent) -> None:
         """Record that a promotion took effect; raise StoreUnavailable."""
-        await self._write(service, seen.server, seen=seen, is_open=False)
+        await self._write(service, seen.server, seen.received, seen=seen, is_open=False)
 
     async def _write(
-        self, service: str, server: str, *, seen: Intent, is_open: bool
+        self, service: str, server: str, received: Position, *, seen: Intent, is_open: bool
     ) -> Intent | None:
         # The version makes each intent differ from the one before, so that its own version rises.
         value: dict[str, JsonValue] = {
             "vm": self._vm,
             "server": server,
             "open": is_open,
+            "term": received.term,
+            "number": received.number,
             "after": seen.version,
         }
         try:
@@ -85,4 +97,13 @@
             )
         except VersionConflict:
             return None
-        return Intent(version=written.version, server=server, is_open=is_open, vm=self._vm)
+        return Intent(
+            version=written.version, server=server, is_open=is_open, vm=self._vm, received=received
+        )
+
+
+def _read_position(value: dict[str, JsonValue]) -> Position:
+    term, number = value.get("term"), value.get("number")
+    if not isinstance(term, int) or not isinstance(number, int):
+        return NO_COMMITS
+    return Position(term=term, number=number)
--- a/lentilring/takeover/service.py
+++ b/lentilring/takeover/service.py
@@ -178,14 +178,18 @@
         finally:
             # An earlier promotion without an answer may still run. Replicas that receive again
             # would let the old primary be taken as the only one until then.
-            if not done and intent is not None and await self._may_resume(case, intent):
+            if not done and intent is not None and await self._may_resume(case, control, intent):
                 await control.resume_all()
             control.close()
             if held is not None:
                 self._gateways.release(held.id)
 
-    async def _may_resume(self, case: _Case, intent: Intent) -> bool:
+    async def _may_resume(self, case: _Case, control: ReplicaControl, intent: Intent) -> bool:
         """Tell whether no promotion that was recorded by anyone can still run."""
+        statuses = await control.read_all(case.replicas)
+        if any(_leads(status) for status in statuses.values()):
+            # The promotion took effect; its server cannot lead without replicas that receive.
+            return True
         try:
             newest = await self._authority.read(case.service)
         except StoreUnavailable:
@@ -216,12 +220,15 @@
             ],
             replicas=[entry.id for entry in case.replicas],
             place_of_old="" if case.old is None else case.old.failure_domain,
+            floor=intent.received,
             intended=intent.server if intent.is_open else "",
         )
         if isinstance(choice, Undecided):
             log.warning("takeover_undecided", service=case.service, reason=choice.reason)
             return False
-        claimed = await self._authority.claim(case.service, choice.server.id, seen=intent)
+        claimed = await self._authority.claim(
+            case.service, choice.server.id, received=choice.received, seen=intent
+        )
         if claimed is None:
             log.info("takeover_left", service=case.service, detail="another proxy promotes")
             return True
--- a/lentilring/takeover/succession.py
+++ b/lentilring/takeover/succession.py
@@ -36,12 +36,15 @@
     *,
     replicas: Collection[str],
     place_of_old: str,
+    floor: Position,
     intended: str = "",
 ) -> Successor | Undecided:
     """Return the eligible candidate that has everything that any replica received.
 
     A commit is acknowledged once one replica has it, whichever that is. So all replicas must have
     answered, after they were stopped from receiving, and the successor must be the furthest one.
+    It must also have `floor`, with which the old primary began: those commits may be on the old
+    primary alone, because replicas need not have followed it since.
     An earlier promotion without an answer may still run, so its server is preferred.
     """
     answered = {candidate.server.id for candidate in candidates}
@@ -51,6 +54,8 @@
     if not candidates:
         return Undecided(reason="no replica is registered")
     furthest = max(candidate.received for candidate in candidates)
+    if furthest < floor:
+        return Undecided(reason=f"replicas are at {furthest}, the primary began at {floor}")
     able = [entry for entry in candidates if entry.received == furthest and entry.is_eligible]
     if not able:
         return Undecided(reason="the furthest replica is leaving or evacuated")
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -10,7 +10,7 @@
 from lentilring.gateways.server import ServerStatus
 from lentilring.platform.store import Kind, StoredObject, VersionConflict
 from lentilring.statements.model import Position
-from lentilring.takeover.authority import PromotionAuthority
+from lentilring.takeover.authority import NO_COMMITS, PromotionAuthority
 from lentilring.takeover.succession import Candidate, Successor, Undecided, choose_successor
 from lentilring.takeover.trouble import (
     PERSISTENCE_S,
@@ -55,6 +55,7 @@
             [build_candidate("a", 5), build_candidate("b", 9)],
             replicas=["a", "b"],
             place_of_old="casa-a",
+            floor=NO_COMMITS,
         )
         assert isinstance(choice, Successor)
         self.assertEqual("b", choice.server.id)
@@ -65,13 +66,16 @@
             [build_candidate("a", 50, term=1), build_candidate("b", 9, term=2)],
             replicas=["a", "b"],
             place_of_old="",
+            floor=NO_COMMITS,
         )
         assert isinstance(choice, Successor)
         self.assertEqual("b", choice.server.id)
 
     def test_missing_replica_prevents_the_choice(self) -> None:
         """Guards against promoting while the replica that acknowledged may be silent."""
-        choice = choose_successor([build_candidate("a", 5)], replicas=["a", "b"], place_of_old="")
+        choice = choose_successor(
+            [build_candidate("a", 5)], replicas=["a", "b"], place_of_old="", floor=NO_COMMITS
+        )
         self.assertIsInstance(choice, Undecided)
 
     def test_behind_replica_is_not_taken_for_an_ineligible_one(self) -> None:
@@ -80,6 +84,21 @@
             [build_candidate("a", 5), build_candidate("b", 9, eligible=False)],
             replicas=["a", "b"],
             place_of_old="",
+            floor=NO_COMMITS,
+        )
+        self.assertIsInstance(choice, Undecided)
+
+    def test_replica_without_the_commits_that_the_primary_began_with_is_not_chosen(self) -> None:
+        """Guards against losing commits that only the present primary has since its promotion.
+
+        Found by a hunt: a replica that received nothing replaced a primary that had just been
+        promoted, and 17 commits were lost (bricola-hq trouble-1, seed 519159464596).
+        """
+        choice = choose_successor(
+            [build_candidate("deaf", 34)],
+            replicas=["deaf"],
+            place_of_old="",
+            floor=Position(term=1, number=49),
         )
         self.assertIsInstance(choice, Undecided)
 
@@ -89,6 +108,7 @@
             [build_candidate("a", 9), build_candidate("b", 9)],
             replicas=["a", "b"],
             place_of_old="",
+            floor=NO_COMMITS,
             intended="b",
         )
         assert isinstance(choice, Successor)
@@ -247,23 +267,27 @@
         """Guards against two proxies that promote with one token."""
 
         async def scenario() -> None:
-            store = MemoryStore()
+            store, position = MemoryStore(), Position(term=1, number=9)
             first = PromotionAuthority(store=store, vm="vm-a")  # type: ignore[arg-type]
             second = PromotionAuthority(store=store, vm="vm-b")  # type: ignore[arg-type]
             seen_first, seen_second = await first.read("rental"), await second.read("rental")
-            claimed = await first.claim("rental", "a", seen=seen_first)
+            claimed = await first.claim("rental", "a", received=position, seen=seen_first)
             assert claimed is not None
-            self.assertIsNone(await second.claim("rental", "b", seen=seen_second))
+            self.assertIsNone(
+                await second.claim("rental", "b", received=position, seen=seen_second)
+            )
             seen = await second.read("rental")
             self.assertTrue(seen.is_open)
-            again = await second.claim("rental", "a", seen=seen)
+            again = await second.claim("rental", "a", received=position, seen=seen)
             assert again is not None
             self.assertTrue(again.version > claimed.version)
-            same = await second.claim("rental", "a", seen=again)
+            same = await second.claim("rental", "a", received=position, seen=again)
             assert same is not None
             self.assertTrue(same.version > again.version)
             await second.settle("rental", seen=same)
-            self.assertFalse((await first.read("rental")).is_open)
+            settled = await first.read("rental")
+            self.assertFalse(settled.is_open)
+            self.assertEqual(position, settled.received)
             self.assertEqual(Kind.PROMOTION, "promotion")
 
         asyncio.run(scenario())
