Let replicas go only when the intended server leads

The change before this one let a supervisor that gives up resume the replicas when any of them led, also the one that another supervisor was about to replace; commits between that and the promotion are lost.

--- a/lentilring/takeover/service.py
+++ b/lentilring/takeover/service.py
@@ -186,14 +186,16 @@
 
     async def _may_resume(self, case: _Case, control: ReplicaControl, intent: Intent) -> bool:
         """Tell whether no promotion that was recorded by anyone can still run."""
-        statuses = await control.read_all(case.replicas)
-        if any(_leads(status) for status in statuses.values()):
-            # The promotion took effect; its server cannot lead without replicas that receive.
-            return True
         try:
             newest = await self._authority.read(case.service)
         except StoreUnavailable:
             return False
+        statuses = await control.read_all(case.replicas)
+        intended = statuses.get(newest.server)
+        if newest.is_open and intended is not None and _leads(intended):
+            # The promotion took effect; its server cannot lead without replicas that receive. Any
+            # other server that leads is about to be replaced.
+            return True
         return not newest.is_open or (newest.vm == self._fleet.local.vm and not intent.is_open)
 
     async def _replace(self, case: _Case, control: ReplicaControl, intent: Intent) -> bool:
