--- a/lentilring/gateways/attempt.py
+++ b/lentilring/gateways/attempt.py
@@ -21,7 +21,6 @@
 
     id: str
     connection: PooledConnection
-    proves_lead: bool
     is_busy: bool = False
     timer: asyncio.TimerHandle | None = None
 
