--- a/lentilring/catalog/leadership.py
+++ b/lentilring/catalog/leadership.py
@@ -48,6 +48,10 @@
             return newest
         return table.entries[lead.server]
 
+    def lead_of(self, service: str) -> Lead | None:
+        """Return the newest proof of the lead."""
+        return self._leads.get(service)
+
     def note_registration(self, entry: ServerEntry, previous: ServerEntry | None) -> None:
         """Forget proofs that a newer registration contradicts."""
         lead = self._leads.get(entry.service)
--- a/lentilring/gateways/attempt.py
+++ b/lentilring/gateways/attempt.py
@@ -21,6 +21,7 @@
 
     id: str
     connection: PooledConnection
+    proves_lead: bool
     is_busy: bool = False
     timer: asyncio.TimerHandle | None = None
 
--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -152,6 +152,7 @@
                 connection,
                 read_only=False,
                 after=None,
+                is_lead_certain=True,
                 timeout_s=PROOF_TIMEOUT_S,
             )
             if reply.state is not TransactionState.IDLE:
@@ -251,7 +252,9 @@
             # A server that was replaced behind a partition still opens plain transactions.
             if not read_only and not await self._ensure_lead():
                 return UNCERTAIN_LEAD, TransactionState.IDLE
-            reply = await self._begin(connection, read_only=read_only, after=after)
+            reply = await self._begin(
+                connection, read_only=read_only, after=after, is_lead_certain=not read_only
+            )
             if not isinstance(reply.outcome, Done):
                 return reply.outcome, reply.state
             after = None
@@ -310,13 +313,14 @@
         *,
         read_only: bool,
         after: Position | None,
+        is_lead_certain: bool,
         timeout_s: float = CONTROL_TIMEOUT_S,
     ) -> ServerReply:
         sent_at = self._clock.boottime()
         reply = await connection.session.begin(
             read_only=read_only, after=after, timeout_s=timeout_s
         )
-        if not read_only:
+        if not read_only and is_lead_certain:
             self._note_lead(reply, sent_at)
         return reply
 
@@ -384,6 +388,7 @@
             transaction = OpenTransaction(
                 id=self._make_transaction_id(),
                 connection=connection,
+                proves_lead=attempt.request.opening is Opening.READ_WRITE,
             )
             self.transactions[transaction.id] = transaction
         transaction.is_busy = False
--- a/lentilring/platform/statements.py
+++ b/lentilring/platform/statements.py
@@ -24,6 +24,7 @@
     Write,
 )
 
+LINE_END = b"\r\n"
 MAX_LINE_BYTES = 1024 * 1024
 NO_VALUE = "-"
 FAILURE_CODES = {
--- a/lentilring/sessions/listener.py
+++ b/lentilring/sessions/listener.py
@@ -114,6 +114,10 @@
         for connection in self._connections:
             connection.ends_when_idle = True
 
+    def count_busy(self) -> int:
+        """Return the connections with a statement or an open transaction."""
+        return sum(not entry.is_idle for entry in self._connections)
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
