Explain a request from the logs of several processes

Cause: from a request's id to the beliefs that decided it took several greps by hand (docs/OPERATIONS.md).

--- a/lentilring/cli/ctl.py
+++ b/lentilring/cli/ctl.py
@@ -34,6 +34,7 @@
 from ..platform.client import HttpStore
 from ..platform.store import Kind, StoreUnavailable
 from ..telemetry.metrics import Telemetry
+from .explain import explain
 from .options import VERSION_OPTION, ExitCode
 from .tables import pick, print_json, print_table
 
@@ -59,6 +60,7 @@
 application.add_typer(databases, name="database")
 application.add_typer(status, name="status")
 application.add_typer(groups, name="group")
+application.command()(explain)
 
 Json = Annotated[bool, typer.Option("--json", help="Print JSON instead of text.")]
 Wait = Annotated[
--- /dev/null
+++ b/lentilring/operations/explanation.py
@@ -0,0 +1,127 @@
+"""What the logs of several processes say of one request: its course and what decided it."""
+
+import re
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from datetime import UTC, datetime
+
+# A belief that changed longer ago than this rarely explains a failure of the present.
+BELIEF_WINDOW_S = 15.0
+
+# Keys under which a line names the request that it is about.
+REQUEST_KEYS = ("request", "request_id")
+# Keys that name what a request depends on. A later line under one of the keys of the same group
+# may tell why the request ended as it did.
+SUBJECT_GROUPS = (
+    frozenset({"server", "primary", "leading"}),
+    frozenset({"gateway", "peer", "vm"}),
+    frozenset({"service"}),
+    frozenset({"account"}),
+    frozenset({"manifest", "version"}),
+)
+
+_PAIR = re.compile(r'(?:^|\s)([a-z_]+)=("(?:[^"\\]|\\.)*"|\S*)')
+_ESCAPE = re.compile(r"\\(.)")
+
+
+@dataclass(frozen=True, kw_only=True)
+class LogEvent:
+    """Hold one log line; `origin` is what stands before the line's time, often the VM."""
+
+    at: datetime
+    origin: str
+    source: str
+    name: str
+    values: dict[str, str] = field(default_factory=dict)
+
+    @property
+    def request(self) -> str:
+        """Return the id of the request that the line is about, empty for none."""
+        return next((self.values[key] for key in REQUEST_KEYS if key in self.values), "")
+
+
+@dataclass(frozen=True, kw_only=True)
+class Explanation:
+    """Hold a request's events, the changes of belief before its end, and its last outcome."""
+
+    request: str
+    events: tuple[LogEvent, ...]
+    beliefs: tuple[LogEvent, ...]
+    outcome: str
+    detail: str
+
+
+def read_event(line: str) -> LogEvent | None:
+    """Return the event of a line, None for a line of another format."""
+    start = line.find("time=")
+    if start < 0:
+        return None
+    values = {match[1]: _unquote(match[2]) for match in _PAIR.finditer(line[start:])}
+    try:
+        at = datetime.fromisoformat(values.pop("time", ""))
+    except ValueError:
+        return None
+    name = values.pop("event", "")
+    if not name:
+        return None
+    values.pop("level", None)
+    return LogEvent(
+        at=at if at.tzinfo else at.replace(tzinfo=UTC),
+        origin=line[:start].strip(" :|[]\t"),
+        source=values.pop("source", ""),
+        name=name,
+        values=values,
+    )
+
+
+def read_events(lines: Iterable[str]) -> Iterator[LogEvent]:
+    """Return the events of lines, without lines of other formats."""
+    for line in lines:
+        event = read_event(line)
+        if event is not None:
+            yield event
+
+
+def explain_request(request: str, events: Iterable[LogEvent]) -> Explanation | None:
+    """Return what the events say of a request, None if none names it."""
+    ordered = sorted(events, key=lambda event: event.at)
+    own = [event for event in ordered if event.request == request]
+    if not own:
+        return None
+    subjects = {pair for event in own for pair in _list_subjects(event)}
+    first, last = own[0].at, own[-1].at
+    beliefs = [
+        event
+        for event in ordered
+        if not event.request
+        and event.at <= last
+        and (first - event.at).total_seconds() <= BELIEF_WINDOW_S
+        and not subjects.isdisjoint(_list_subjects(event))
+    ]
+    ended = [event for event in own if "outcome" in event.values or "failure" in event.values]
+    values = ended[-1].values if ended else {}
+    return Explanation(
+        request=request,
+        events=tuple(own),
+        beliefs=tuple(beliefs),
+        outcome=values.get("outcome") or values.get("failure") or "unknown",
+        detail=values.get("detail", ""),
+    )
+
+
+def _list_subjects(event: LogEvent) -> set[tuple[int, str]]:
+    """Return what a line is about, as pairs of a group of keys and a name."""
+    return {
+        (number, name)
+        for number, keys in enumerate(SUBJECT_GROUPS)
+        for key, value in event.values.items()
+        if key in keys
+        for name in value.split(",")
+        if name not in ("", "-", "none")
+    }
+
+
+def _unquote(value: str) -> str:
+    if not value.startswith('"'):
+        return value
+    return _ESCAPE.sub(lambda match: "\n" if match[1] == "n" else match[1], value[1:-1])
