Add a fault soak of session proxies as real processes; confirm the configuration within short bounds

The soak (lentilring-load soak) starts proxies as processes against the stand-ins of the prepared platform, harms links through loopback relays, signals processes, crashes and deafens servers, takes the store down, and checks what callers and servers saw: statements unchanged, writes at most once, acknowledgements and refusals true, freshness, pinned transactions, withdrawn keys, limits, service after the faults. With the standard sites' bounds the wait stays at 4 s.

--- a/lentilring/catalog/service.py
+++ b/lentilring/catalog/service.py
@@ -19,10 +19,12 @@
 # Registrations that lapsed during an outage of the store are back within 2 s of its return.
 REMOVAL_DELAY_S = 2.5
 # The age of the configuration is known to this accuracy; withdrawn keys depend on it.
-MANIFEST_WAIT_S = 4.0
+MAX_MANIFEST_WAIT_S = 4.0
 # A proxy whose configuration was not confirmed for this part of its greatest age takes no new
 # callers, so that they go to proxies that know more.
 READY_AGE_FRACTION = 0.5
+# Two watches in a row may be late before a proxy takes no new callers.
+MANIFEST_WAITS = 2
 
 log = Log(source="catalog")
 
@@ -75,7 +77,10 @@
             )
 
         self._manifests = follow(
-            RecordKind.MANIFEST, self._take_manifests, self._take_manifests, MANIFEST_WAIT_S
+            RecordKind.MANIFEST,
+            self._take_manifests,
+            self._take_manifests,
+            min(MAX_MANIFEST_WAIT_S, max_age_s * READY_AGE_FRACTION / MANIFEST_WAITS),
         )
         self._registrations = follow(
             RecordKind.SERVERS, self._replace_servers, self._change_servers
--- a/lentilring/cli/load.py
+++ b/lentilring/cli/load.py
@@ -9,11 +9,12 @@
 import typer
 
 from ..loadtest.checker import check_log
-from ..loadtest.findings import Finding
+from ..loadtest.findings import MAX_LISTED, Finding
 from ..loadtest.records import LogInvalid, LogWriter, RequestLog, read_log
 from ..loadtest.report import draw_report
 from ..loadtest.runner import LoadRun
 from ..loadtest.scenario import Scenario, ScenarioInvalid, read_scenario
+from ..soak.run import SoakResult, run_soak
 from ..telemetry.log import write_logs
 from .options import VERSION_OPTION, ExitCode
 from .tables import print_json
@@ -96,6 +97,39 @@
     typer.echo(f"wrote {output}")
 
 
+@application.command()
+def soak(
+    seed: Annotated[int, typer.Option(help="Seed of the faults and the callers.")] = 1,
+    seeds: Annotated[int, typer.Option(min=1, help="Runs, with seeds that follow.")] = 1,
+    minutes: Annotated[float, typer.Option(min=0.05, max=600, help="Time of faults.")] = 1.0,
+    vms: Annotated[int, typer.Option(min=2, max=60, help="Proxies, each a process.")] = 5,
+    folder: Annotated[
+        Path, typer.Option(help="Directory of the proxies' logs; one of each seed.")
+    ] = Path("soak"),
+) -> None:
+    """Run proxies as processes under random faults; exit with 1 if a promise is broken."""
+    broken = False
+    for number in range(seed, seed + seeds):
+        logs = folder / str(number)
+        logs.mkdir(parents=True, exist_ok=True)
+        result = asyncio.run(run_soak(seed=number, duration_s=minutes * 60, vms=vms, folder=logs))
+        _print_soak(result)
+        broken = broken or bool(result.violations)
+    if broken:
+        raise typer.Exit(ExitCode.FAILURE)
+
+
+def _print_soak(result: SoakResult) -> None:
+    verdict = f"{len(result.violations)} VIOLATIONS" if result.violations else "no violation"
+    typer.echo(
+        f"seed {result.seed}: {verdict}; {len(result.faults)} faults, operations: {result.done} "
+        f"done, {result.refused} not run, {result.unknown} uncertain; {result.commits} commits, "
+        f"{result.runs} statements at servers"
+    )
+    for violation in result.violations[:MAX_LISTED]:
+        typer.echo(f"  ! {violation.rule}: {violation.detail}")
+
+
 async def _play(scenario: Scenario, writer: LogWriter, work: Path) -> None:
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector) as http:
--- /dev/null
+++ b/lentilring/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of session proxies as real processes, with faults from outside."""
--- /dev/null
+++ b/lentilring/soak/callers.py
@@ -0,0 +1,262 @@
+"""Callers of a soak: sessions that roam between proxies and note what they were told."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from random import Random
+
+from ..catalog.model import Consistency
+from ..standin.prepared.caller import CallerAnswer, CallerLost, CallerSession
+from ..statements.model import NOT_RUN, Failure
+from .history import Answer, Ending, History, Request
+
+OPEN_TIMEOUT_S = 2.0
+ANSWER_TIMEOUT_S = 6.0
+MAX_PAUSE_S = 0.15
+ITEMS = 20
+# Shares of the operations, of 1.
+WRITE_SHARE = 0.25
+TRANSACTION_SHARE = 0.25
+PREPARED_SHARE = 0.15
+LEAVE_SHARE = 0.05
+ROLLBACK_SHARE = 0.2
+MAX_STATEMENTS = 4
+
+
+@dataclass(frozen=True, kw_only=True)
+class CallerRoute:
+    """Name a database and what its reads may miss."""
+
+    database: str
+    consistency: Consistency
+    max_staleness_s: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Credentials:
+    """Hold one client account's key."""
+
+    account: str
+    key: str
+
+
+@dataclass(kw_only=True)
+class CallerCounts:
+    """Count how operations ended."""
+
+    done: int = 0
+    refused: int = 0
+    unknown: int = 0
+    sessions_lost: int = 0
+
+
+class Caller:
+    """Run operations one after the other until told to stop."""
+
+    _numbers = itertools.count(1)
+
+    def __init__(
+        self,
+        *,
+        history: History,
+        random: Random,
+        choose_address: Callable[[], str],
+        routes: tuple[CallerRoute, ...],
+        credentials: Callable[[], Credentials],
+    ) -> None:
+        self._history, self._random = history, random
+        self._choose_address, self._routes = choose_address, routes
+        self._credentials = credentials
+        self.counts = CallerCounts()
+        self.last_done_at = 0.0
+        self._stopping = False
+
+    def stop(self) -> None:
+        """End after the running operation."""
+        self._stopping = True
+
+    async def run(self) -> None:
+        """Open sessions and use each until it breaks or is left."""
+        while not self._stopping:
+            route = self._random.choice(self._routes)
+            credentials = self._credentials()
+            try:
+                session = await CallerSession.open(
+                    self._choose_address(),
+                    route.database,
+                    credentials.key,
+                    timeout_s=OPEN_TIMEOUT_S,
+                )
+            except CallerLost:
+                self.counts.sessions_lost += 1
+                await asyncio.sleep(0.1)
+                continue
+            await _Visit(caller=self, session=session, route=route, credentials=credentials).run()
+            session.close()
+
+    @property
+    def is_stopping(self) -> bool:
+        """Tell whether no further operation is to begin."""
+        return self._stopping
+
+
+class _Visit:
+    """Use one session."""
+
+    def __init__(
+        self,
+        *,
+        caller: Caller,
+        session: CallerSession,
+        route: CallerRoute,
+        credentials: Credentials,
+    ) -> None:
+        self._caller, self._session = caller, session
+        self._route, self._credentials = route, credentials
+        self._random, self._history = caller._random, caller._history
+        self._number = next(Caller._numbers)
+        self._values: dict[str, str] = {}
+        self._shapes: dict[str, str] = {}
+
+    async def run(self) -> None:
+        try:
+            await self._set_up()
+            while not self._caller.is_stopping:
+                if self._random.random() < LEAVE_SHARE:
+                    return
+                await self._run_operation()
+                await asyncio.sleep(self._random.uniform(0.0, MAX_PAUSE_S))
+        except CallerLost:
+            self._caller.counts.sessions_lost += 1
+
+    async def _set_up(self) -> None:
+        if self._random.random() < 0.5:
+            value = f"v{self._random.randrange(4)}"
+            if (await self._send(f"SET place {value}")).failure is None:
+                self._values["place"] = value
+        for kind in ("READ", "WRITE"):
+            shape = f"q{self._random.randrange(3)}{kind[0].lower()}"
+            name = f"s{kind[0].lower()}"
+            if (await self._send(f"PREPARE {name} {kind} {shape}")).failure is None:
+                self._shapes[name] = shape
+
+    async def _run_operation(self) -> None:
+        kind = self._random.random()
+        if kind < TRANSACTION_SHARE:
+            ending = await self._run_transaction()
+        else:
+            ending = await self._run_single(writes=kind < TRANSACTION_SHARE + WRITE_SHARE)
+        counts = self._caller.counts
+        if ending is Ending.DONE:
+            counts.done += 1
+            self._caller.last_done_at = asyncio.get_running_loop().time()
+        elif ending is Ending.NOT_RUN:
+            counts.refused += 1
+        else:
+            counts.unknown += 1
+
+    async def _run_single(self, *, writes: bool) -> Ending:
+        request = self._build(writes=writes)
+        try:
+            answer = await self._ask(request)
+        except CallerLost:
+            self._note(request, Ending.UNKNOWN, (request.id,) if writes else ())
+            raise
+        ending = _name_ending(answer)
+        self._note(request, ending, (request.id,) if writes else ())
+        return ending
+
+    async def _run_transaction(self) -> Ending:
+        number, began_at = next(Caller._numbers), asyncio.get_running_loop().time()
+        opened = await self._send("BEGIN")
+        if opened.failure is not None:
+            return _name_ending(opened)
+        written: list[str] = []
+        for _ in range(self._random.randrange(1, MAX_STATEMENTS)):
+            writes = self._random.random() < 0.5
+            request = replace(
+                self._build(writes=writes), transaction=number, transaction_began_at=began_at
+            )
+            if writes:
+                written.append(request.id)
+            try:
+                answer = await self._ask(request)
+            except CallerLost:
+                # Nothing commits that its caller did not ask to commit.
+                self._note(request, Ending.NOT_RUN, tuple(written))
+                raise
+            if answer.failure is not None:
+                self._note(request, Ending.NOT_RUN, tuple(written))
+                await self._send("ROLLBACK")
+                return Ending.NOT_RUN
+            await asyncio.sleep(self._random.uniform(0.0, MAX_PAUSE_S / 3))
+        if self._random.random() < ROLLBACK_SHARE:
+            self._note(request, Ending.NOT_RUN, tuple(written))
+            await self._send("ROLLBACK")
+            return Ending.DONE
+        return await self._commit(number, began_at, tuple(written))
+
+    async def _commit(self, number: int, began_at: float, written: tuple[str, ...]) -> Ending:
+        request = replace(
+            self._build(writes=False),
+            text="COMMIT",
+            shape="",
+            transaction=number,
+            transaction_began_at=began_at,
+        )
+        try:
+            answer = await self._ask(request)
+        except CallerLost:
+            self._note(request, Ending.UNKNOWN, written)
+            raise
+        ending = _name_ending(answer)
+        self._note(request, ending, written)
+        return ending
+
+    def _build(self, *, writes: bool) -> Request:
+        number = next(Caller._numbers)
+        item = f"i{self._random.randrange(ITEMS)}"
+        name = "sw" if writes else "sr"
+        arguments = f"{item} d{number}" if writes else item
+        shape = self._shapes.get(name, "") if self._random.random() < PREPARED_SHARE else ""
+        text = f"EXECUTE {name} {arguments}" if shape else f"READ {arguments}"
+        if writes and not shape:
+            text = f"WRITE {arguments}"
+        return Request(
+            id=f"q{number:08x}",
+            session=self._number,
+            text=text,
+            account=self._credentials.account,
+            key=self._credentials.key,
+            consistency=self._route.consistency,
+            max_staleness_s=self._route.max_staleness_s,
+            values=tuple(sorted(self._values.items())),
+            shape=shape,
+            transaction=0,
+            transaction_began_at=0.0,
+            sent_at=asyncio.get_running_loop().time(),
+        )
+
+    async def _ask(self, request: Request) -> CallerAnswer:
+        request = replace(request, sent_at=asyncio.get_running_loop().time())
+        self._history.requests[request.id] = request
+        return await self._session.query(request.id, request.text, timeout_s=ANSWER_TIMEOUT_S)
+
+    async def _send(self, text: str) -> CallerAnswer:
+        return await self._session.query(
+            f"q{next(Caller._numbers):08x}", text, timeout_s=ANSWER_TIMEOUT_S
+        )
+
+    def _note(self, request: Request, ending: Ending, commits: tuple[str, ...]) -> None:
+        now = asyncio.get_running_loop().time()
+        self._history.answers.append(
+            Answer(request=request.id, ending=ending, commits=commits, at=now)
+        )
+
+
+def _name_ending(answer: CallerAnswer) -> Ending:
+    if answer.failure is None:
+        return Ending.DONE
+    refused = answer.failure in NOT_RUN or answer.failure is Failure.UNAUTHORIZED
+    return Ending.NOT_RUN if refused else Ending.UNKNOWN
--- /dev/null
+++ b/lentilring/soak/history.py
@@ -0,0 +1,210 @@
+"""What callers and backend servers saw, and which promises it breaks."""
+
+import bisect
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import StrEnum, unique
+
+from ..catalog.model import Consistency
+from ..standin.prepared.servers import NOWHERE, LoggedCommit, Position, Run
+
+
+@unique
+class Ending(StrEnum):
+    """Say what a caller was told; everything that is no promise is unknown."""
+
+    DONE = "done"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Request:
+    """Hold one statement as its caller saw it; times are of the loop's clock."""
+
+    id: str
+    session: int
+    text: str
+    account: str
+    key: str
+    consistency: Consistency
+    max_staleness_s: float
+    values: tuple[tuple[str, str], ...]
+    shape: str
+    transaction: int
+    transaction_began_at: float
+    sent_at: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Answer:
+    """Hold the end of a request, or of all writes of a transaction when it commits."""
+
+    request: str
+    ending: Ending
+    commits: tuple[str, ...]
+    at: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Withdrawal:
+    """Say when a key stopped being valid."""
+
+    key: str
+    at: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Violation:
+    """Name a broken promise and what shows it."""
+
+    rule: str
+    detail: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Bounds:
+    """Hold the deployment's promises in numbers."""
+
+    withdrawal_s: float
+    window_s: float
+    allowed_per_window: dict[str, float]
+
+
+@dataclass(kw_only=True)
+class History:
+    """Collect events of one run."""
+
+    requests: dict[str, Request] = field(default_factory=dict)
+    answers: list[Answer] = field(default_factory=list)
+    withdrawals: list[Withdrawal] = field(default_factory=list)
+
+    def check(
+        self,
+        *,
+        runs: Iterable[Run],
+        log: Iterable[LoggedCommit],
+        rolled_back: Iterable[LoggedCommit],
+        bounds: Bounds,
+    ) -> list[Violation]:
+        """Return every broken promise."""
+        runs = [run for run in runs if run.request_id != "-"]
+        commits = {write: entry.position for entry in log for write in entry.writes}
+        lost = {write for entry in rolled_back for write in entry.writes}
+        return [
+            *self._check_texts(runs),
+            *self._check_writes(log, commits, lost),
+            *self._check_transactions(runs),
+            *self._check_freshness(runs, commits),
+            *self._check_keys(runs, bounds),
+            *self._check_limits(runs, bounds),
+        ]
+
+    def _check_texts(self, runs: list[Run]) -> Iterable[Violation]:
+        for run in runs:
+            request = self.requests.get(run.request_id)
+            if request is None:
+                yield Violation(rule="unasked", detail=f"{run} was sent by no caller")
+                continue
+            renamed = run.text.startswith("EXECUTE")
+            same_text = run.text.split(" ")[2:] == request.text.split(" ")[2:]
+            if run.text != request.text and not (renamed and same_text):
+                yield Violation(rule="unasked", detail=f"{run} was asked as {request.text}")
+            if run.account != request.account:
+                yield Violation(rule="account", detail=f"{run} belongs to {request.account}")
+            if run.values != request.values or run.shape != request.shape:
+                yield Violation(rule="pinned", detail=f"{run} with the session of {request}")
+
+    def _check_writes(
+        self, log: Iterable[LoggedCommit], commits: dict[str, Position], lost: set[str]
+    ) -> Iterable[Violation]:
+        counted = Counter(write for entry in log for write in entry.writes)
+        for write, count in counted.items():
+            if count > 1:
+                yield Violation(rule="twice", detail=f"{write} took effect {count} times")
+        for answer in self.answers:
+            for write in answer.commits:
+                if answer.ending is Ending.DONE and write not in commits:
+                    why = "was rolled back" if write in lost else "is in no log"
+                    yield Violation(rule="lost", detail=f"{write} was acknowledged and {why}")
+                if answer.ending is Ending.NOT_RUN and write in commits:
+                    yield Violation(rule="refused", detail=f"{write} was refused as not run")
+
+    def _check_transactions(self, runs: list[Run]) -> Iterable[Violation]:
+        """Check that a transaction's statements follow each other on one connection."""
+        connections: dict[int, int] = {}
+        newest: dict[int, int] = {}
+        for run in runs:
+            request = self.requests.get(run.request_id)
+            if request is None:
+                continue
+            previous = newest.get(run.connection)
+            newest[run.connection] = transaction = request.transaction
+            if not transaction:
+                continue
+            first = connections.get(transaction)
+            if first is None:
+                connections[transaction] = run.connection
+            elif first != run.connection or previous != transaction:
+                yield Violation(rule="pinned", detail=f"{run} left connection {first}")
+
+    def _check_freshness(
+        self, runs: list[Run], commits: dict[str, Position]
+    ) -> Iterable[Violation]:
+        acknowledged = sorted(
+            (answer.at, self.requests[answer.request].session, commits[write])
+            for answer in self.answers
+            if answer.ending is Ending.DONE
+            for write in answer.commits
+            if write in commits
+        )
+        times = [at for at, _, _ in acknowledged]
+        newest: list[Position] = []
+        own: dict[int, list[tuple[float, Position]]] = defaultdict(list)
+        for at, session, position in acknowledged:
+            newest.append(max(position, newest[-1]) if newest else position)
+            own[session].append((at, position))
+        for run in runs:
+            request = self.requests.get(run.request_id)
+            if request is None or not run.text.startswith(("READ", "EXECUTE")):
+                continue
+            began = request.transaction_began_at if request.transaction else request.sent_at
+            is_primary = request.consistency is Consistency.PRIMARY
+            allowed_s = 0.0 if is_primary else request.max_staleness_s
+            index = bisect.bisect_left(times, began - allowed_s)
+            needed = newest[index - 1] if index else NOWHERE
+            if request.consistency is Consistency.OWN_WRITES:
+                mine = [position for at, position in own[request.session] if at < began]
+                needed = max([needed, *mine])
+            if run.applied < needed:
+                yield Violation(rule="stale", detail=f"{run} lacks {needed}, asked by {request}")
+
+    def _check_keys(self, runs: list[Run], bounds: Bounds) -> Iterable[Violation]:
+        withdrawn = {entry.key: entry.at for entry in self.withdrawals}
+        for run in runs:
+            request = self.requests.get(run.request_id)
+            if request is None or request.key not in withdrawn:
+                continue
+            late_s = request.sent_at - withdrawn[request.key]
+            if late_s > bounds.withdrawal_s:
+                yield Violation(rule="key", detail=f"{run} ran {late_s:.1f} s after the withdrawal")
+
+    def _check_limits(self, runs: list[Run], bounds: Bounds) -> Iterable[Violation]:
+        seen: dict[str, list[float]] = defaultdict(list)
+        counted: set[str | int] = set()
+        for run in runs:
+            request = self.requests.get(run.request_id)
+            operation = run.request_id if request is None else request.transaction or request.id
+            if operation not in counted:
+                counted.add(operation)
+                seen[run.account].append(run.at)
+        for account, times in seen.items():
+            allowed = bounds.allowed_per_window.get(account, float("inf"))
+            times.sort()
+            for index, at in enumerate(times):
+                count = bisect.bisect_right(times, at + bounds.window_s) - index
+                if count > allowed:
+                    detail = f"{account}: {count} operations from {at:.1f}, {allowed:.0f} allowed"
+                    yield Violation(rule="limit", detail=detail)
+                    break
--- /dev/null
+++ b/lentilring/soak/run.py
@@ -0,0 +1,125 @@
+"""One run of the soak: a world, callers, faults, a quiet end, and the checks."""
+
+import asyncio
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+
+from ..catalog.model import Consistency
+from ..telemetry.log import Log
+from .callers import Caller, CallerRoute, Credentials
+from .faults import FaultPlayer
+from .history import Bounds, History, Violation
+from .world import ACCOUNT_RATE, BUSY_ACCOUNT_RATE, WINDOW, World, build_world
+
+CALLERS = 24
+# An operator's change is in force this long after the store has it, if the store answers; without
+# a confirmation a proxy refuses after the greatest age of its configuration.
+APPLY_S = 3.0
+# All faults have ended for this long before the last check.
+RECOVERY_S = 12.0
+# In the last part of the recovery every caller must succeed at something.
+SERVED_WITHIN_S = 5.0
+# Loopback networks 127.1.* to 127.9.* are left to other tools of the project.
+FIRST_NETWORK = 20
+NETWORKS = 200
+
+ROUTES = (
+    CallerRoute(database="booking", consistency=Consistency.PRIMARY, max_staleness_s=0.0),
+    CallerRoute(database="stock", consistency=Consistency.BOUNDED, max_staleness_s=1.5),
+    CallerRoute(database="delivery", consistency=Consistency.OWN_WRITES, max_staleness_s=2.5),
+)
+
+log = Log(source="soak")
+
+
+@dataclass(frozen=True, kw_only=True)
+class SoakResult:
+    """Hold what one run did and which promises it broke."""
+
+    seed: int
+    faults: tuple[str, ...]
+    done: int
+    refused: int
+    unknown: int
+    commits: int
+    runs: int
+    violations: tuple[Violation, ...]
+
+
+async def run_soak(
+    *, seed: int, duration_s: float, vms: int, folder: Path, callers: int = CALLERS
+) -> SoakResult:
+    """Play faults for a time and check the promises; logs stay in the folder."""
+    random = Random(seed)
+    network = f"127.{FIRST_NETWORK + seed % NETWORKS}.{seed // NETWORKS % 250}"
+    world, history = build_world(folder, host_prefix=network), History()
+    try:
+        await world.start(vms=vms)
+        group = [_build_caller(world, history, random) for _ in range(callers)]
+        tasks = [asyncio.ensure_future(caller.run()) for caller in group]
+        player = FaultPlayer(world=world, history=history, random=random)
+        await player.play(duration_s=duration_s)
+        await asyncio.sleep(RECOVERY_S)
+        ended_at = asyncio.get_running_loop().time()
+        for caller in group:
+            caller.stop()
+        await asyncio.gather(*tasks)
+        violations = _check(world, history) + _check_service(group, ended_at)
+        return SoakResult(
+            seed=seed,
+            faults=tuple(player.played),
+            done=sum(caller.counts.done for caller in group),
+            refused=sum(caller.counts.refused for caller in group),
+            unknown=sum(caller.counts.unknown for caller in group),
+            commits=len(world.group.log),
+            runs=len(world.group.runs),
+            violations=tuple(violations),
+        )
+    finally:
+        await world.stop()
+
+
+def _build_caller(world: World, history: History, random: Random) -> Caller:
+    own = Random(random.getrandbits(64))
+
+    def choose_address() -> str:
+        return own.choice(world.proxies).session_address
+
+    def choose_credentials() -> Credentials:
+        account = own.choice(sorted(world.keys))
+        return Credentials(account=account, key=own.choice(world.keys[account]))
+
+    return Caller(
+        history=history,
+        random=own,
+        choose_address=choose_address,
+        routes=ROUTES,
+        credentials=choose_credentials,
+    )
+
+
+def _check(world: World, history: History) -> list[Violation]:
+    rates = {"busy": BUSY_ACCOUNT_RATE}
+    bounds = Bounds(
+        withdrawal_s=world.max_configuration_age_s() + APPLY_S,
+        window_s=WINDOW.length_s,
+        allowed_per_window={
+            name: WINDOW.count_allowed(rates.get(name, ACCOUNT_RATE), rates.get(name, ACCOUNT_RATE))
+            for name in world.keys
+        },
+    )
+    return history.check(
+        runs=world.group.runs,
+        log=world.group.log,
+        rolled_back=world.group.rolled_back,
+        bounds=bounds,
+    )
+
+
+def _check_service(callers: list[Caller], ended_at: float) -> list[Violation]:
+    served = sum(ended_at - caller.last_done_at < SERVED_WITHIN_S for caller in callers)
+    if served == len(callers):
+        return []
+    detail = f"{len(callers) - served} of {len(callers)} callers unserved after the faults"
+    return [Violation(rule="recovery", detail=detail)]
--- /dev/null
+++ b/lentilring/soak/world.py
@@ -0,0 +1,280 @@
+"""The deployment of a soak: stand-ins of the platform, relays and proxies as real processes."""
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import IO, Any
+
+from ..limits.window import LimitWindow
+from ..platform.boot import BOOT_VARIABLE, read_boot_file
+from ..standin.prepared.boot import StandinVm, write_boot_file
+from ..standin.prepared.servers import ServerGroup, StandinServer
+from ..standin.prepared.store import PreparedStore
+from .relay import Relay
+
+DOMAINS = ("casa-a", "mrk-a", "fes-a")
+REGIONS = {"casa-a": "casablanca", "mrk-a": "marrakech", "fes-a": "fes"}
+SERVICE = "rental"
+LAG_S = 0.06
+PROMOTE_S = 0.3
+RESTART_S = 0.5
+GRACE_S = 3.0
+# For which proxies may go on with a configuration that the store does not confirm.
+UNSTABLE_STORE_S = 5.0
+READY_WITHIN_S = 30.0
+ACCOUNT_RATE = 400.0
+BUSY_ACCOUNT_RATE = 20.0
+WINDOW = LimitWindow(length_s=5.0, overage=0.1, slack=20.0)
+
+
+@dataclass(kw_only=True, eq=False)
+class ProxyProcess:
+    """Hold one proxy's process; only this process is ever signalled."""
+
+    vm: str
+    boot_file: Path
+    log: IO[bytes]
+    session_address: str
+    readiness_address: str
+    store_link: Relay
+    process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Start the process, or start it again."""
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "lentilring.cli.sessions"],
+            env={**os.environ, BOOT_VARIABLE: str(self.boot_file)},
+            stdout=self.log,
+            stderr=subprocess.STDOUT,
+        )
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process has not ended."""
+        return self.process is not None and self.process.poll() is None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process if it has not ended."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def wait(self, *, within_s: float) -> None:
+        """Wait for the end of the process, then kill it."""
+        for _ in range(int(within_s / 0.05)):
+            if not self.is_running:
+                return
+            await asyncio.sleep(0.05)
+        self.kill()
+
+    def kill(self) -> None:
+        """End the process without notice and collect it."""
+        if self.process is not None:
+            self.send(signal.SIGKILL)
+            self.process.wait()
+
+
+@dataclass(kw_only=True)
+class World:
+    """Hold everything that a soak runs."""
+
+    folder: Path
+    host_prefix: str
+    group: ServerGroup
+    store: PreparedStore
+    server_links: dict[str, Relay] = field(default_factory=dict)
+    proxies: list[ProxyProcess] = field(default_factory=list)
+    version: int = 0
+    keys: dict[str, list[str]] = field(default_factory=dict)
+
+    async def start(self, *, vms: int) -> None:
+        """Start the stand-ins, then the proxies, and wait until all are ready."""
+        await self.group.start()
+        for server in self.group.servers:
+            link = self.server_links[server.id] = Relay(host=self._name_host(250))
+            await link.start(server.address)
+        await self.store.start(self._name_host(251))
+        self.keys = {"planner": ["planner-key-1"], "crew": ["crew-key-1"], "busy": ["busy-key-1"]}
+        self.put_manifest()
+        self.register_all()
+        for index in range(vms):
+            await self._add_proxy(index)
+        await self.wait_ready()
+
+    async def stop(self) -> None:
+        """End all processes by their ids and close the stand-ins."""
+        for proxy in self.proxies:
+            proxy.send(signal.SIGCONT)
+            proxy.kill()
+            await proxy.store_link.stop()
+            proxy.log.close()
+        for link in self.server_links.values():
+            await link.stop()
+        await self.store.stop()
+        await self.group.stop()
+
+    def put_manifest(self) -> None:
+        """Write a new version of the configuration, as the operator does."""
+        self.version += 3
+        rates = {"busy": BUSY_ACCOUNT_RATE}
+        tenants = [
+            {
+                "name": name,
+                "api-keys": keys,
+                "rate-per-s": rates.get(name, ACCOUNT_RATE),
+                "burst": rates.get(name, ACCOUNT_RATE),
+            }
+            for name, keys in self.keys.items()
+        ]
+        routes = [
+            _build_route("booking", "primary", 0),
+            _build_route("stock", "bounded_staleness", 1500),
+            _build_route("delivery", "read_your_writes", 2500),
+        ]
+        self.store.put(
+            "config",
+            "main",
+            {
+                "version": self.version,
+                "routes": routes,
+                "services": [{"name": SERVICE, "max-connections": 24, "sync-replicas": 1}],
+                "limits": {"tx-idle-ms": 2000},
+                "tenants": tenants,
+            },
+        )
+
+    def register_all(self) -> None:
+        """Register all servers that run."""
+        for server in self.group.servers:
+            self.register(server)
+
+    def register(self, server: StandinServer, *, state: str = "ready") -> None:
+        """Register a server at the address of its relay, or remove one that is down."""
+        if server.faults.down:
+            self.store.remove("servers", server.id)
+            return
+        entry = self.group.entry(server, state=state)
+        entry["address"] = self.server_links[server.id].address
+        if self.store.read("servers", server.id) != entry:
+            self.store.put("servers", server.id, entry)
+
+    async def restart_server(self, server: StandinServer) -> None:
+        """Start a crashed server again with its log."""
+        await server.start()
+        self.server_links[server.id].retarget(server.address)
+        self.group.catch_up(server)
+        self.register(server)
+
+    def promote(self, service: str, server: str) -> bool:
+        """Let a server lead after a moment; False if it does not run."""
+        if service != SERVICE or self.group.find(server).faults.down:
+            return False
+        asyncio.get_running_loop().call_later(PROMOTE_S, self._finish_promotion, server)
+        return True
+
+    def _finish_promotion(self, server: str) -> None:
+        if self.group.find(server).faults.down:
+            return
+        if self.group.leader is None or self.group.leader.id != server:
+            self.group.promote(server)
+        self.register_all()
+
+    async def wait_ready(self) -> None:
+        """Wait until every proxy answers its probe; raise TimeoutError."""
+        async with asyncio.timeout(READY_WITHIN_S):
+            for proxy in self.proxies:
+                while not await _is_ready(proxy.readiness_address):
+                    await asyncio.sleep(0.1)
+
+    def max_configuration_age_s(self) -> float:
+        """Return after which time proxies refuse without a confirmed configuration."""
+        return read_boot_file(self.proxies[0].boot_file).max_configuration_age_s
+
+    async def _add_proxy(self, index: int) -> None:
+        domain, host = DOMAINS[index % len(DOMAINS)], self._name_host(index + 1)
+        store_link = Relay(host=host)
+        await store_link.start(self.store.address)
+        sessions, readiness, peers = (_find_free_port(host) for _ in range(3))
+        boot_file = self.folder / f"vm-{index}.json"
+        write_boot_file(
+            boot_file,
+            StandinVm(
+                vm=f"vm-{index}",
+                ip=host,
+                failure_domain=domain,
+                regions=REGIONS,
+                session_port=sessions,
+                readiness_port=readiness,
+                peer_port=peers,
+                store_address=store_link.address,
+                promotion_address=self.store.address,
+                window=WINDOW,
+                grace_s=GRACE_S,
+                unstable_store_s=UNSTABLE_STORE_S,
+            ),
+        )
+        proxy = ProxyProcess(
+            vm=f"vm-{index}",
+            boot_file=boot_file,
+            log=(self.folder / f"vm-{index}.log").open("wb"),
+            session_address=f"{host}:{sessions}",
+            readiness_address=f"{host}:{readiness}",
+            store_link=store_link,
+        )
+        proxy.start()
+        self.proxies.append(proxy)
+
+    def _name_host(self, number: int) -> str:
+        return f"{self.host_prefix}.{number}"
+
+
+def build_world(folder: Path, *, host_prefix: str) -> World:
+    """Return a world of one database with a server in each failure domain."""
+    group = ServerGroup(service=SERVICE, zones=DOMAINS, lag_s=LAG_S)
+    store = PreparedStore()
+    world = World(folder=folder, host_prefix=host_prefix, group=group, store=store)
+    store.on_promotion(world.promote)
+    return world
+
+
+def _build_route(name: str, kind: str, staleness_ms: int) -> dict[str, Any]:
+    return {
+        "name": f"r-{name}",
+        "host": name,
+        "type": kind,
+        "timeout-ms": 1500,
+        "target-latency-ms": 800,
+        "priority": 1,
+        "service": SERVICE,
+        "max-staleness-ms": staleness_ms,
+    }
+
+
+def _find_free_port(host: str) -> int:
+    """Return a port that is free for TCP and UDP."""
+    while True:
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            tcp.bind((host, 0))
+            port = int(tcp.getsockname()[1])
+            try:
+                udp.bind((host, port))
+            except OSError:
+                continue
+            return port
+
+
+async def _is_ready(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(1.0):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"GET /ready HTTP/1.1\r\nHost: soak\r\nConnection: close\r\n\r\n")
+            status = await reader.readline()
+            writer.close()
+    except (OSError, TimeoutError):
+        return False
+    return b" 200 " in status
--- /dev/null
+++ b/lentilring/standin/prepared/boot.py
@@ -0,0 +1,52 @@
+"""A stand-in of the platform's settings file of one process."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from ...limits.window import LimitWindow
+
+
+@dataclass(frozen=True, kw_only=True)
+class StandinVm:
+    """Describe one VM; ports are free on its address."""
+
+    vm: str
+    ip: str
+    failure_domain: str
+    regions: dict[str, str]
+    session_port: int
+    readiness_port: int
+    peer_port: int
+    store_address: str
+    promotion_address: str
+    window: LimitWindow
+    grace_s: float
+    unstable_store_s: float
+
+
+def write_boot_file(path: Path, vm: StandinVm) -> None:
+    """Write the settings file of a VM's process."""
+    document = {
+        "node-name": vm.vm,
+        "ip": vm.ip,
+        "zone": vm.failure_domain,
+        "region": vm.regions[vm.failure_domain],
+        "zones": vm.regions,
+        "bind-addresses": {
+            "frontend-addr": f"{vm.ip}:{vm.session_port}",
+            "readiness": f"{vm.ip}:{vm.readiness_port}",
+        },
+        "internal-port-range": [vm.peer_port, vm.peer_port],
+        "platform": {"address": vm.store_address},
+        "cloud-api": {"address": vm.promotion_address},
+        "bounds": {
+            "quota-window-s": vm.window.length_s,
+            "quota-overage": vm.window.overage,
+            "quota-slack": vm.window.slack,
+            "grace-s": vm.grace_s,
+            "outer-ms": vm.unstable_store_s * 1000,
+        },
+    }
+    path.write_bytes(msgspec.json.encode(document))
--- /dev/null
+++ b/lentilring/standin/prepared/caller.py
@@ -0,0 +1,83 @@
+"""A stand-in of a caller of the prepared platform: one session of statements."""
+
+import asyncio
+from dataclasses import dataclass
+
+from ...errors import LentilringError
+from ...platform.statements import FAILURES, MAX_LINE_BYTES
+from ...statements.model import Failure
+
+
+@dataclass(kw_only=True, eq=False)
+class CallerLost(LentilringError):
+    """Report a session that ended or did not answer in time; the statement may have run."""
+
+    detail: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class CallerAnswer:
+    """Hold a statement's rows, or why it failed, and the state of the session after it."""
+
+    failure: Failure | None
+    rows: tuple[str, ...]
+    proof: str
+    state: str
+
+
+class CallerSession:
+    """Speak the statement protocol as a caller does."""
+
+    def __init__(self, *, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._reader, self._writer = reader, writer
+
+    @classmethod
+    async def open(
+        cls, address: str, database: str, key: str, *, timeout_s: float
+    ) -> "CallerSession":
+        """Open a session; raise CallerLost."""
+        host, _, port = address.rpartition(":")
+        writer: asyncio.StreamWriter | None = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                reader, writer = await asyncio.open_connection(
+                    host, int(port), limit=2 * MAX_LINE_BYTES
+                )
+                writer.write(f"START {database} {key}\r\n".encode())
+                greeting = (await reader.readuntil(b"\n")).decode().split()
+        except (OSError, EOFError, TimeoutError) as error:
+            if writer is not None:
+                writer.transport.abort()
+            raise CallerLost(detail=repr(error)) from error
+        if greeting[0] != "READY":
+            writer.transport.abort()
+            raise CallerLost(detail=" ".join(greeting))
+        return cls(reader=reader, writer=writer)
+
+    async def query(self, request_id: str, text: str, *, timeout_s: float) -> CallerAnswer:
+        """Run one statement; raise CallerLost, after which the session is closed."""
+        rows, failure, proof = [], None, ""
+        try:
+            async with asyncio.timeout(timeout_s):
+                self._writer.write(f"QUERY {request_id} {text}\r\n".encode())
+                while True:
+                    line = (await self._reader.readuntil(b"\n")).decode().rstrip("\r\n")
+                    word, _, rest = line.partition(" ")
+                    if word == "DATAROW":
+                        rows.append(rest)
+                    elif word == "COMPLETE":
+                        proof = rest
+                    elif word == "ERROR":
+                        failure = FAILURES.get(rest.split(" ")[0], Failure.FAILED)
+                    elif word == "READY":
+                        state = rest.split(" ")[0]
+                        return CallerAnswer(
+                            failure=failure, rows=tuple(rows), proof=proof, state=state
+                        )
+        except (OSError, EOFError, TimeoutError) as error:
+            self.close()
+            raise CallerLost(detail=repr(error)) from error
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._writer.transport.abort()
--- a/lentilring/standin/prepared/servers.py
+++ b/lentilring/standin/prepared/servers.py
@@ -15,6 +15,9 @@
     refuses_connections: bool = False
     lose_answers: int = 0
     busy: bool = False
+    # A replica that receives nothing, and a crashed server until it starts again.
+    deaf: bool = False
+    down: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -29,6 +32,16 @@
     values: tuple[tuple[str, str], ...]
     applied: Position
     shape: str = ""
+    at: float = 0.0
+    connection: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class LoggedCommit:
+    """Hold a commit's place in the log and the writes that it made."""
+
+    position: Position
+    writes: tuple[str, ...]
 
 
 @dataclass(kw_only=True, eq=False)
@@ -69,12 +82,14 @@
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
         """Listen on a free port."""
+        self.faults.down = False
         self._server = await asyncio.start_server(self._serve, host, port, limit=4 * 1024 * 1024)
         bound = self._server.sockets[0].getsockname()
         self.address = f"{bound[0]}:{bound[1]}"
 
     async def stop(self) -> None:
-        """Stop like a crash: all connections break."""
+        """Stop like a crash: all connections break and nothing is received."""
+        self.faults.down = True
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
@@ -108,6 +123,9 @@
         ]
         self.leader: StandinServer | None = self.servers[0]
         self.items: dict[str, str] = {}
+        self.log: list[LoggedCommit] = []
+        self.rolled_back: list[LoggedCommit] = []
+        self.connections = 0
         self._applied: dict[str, Position] = {}
 
     async def start(self) -> None:
@@ -143,21 +161,21 @@
         """Let a server lead the next term with what it has received."""
         self.leader = self.find(server)
         self.term += 1
+        kept = [entry for entry in self.log if entry.position <= self.leader.received]
+        self.rolled_back += self.log[len(kept) :]
+        self.log = kept
         for entry in self.servers:
             if not entry.cut_off_term:
                 entry.paused_term = 0
                 entry.received = min(entry.received, self.leader.received)
 
-    def commit(self) -> Position | None:
+    def commit(self, writes: tuple[str, ...] = ()) -> Position | None:
         """Append a commit; None if no replica receives it."""
         assert self.leader is not None
         position = (self.term, self.leader.received[1] + 1)
         self.leader.received = position
-        receiving = [
-            entry
-            for entry in self.servers
-            if entry is not self.leader and not entry.paused_term and not entry.cut_off_term
-        ]
+        self.log.append(LoggedCommit(position=position, writes=writes))
+        receiving = [entry for entry in self.servers if self._receives(entry)]
         for entry in receiving:
             entry.received = position
             if not self.lag_s:
@@ -167,6 +185,16 @@
                 loop.call_later(self.lag_s, self._apply, entry.id, position)
         return position if receiving else None
 
+    def catch_up(self, server: StandinServer) -> None:
+        """Let a server that receives again have all that the primary has."""
+        if self.leader is not None and self._receives(server):
+            server.received = self.leader.received
+            self._apply(server.id, server.received)
+
+    def _receives(self, server: StandinServer) -> bool:
+        stopped = server.paused_term or server.cut_off_term
+        return not (server is self.leader or stopped or server.faults.deaf or server.faults.down)
+
     def applied_by(self, server: StandinServer) -> Position:
         """Return what a replica has applied."""
         return min(self._applied.get(server.id, NOWHERE), server.received)
@@ -188,7 +216,9 @@
         self._state, self._read_only = "I", False
         self._lead_term = 0
         self._account = ""
-        self._wrote = False
+        self._writes: list[str] = []
+        self._group.connections += 1
+        self._number = self._group.connections
         self._values: dict[str, str] = {}
         self._prepared: dict[str, tuple[str, str]] = {}
 
@@ -241,7 +271,7 @@
         if word == "BEGIN":
             return self._begin(read_only=bool(rest))
         if word == "ROLLBACK":
-            self._state, self._wrote = "I", False
+            self._state, self._writes = "I", []
             return ""
         return self._run_caller(request_id, text, word, rest)
 
@@ -259,7 +289,7 @@
         lost_lead = self._state == "T" and not self._read_only and not self._leads_still()
         if (writes and not self._leads_still()) or (lost_lead and word != "COMMIT"):
             return "READONLY"
-        if lost_lead and self._wrote:
+        if lost_lead and self._writes:
             return "READONLY"
         self._group.runs.append(
             Run(
@@ -271,19 +301,22 @@
                 values=tuple(sorted(self._values.items())),
                 applied=self._server.applied,
                 shape=shape,
+                at=asyncio.get_running_loop().time(),
+                connection=self._number,
             )
         )
-        return self._finish(word, rest, writes, reads=word in ("READ", "EXECUTE") and not writes)
+        reads = word in ("READ", "EXECUTE") and not writes
+        if writes:
+            self._writes.append(request_id)
+        return self._finish(word, rest, reads=reads)
 
-    def _finish(self, word: str, rest: str, writes: bool, *, reads: bool) -> str | None:
+    def _finish(self, word: str, rest: str, *, reads: bool) -> str | None:
         if word == "COMMIT":
             self._state = "I"
-            writes, self._wrote = self._wrote, False
-        elif self._state == "T":
-            self._wrote = self._wrote or writes
-            writes = False
-        if writes and self._group.commit() is None:
-            return None
+        if self._state == "I" and self._writes:
+            written, self._writes = tuple(self._writes), []
+            if self._group.commit(written) is None:
+                return None
         if reads:
             self._writer.write(f"DATAROW {self._group.items.get(rest, 'empty')}\r\n".encode())
         return ""
@@ -316,6 +349,7 @@
                 self._server.paused_term = int(rest)
             elif word == "RESUME":
                 self._server.paused_term = 0
+                self._group.catch_up(self._server)
             elif word == "STEPDOWN" and self._server.leads and int(rest) > self._group.term:
                 self._group.leader = None
             role = "primary" if self._server.believes_to_lead else "replica"
--- a/lentilring/standin/prepared/store.py
+++ b/lentilring/standin/prepared/store.py
@@ -69,6 +69,10 @@
         actual = self._runner.addresses[0][1]
         self.address = f"{host}:{actual}"
 
+    def on_promotion(self, promote: Callable[[str, str], bool]) -> None:
+        """Set what a promotion does; it tells whether the server can be promoted."""
+        self._promote = promote
+
     async def stop(self) -> None:
         """Stop listening."""
         if self._runner is not None:
