Leave a running promotion to its proxy; hold replicas at the next term only; tell proxies of a new primary

Tests that fail without the change: term that replicas hold, promotion of another proxy, proxy without the store. Ports of tests: a port named as free by the kernel was taken by an outgoing connection before the proxy listened (seen once today, 'address already in use'); ports now come from a range of their own for each process.

--- a/lentilring/gateways/gateways.thrift
+++ b/lentilring/gateways/gateways.thrift
@@ -66,3 +66,8 @@
 struct Pong {
   1: i64 incarnation,
 }
+
+struct LeadNotice {
+  1: string server,
+  2: i64 term,
+}
--- a/lentilring/gateways/messages.py
+++ b/lentilring/gateways/messages.py
@@ -137,3 +137,12 @@
     number: int = 0
     age_s: float = 0.0
     commit_silence_s: float = 0.0
+
+
+@message
+@dataclass(frozen=True, kw_only=True)
+class LeadNotice:
+    """Tell a peer which server was promoted; it may not hear of it from the store."""
+
+    server: str
+    term: int
--- a/lentilring/gateways/service.py
+++ b/lentilring/gateways/service.py
@@ -19,6 +19,7 @@
 from .messages import (
     AskPosition,
     EndTransaction,
+    LeadNotice,
     ProvenPosition,
     RunStatement,
     StatementAnswer,
@@ -75,6 +76,7 @@
         self._transport.handle(RunStatement, self._handle_run)
         self._transport.handle(EndTransaction, self._handle_end)
         self._transport.handle(AskPosition, self._handle_ask)
+        self._transport.handle_datagram(LeadNotice, self._handle_lead)
         self._trimming = asyncio.ensure_future(self._trim_pools())
 
     async def stop(self) -> None:
@@ -163,6 +165,15 @@
         self._note_proof(server, position)
         return position is not None
 
+    def announce_lead(self, service: str) -> None:
+        """Tell all proxies which server was proved to lead; some may not reach the store."""
+        lead = self._catalog.leadership.lead_of(service)
+        if lead is None:
+            return
+        notice = LeadNotice(server=lead.server, term=lead.term)
+        for peer in self._fleet.others():
+            self._transport.send_datagram(peer.address, notice)
+
     async def _prove(self, server: ServerEntry) -> None:
         """Prove a primary's position; calls at one time share the proof."""
         task = self._proofs.get(server.id)
@@ -254,6 +265,19 @@
         manifest = self._catalog.manifest
         return 3.0 if manifest is None else manifest.transaction_idle_s
 
+    def _handle_lead(self, sender: Sender, notice: LeadNotice) -> None:
+        entry = self._catalog.servers.entries.get(notice.server)
+        if entry is None:
+            return
+        if self._catalog.leadership.note_lead(entry.service, entry.id, notice.term):
+            log.info(
+                "lead_told",
+                service=entry.service,
+                server=entry.id,
+                term=notice.term,
+                peer=sender.vm,
+            )
+
     async def _handle_run(self, sender: Sender, request: RunStatement) -> StatementAnswer:
         return await self.run(request)
 
--- a/lentilring/standin/prepared/servers.py
+++ b/lentilring/standin/prepared/servers.py
@@ -166,7 +166,9 @@
         self.log = kept
         for entry in self.servers:
             if not entry.cut_off_term:
-                entry.paused_term = 0
+                # A replica that holds a later term does not follow this primary.
+                if entry.paused_term <= self.term:
+                    entry.paused_term = 0
                 entry.received = min(entry.received, self.leader.received)
 
     def commit(self, writes: tuple[str, ...] = ()) -> Position | None:
--- a/lentilring/takeover/service.py
+++ b/lentilring/takeover/service.py
@@ -19,8 +19,15 @@
 from ..telemetry.metrics import Telemetry
 from .authority import Intent, PromotionAuthority, PromotionResult, PromotionService
 from .replicas import ReplicaControl
-from .succession import Candidate, Successor, Undecided, choose_successor
-from .trouble import PLANNED, Observation, Trouble, TroubleWatch, find_trouble
+from .succession import Candidate, Successor, Undecided, choose_held_term, choose_successor
+from .trouble import (
+    PLANNED,
+    Observation,
+    PromotionWatch,
+    Trouble,
+    TroubleWatch,
+    find_trouble,
+)
 
 TICK_S = 0.25
 # The first acts, the second and third step in when it does not.
@@ -66,6 +73,7 @@
         self._authority, self._promotion = authority, promotion
         self._clock, self._telemetry = clock, telemetry
         self._watches: dict[str, TroubleWatch] = {}
+        self._promotions = PromotionWatch(local_vm=fleet.local.vm)
         self._running: dict[str, asyncio.Task[None]] = {}
         self._retry_at: dict[str, float] = {}
         self._task: asyncio.Task[None] | None = None
@@ -171,7 +179,11 @@
                 self._gateways.hold(held.id)
                 await self._clock.sleep(SETTLE_S)
             intent = await self._authority.read(case.service)
-            done = await self._replace(case, control, intent)
+            if self._is_promoting(case.service, intent):
+                log.info("takeover_left", service=case.service, detail=f"{intent.vm} promotes")
+                done = True
+            else:
+                done = await self._replace(case, control, intent)
         except StoreUnavailable as error:
             log.warning("takeover_postponed", service=case.service, detail=error.detail)
         finally:
@@ -183,6 +195,12 @@
             if held is not None:
                 self._gateways.release(held.id)
 
+    def _is_promoting(self, service: str, intent: Intent) -> bool:
+        """Tell whether another proxy's promotion is probably under way."""
+        is_there = self._fleet.find(intent.vm) is not None and not self._fleet.is_suspect(intent.vm)
+        now = self._clock.monotonic()
+        return is_there and self._promotions.may_run(service, intent, now=now)
+
     async def _may_resume(self, case: _Case, control: ReplicaControl, intent: Intent) -> bool:
         """Tell whether no promotion that was recorded by anyone can still run."""
         try:
@@ -209,8 +227,9 @@
             await self._settle_open(case.service, intent, leading[0])
             self._catalog.leadership.note_lead(case.service, leading[0], statuses[leading[0]].term)
             return True
-        known_terms = [max(status.term, status.held_term) for status in statuses.values()]
-        term = max(known_terms, default=0) + 1
+        lead = self._catalog.leadership.lead_of(case.service)
+        known_term = max(intent.received.term, 0 if lead is None else lead.term)
+        term = choose_held_term(statuses.values(), known_term=known_term)
         paused = await control.pause_all(case.replicas, term=term)
         paused_at = self._clock.monotonic()
         choice = choose_successor(
@@ -280,7 +299,10 @@
         if result in (PromotionResult.REFUSED, PromotionResult.BUSY):
             return False
         if await self._wait_for_lead(choice.server):
+            self._gateways.announce_lead(case.service)
             await self._authority.settle(case.service, seen=claimed)
+            # Datagrams may be lost.
+            self._gateways.announce_lead(case.service)
         return True
 
     async def _settle_open(self, service: str, intent: Intent, leading: str) -> None:
--- a/lentilring/takeover/succession.py
+++ b/lentilring/takeover/succession.py
@@ -1,9 +1,10 @@
 """Which backend server may lead next without losing an acknowledged commit."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
 from ..catalog.model import ServerEntry
+from ..gateways.server import ServerStatus
 from ..statements.model import Position
 
 
@@ -31,6 +32,16 @@
     reason: str
 
 
+def choose_held_term(statuses: Iterable[ServerStatus], *, known_term: int) -> int:
+    """Return the term below which replicas stop receiving: the next one.
+
+    A replica follows a new primary only from the term that it holds on. A term above what other
+    takeovers hold would keep it from the primary that one of them promotes (khaima-ops-grown
+    trouble-1: a replica held term 6, the next primary had term 4, and it received nothing more).
+    """
+    return max([known_term, *(status.term for status in statuses)]) + 1
+
+
 def choose_successor(
     candidates: Collection[Candidate],
     *,
--- a/lentilring/takeover/trouble.py
+++ b/lentilring/takeover/trouble.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import StrEnum, unique
 
+from .authority import Intent
+
 # Two missed proofs; a slow server still proves its lead, as that takes no slot.
 SILENCE_S = 0.6
 # For which trouble that was not announced must last; a primary that was never proved has longer,
@@ -14,6 +16,9 @@
 # Each later supervisor waits this much longer, so that the first one acts alone: longer than a
 # takeover from a primary that is dark.
 RANK_PATIENCE_S = 2.5
+# A promotion takes 0.3 to 1 s, and its proxy waits 2.5 s for the lead. A second takeover meanwhile
+# stops the replicas that the new primary needs.
+PROMOTION_PATIENCE_S = 2.5
 
 
 @unique
@@ -80,3 +85,21 @@
         if self._trouble not in PLANNED:
             patience_s += PERSISTENCE_S if was_proved else UNPROVED_PERSISTENCE_S
         return now - self._since >= patience_s
+
+
+class PromotionWatch:
+    """Remember since when another proxy's promotion has been open."""
+
+    def __init__(self, *, local_vm: str) -> None:
+        self._local_vm = local_vm
+        self._seen: dict[str, tuple[int, float]] = {}
+
+    def may_run(self, service: str, intent: Intent, *, now: float) -> bool:
+        """Tell whether a recorded promotion of another proxy has had too little time to fail."""
+        if not intent.is_open or intent.vm == self._local_vm:
+            return False
+        version, since = self._seen.get(service, (0, 0.0))
+        if version != intent.version:
+            self._seen[service] = (intent.version, now)
+            return True
+        return now - since < PROMOTION_PATIENCE_S
--- a/tests/prepared.py
+++ b/tests/prepared.py
@@ -1,9 +1,11 @@
 """A prepared platform on loopback with stand-ins and several proxies in one process."""
 
 import asyncio
+import os
 import socket
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
+from itertools import count
 from typing import Any
 
 from lentilring.kernel import Kernel
@@ -19,19 +21,29 @@
 REGIONS = {"casa-a": "casablanca", "mrk-a": "marrakech", "fes-a": "fes"}
 SECRET = "a secret of the tests"
 READY_WITHIN_S = 10.0
+FIRST_PORT = 10_000
+PORT_BLOCKS = 100
+BLOCK_PORTS = 200
+_ports = count()
 
 
 def find_free_port() -> int:
-    """Return a port that is free for TCP and UDP."""
+    """Return a port that is free for TCP and UDP.
+
+    The ports are below those that the kernel gives to outgoing connections, and those of processes
+    that run at a time differ: a port that the kernel had just named as free was taken before the
+    proxy listened on it (one run of these tests in about ten beside load).
+    """
     while True:
+        port = FIRST_PORT + os.getpid() % PORT_BLOCKS * BLOCK_PORTS + next(_ports) % BLOCK_PORTS
         with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
             try:
+                tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                tcp.bind(("127.0.0.1", port))
                 udp.bind(("127.0.0.1", port))
             except OSError:
                 continue
-            return int(port)
+            return port
 
 
 def build_route(name: str, kind: str, *, service: str = "rental", **others: Any) -> dict[str, Any]:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,21 +1,31 @@
 """Replacement of primaries: decisions alone, and the whole of it against stand-ins."""
 
 import asyncio
+from dataclasses import replace
 
 from testtools import TestCase
 
 from lentilring.catalog.leadership import Leadership
 from lentilring.catalog.model import ServerEntry, ServerRole, build_server_table
+from lentilring.catalog.service import CatalogService
 from lentilring.gateways.lease import LEASE_MARGIN_S, LEASE_S, LeadLease
 from lentilring.gateways.server import ServerStatus
 from lentilring.platform.store import Kind, StoredObject, VersionConflict
 from lentilring.statements.model import Position
-from lentilring.takeover.authority import NO_COMMITS, PromotionAuthority
-from lentilring.takeover.succession import Candidate, Successor, Undecided, choose_successor
+from lentilring.takeover.authority import NO_COMMITS, Intent, PromotionAuthority
+from lentilring.takeover.succession import (
+    Candidate,
+    Successor,
+    Undecided,
+    choose_held_term,
+    choose_successor,
+)
 from lentilring.takeover.trouble import (
     PERSISTENCE_S,
+    PROMOTION_PATIENCE_S,
     RANK_PATIENCE_S,
     Observation,
+    PromotionWatch,
     Trouble,
     TroubleWatch,
     find_trouble,
@@ -114,6 +124,45 @@
         assert isinstance(choice, Successor)
         self.assertEqual("b", choice.server.id)
 
+    def test_replicas_hold_the_next_term_whatever_other_takeovers_hold(self) -> None:
+        """Guards against a replica that holds a term above the next primary's and stays behind.
+
+        Found on khaima-ops-grown trouble-1: three takeovers in a row held terms 3, 5 and 6, the
+        primary that resulted had term 4, and one replica received nothing for the rest of the day.
+        """
+        statuses = [
+            ServerStatus(
+                role=ServerRole.REPLICA,
+                term=term,
+                received=Position(term=term, number=9),
+                held_term=held,
+            )
+            for term, held in ((1, 6), (3, 0))
+        ]
+        self.assertEqual(4, choose_held_term(statuses, known_term=2))
+        self.assertEqual(6, choose_held_term(statuses, known_term=5))
+        self.assertEqual(3, choose_held_term([], known_term=2))
+
+
+class PromotionWatchTest(TestCase):
+    def test_promotion_of_another_proxy_is_left_to_it_for_a_while(self) -> None:
+        """Guards against a second takeover that stops the replicas of a new primary."""
+        watch = PromotionWatch(local_vm="vm-a")
+        other = Intent(version=7, server="i-1", is_open=True, vm="vm-b")
+        self.assertTrue(watch.may_run("rental", other, now=10.0))
+        self.assertTrue(watch.may_run("rental", other, now=10.0 + PROMOTION_PATIENCE_S - 0.1))
+        self.assertFalse(watch.may_run("rental", other, now=10.0 + PROMOTION_PATIENCE_S + 0.1))
+        newer = replace(other, version=9)
+        self.assertTrue(watch.may_run("rental", newer, now=20.0))
+
+    def test_settled_and_own_promotions_are_not_waited_for(self) -> None:
+        """Guards against a takeover that waits for itself or for what is over."""
+        watch = PromotionWatch(local_vm="vm-a")
+        settled = Intent(version=7, server="i-1", is_open=False, vm="vm-b")
+        own = Intent(version=8, server="i-1", is_open=True, vm="vm-a")
+        self.assertFalse(watch.may_run("rental", settled, now=10.0))
+        self.assertFalse(watch.may_run("rental", own, now=10.0))
+
 
 class TroubleTest(TestCase):
     def observe(self, **values: object) -> Observation:
@@ -402,6 +451,31 @@
 
         run(scenario())
 
+    def test_proxy_without_the_store_learns_of_the_new_primary(self) -> None:
+        """Guards against a proxy that asks the old primary as long as it misses the store.
+
+        Found in an incident (khaima-ops inc-3ba6): two proxies began takeovers of a server that had
+        been replaced 5 s before.
+        """
+
+        async def scenario() -> None:
+            async with run_prepared() as prepared:
+                proxy = prepared.proxies["vm-2"]
+                catalog = proxy.kernel.find("catalog", CatalogService)
+                await catalog.stop()
+                prepared.register(prepared.group.servers[0], state="draining")
+
+                def believed() -> str:
+                    primary = catalog.find_primary("rental")
+                    return "" if primary is None else primary.id
+
+                await wait_until(lambda: prepared.group.term == 2, within_s=6)
+                assert prepared.group.leader is not None
+                leader = prepared.group.leader.id
+                await wait_until(lambda: believed() == leader, within_s=3)
+
+        run(scenario())
+
     def test_evacuated_primary_is_replaced_elsewhere(self) -> None:
         """Guards against work in a failure domain after its evacuation."""
 
