--- a/lentilring/peers/codec.py
+++ b/lentilring/peers/codec.py
@@ -12,15 +12,15 @@
 from pathlib import Path
 from struct import Struct
 from struct import error as StructError  # noqa: N812
-from types import ModuleType, NoneType, UnionType
+from types import NoneType, UnionType
 from typing import Any, TypeAlias, TypeVar, Union, get_args, get_origin, get_type_hints
 
-import thriftpy2
 from thriftpy2.protocol.cybin import TCyBinaryProtocol
 from thriftpy2.thrift import TType
 from thriftpy2.transport.memory import TCyMemoryBuffer
 
 from ..errors import LentilringError
+from .idl import find_struct
 from .messages import MESSAGES
 
 M = TypeVar("M")
@@ -101,7 +101,6 @@
 
 
 _bindings: dict[type, _Binding] = {}
-_idl_modules: dict[str, ModuleType] = {}
 
 
 def encode(message: object) -> bytes:
@@ -237,13 +236,9 @@
 
 def _find_struct(cls: type) -> Any:
     path = find_idl(cls)
-    module = _idl_modules.get(str(path))
-    if module is None:
-        if not path.is_file():
-            raise IdlMismatch(message=cls.__name__, detail=f"no file {path}")
-        name = f"{cls.__module__.rpartition('.')[0]}.{path.stem}_thrift"
-        module = _idl_modules[str(path)] = thriftpy2.load(str(path), module_name=name)
-    struct = getattr(module, cls.__name__, None)
+    if not path.is_file():
+        raise IdlMismatch(message=cls.__name__, detail=f"no file {path}")
+    struct = find_struct(path, cls.__name__)
     if struct is None:
         raise IdlMismatch(message=cls.__name__, detail=f"no struct in {path.name}")
     return struct
