Run the first statement of a transaction once

The same could happen between replicas after an answer that says nothing. Now such a transaction is aborted, which is true, since the first gateway rolls back.

--- a/lentilring/gateways/dispatch.py
+++ b/lentilring/gateways/dispatch.py
@@ -157,7 +157,9 @@
     def _may_go_elsewhere(self, request: RunStatement, answer: StatementAnswer) -> bool:
         if answer.is_unreachable:
             return True
-        return answer.detail == GATEWAY_LOST and request.work is Work.READ
+        # The first statement of a transaction may have run in one that is still open there.
+        repeatable = request.work is Work.READ and request.opening is Opening.NONE
+        return answer.detail == GATEWAY_LOST and repeatable
 
     def _note_failure(
         self, gateway: ProxyEntry, request: RunStatement, reason: str, detail: str
--- a/lentilring/sessions/calls.py
+++ b/lentilring/sessions/calls.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from ..configuration.accounts import ClientAccount
-from ..gateways.messages import StatementAnswer, Work
+from ..gateways.messages import Opening, StatementAnswer, Work
 from ..outcomes import NotRun
 from ..statements.model import (
     Done,
@@ -28,6 +28,9 @@
     }
 )
 
+# After these the statement may have run.
+POSSIBLY_RUN = frozenset({Failure.ABORTED, Failure.TIMED_OUT})
+
 
 class Limiter(Protocol):
     """Admit operations within the rates of accounts."""
@@ -47,6 +50,17 @@
     prepared: PreparedStatement | None = None
 
 
+def may_try_elsewhere(answer: StatementAnswer, opening: Opening) -> bool:
+    """Tell whether a read may run on another server after this answer.
+
+    The first statement of a transaction runs once, since the transaction stays where it ran.
+    """
+    if answer.failure not in ELSEWHERE:
+        return False
+    may_have_run = answer.failure in POSSIBLY_RUN and not answer.is_unreachable
+    return opening is Opening.NONE or not may_have_run
+
+
 def read_answer(answer: StatementAnswer) -> StatementOutcome:
     """Return the outcome that a gateway's answer holds."""
     position = Position(term=answer.term, number=answer.number) if answer.term else None
--- a/lentilring/sessions/router.py
+++ b/lentilring/sessions/router.py
@@ -18,7 +18,7 @@
 )
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
-from .calls import ELSEWHERE, Limiter, StatementCall, read_answer
+from .calls import Limiter, StatementCall, may_try_elsewhere, read_answer
 from .choice import LoadView, Place, rank_readers
 from .context import ANONYMOUS_ACCOUNT, Admission, SessionContext, SessionTransaction
 
@@ -195,7 +195,7 @@
                 timeout_s=remaining_s,
             )
             last = await self._try(admission, call, server, request)
-            if last.answer.failure not in ELSEWHERE:
+            if not may_try_elsewhere(last.answer, opening):
                 return last
         return last or self._refuse(admission, "no server may serve this read")
 
--- a/lentilring/soak/callers.py
+++ b/lentilring/soak/callers.py
@@ -118,11 +118,12 @@
         self._number = next(Caller._numbers)
         self._values: dict[str, str] = {}
         self._shapes: dict[str, str] = {}
+        self._is_withdrawn = False
 
     async def run(self) -> None:
         try:
             await self._set_up()
-            while not self._caller.is_stopping:
+            while not (self._caller.is_stopping or self._is_withdrawn):
                 if self._random.random() < LEAVE_SHARE:
                     return
                 await self._run_operation()
@@ -165,6 +166,7 @@
             raise
         ending = _name_ending(answer)
         self._note(request, ending, (request.id,) if writes else ())
+        self._is_withdrawn = answer.failure is Failure.UNAUTHORIZED
         return ending
 
     async def _run_transaction(self) -> Ending:
