--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/installed
 
-.PHONY: install test lint demo demo-up bench clean
+.PHONY: install test lint demo demo-up bench soak clean
 
 install: $(STAMP)
 
@@ -35,5 +35,11 @@
 	$(PYTHON) -m bench.processes fleet
 	$(PYTHON) -m bench.processes connections
 
+soak: install
+	grep -v '^#' tests/soak_seeds.txt | while read seed minutes vms cause; do \
+	  $(VENV)/bin/lentilring-load soak --seed $$seed --minutes $$minutes --vms $$vms \
+	    --folder var/soak || exit 1; \
+	done
+
 clean:
 	rm -rf $(VENV) var
