--- a/lentilring/sessions/readiness.py
+++ b/lentilring/sessions/readiness.py
@@ -13,8 +13,6 @@
 POLL_S = 0.1
 # Idle sessions are closed in steps, so that their callers do not all come back at once.
 CLOSE_STEPS = 5
-# Open transactions have the first half of the time; callers know that they may be ended then.
-TRANSACTION_FRACTION = 0.5
 
 log = Log(source="readiness")
 
--- a/lentilring/soak/callers.py
+++ b/lentilring/soak/callers.py
@@ -1,7 +1,6 @@
 """Callers of a soak: sessions that roam between proxies and note what they were told."""
 
 import asyncio
-import itertools
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from random import Random
@@ -54,8 +53,6 @@
 class Caller:
     """Run operations one after the other until told to stop."""
 
-    _numbers = itertools.count(1)
-
     def __init__(
         self,
         *,
@@ -92,7 +89,15 @@
                 self.counts.sessions_lost += 1
                 await asyncio.sleep(0.1)
                 continue
-            await _Visit(caller=self, session=session, route=route, credentials=credentials).run()
+            visit = _Visit(
+                caller=self,
+                history=self._history,
+                random=self._random,
+                session=session,
+                route=route,
+                credentials=credentials,
+            )
+            await visit.run()
             session.close()
 
     @property
@@ -108,14 +113,16 @@
         self,
         *,
         caller: Caller,
+        history: History,
+        random: Random,
         session: CallerSession,
         route: CallerRoute,
         credentials: Credentials,
     ) -> None:
         self._caller, self._session = caller, session
         self._route, self._credentials = route, credentials
-        self._random, self._history = caller._random, caller._history
-        self._number = next(Caller._numbers)
+        self._random, self._history = random, history
+        self._number = self._history.next_number()
         self._values: dict[str, str] = {}
         self._shapes: dict[str, str] = {}
         self._is_withdrawn = False
@@ -170,7 +177,7 @@
         return ending
 
     async def _run_transaction(self) -> Ending:
-        number, began_at = next(Caller._numbers), asyncio.get_running_loop().time()
+        number, began_at = self._history.next_number(), asyncio.get_running_loop().time()
         opened = await self._send("BEGIN")
         if opened.failure is not None:
             return _name_ending(opened)
@@ -217,7 +224,7 @@
         return ending
 
     def _build(self, *, writes: bool) -> Request:
-        number = next(Caller._numbers)
+        number = self._history.next_number()
         item = f"i{self._random.randrange(ITEMS)}"
         name = "sw" if writes else "sr"
         arguments = f"{item} d{number}" if writes else item
@@ -247,7 +254,7 @@
 
     async def _send(self, text: str) -> CallerAnswer:
         return await self._session.query(
-            f"q{next(Caller._numbers):08x}", text, timeout_s=ANSWER_TIMEOUT_S
+            f"q{self._history.next_number():08x}", text, timeout_s=ANSWER_TIMEOUT_S
         )
 
     def _note(self, request: Request, ending: Ending, commits: tuple[str, ...]) -> None:
--- a/lentilring/soak/history.py
+++ b/lentilring/soak/history.py
@@ -1,8 +1,9 @@
 """What callers and backend servers saw, and which promises it breaks."""
 
 import bisect
+import itertools
 from collections import Counter, defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum, unique
 
@@ -79,6 +80,11 @@
     requests: dict[str, Request] = field(default_factory=dict)
     answers: list[Answer] = field(default_factory=list)
     withdrawals: list[Withdrawal] = field(default_factory=list)
+    _numbers: Iterator[int] = field(default_factory=lambda: itertools.count(1))
+
+    def next_number(self) -> int:
+        """Return a number for a session, a transaction or a request."""
+        return next(self._numbers)
 
     def check(
         self,
