Use the field's terms in the soak and for standby gateways; keep the soak's own log

Renamed only: world to deployment, strike to inject, deaf to receives_nothing, spare to standby gateway; the log event of a lead notice is lead_announced. The soak writes its faults to soak.log beside the proxies' logs.

--- a/lentilring/cli/load.py
+++ b/lentilring/cli/load.py
@@ -112,7 +112,10 @@
     for number in range(seed, seed + seeds):
         logs = folder / str(number)
         logs.mkdir(parents=True, exist_ok=True)
-        result = asyncio.run(run_soak(seed=number, duration_s=minutes * 60, vms=vms, folder=logs))
+        with (logs / "soak.log").open("w") as stream, write_logs(stream=stream):
+            result = asyncio.run(
+                run_soak(seed=number, duration_s=minutes * 60, vms=vms, folder=logs)
+            )
         _print_soak(result)
         broken = broken or bool(result.violations)
     if broken:
--- a/lentilring/gateways/pool.py
+++ b/lentilring/gateways/pool.py
@@ -27,7 +27,7 @@
 CLOSE_SETTLE_S = 0.05
 # A gateway that is not the first choice gives back what it has not used for this long. Eight of
 # them with two idle connections each filled a server of 16 for good (khaima-ops inc-3ba6).
-SPARE_IDLE_S = 1.0
+STANDBY_IDLE_S = 1.0
 # A server that is full has other users; for this long no more connections are tried than it took.
 FULL_S = 1.0
 
@@ -120,7 +120,7 @@
             pass
         if self._keeps_idle():
             return
-        oldest = self._clock.monotonic() - SPARE_IDLE_S
+        oldest = self._clock.monotonic() - STANDBY_IDLE_S
         for entries in self._idle.values():
             for connection in [entry for entry in entries if entry.used_at < oldest]:
                 entries.remove(connection)
--- a/lentilring/gateways/service.py
+++ b/lentilring/gateways/service.py
@@ -271,7 +271,7 @@
             return
         if self._catalog.leadership.note_lead(entry.service, entry.id, notice.term):
             log.info(
-                "lead_told",
+                "lead_announced",
                 service=entry.service,
                 server=entry.id,
                 term=notice.term,
--- a/lentilring/soak/callers.py
+++ b/lentilring/soak/callers.py
@@ -89,7 +89,7 @@
                 self.counts.sessions_lost += 1
                 await asyncio.sleep(0.1)
                 continue
-            visit = _Visit(
+            session_run = _SessionRun(
                 caller=self,
                 history=self._history,
                 random=self._random,
@@ -97,7 +97,7 @@
                 route=route,
                 credentials=credentials,
             )
-            await visit.run()
+            await session_run.run()
             session.close()
 
     @property
@@ -106,7 +106,7 @@
         return self._stopping
 
 
-class _Visit:
+class _SessionRun:
     """Use one session."""
 
     def __init__(
--- a/lentilring/soak/world.py
+++ b/lentilring/soak/deployment.py
@@ -79,7 +79,7 @@
 
 
 @dataclass(kw_only=True)
-class World:
+class SoakDeployment:
     """Hold everything that a soak runs."""
 
     folder: Path
@@ -232,13 +232,13 @@
         return f"{self.host_prefix}.{number}"
 
 
-def build_world(folder: Path, *, host_prefix: str) -> World:
-    """Return a world of one database with a server in each failure domain."""
+def build_deployment(folder: Path, *, host_prefix: str) -> SoakDeployment:
+    """Return a deployment of one database with a server in each failure domain."""
     group = ServerGroup(service=SERVICE, zones=DOMAINS, lag_s=LAG_S)
     store = PreparedStore()
-    world = World(folder=folder, host_prefix=host_prefix, group=group, store=store)
-    store.on_promotion(world.promote)
-    return world
+    deployment = SoakDeployment(folder=folder, host_prefix=host_prefix, group=group, store=store)
+    store.on_promotion(deployment.promote)
+    return deployment
 
 
 def _build_route(name: str, kind: str, staleness_ms: int) -> dict[str, Any]:
--- a/lentilring/soak/faults.py
+++ b/lentilring/soak/faults.py
@@ -8,9 +8,9 @@
 
 from ..standin.prepared.servers import StandinServer
 from ..telemetry.log import Log
+from .deployment import GRACE_S, RESTART_S, ProxyProcess, SoakDeployment
 from .history import History, Withdrawal
 from .relay import LinkFault
-from .world import GRACE_S, RESTART_S, ProxyProcess, World
 
 MAX_GAP_S = 2.5
 MAX_FAULT_S = 4.0
@@ -32,31 +32,31 @@
     """Name a fault and what does it for some time and ends it again."""
 
     name: str
-    strike: Callable[[float], Awaitable[None]]
+    inject: Callable[[float], Awaitable[None]]
 
 
 class FaultPlayer:
     """Do faults until told to stop, then end all of them."""
 
-    def __init__(self, *, world: World, history: History, random: Random) -> None:
-        self._world, self._history, self._random = world, history, random
+    def __init__(self, *, deployment: SoakDeployment, history: History, random: Random) -> None:
+        self._deployment, self._history, self._random = deployment, history, random
         self._busy: set[str] = set()
         self._kinds = (
-            FaultKind(name="kill", strike=self._kill),
-            FaultKind(name="kill_many", strike=self._kill_many),
-            FaultKind(name="pause", strike=self._pause),
-            FaultKind(name="stop", strike=self._stop),
-            FaultKind(name="store_link", strike=self._harm_store_link),
-            FaultKind(name="store_down", strike=self._take_store_down),
-            FaultKind(name="store_answers_lost", strike=self._lose_store_answers),
-            FaultKind(name="store_history", strike=self._forget_history),
-            FaultKind(name="server_link", strike=self._harm_server_link),
-            FaultKind(name="server_crash", strike=self._crash_server),
-            FaultKind(name="server_leaves", strike=self._drain_server),
-            FaultKind(name="server_answers_lost", strike=self._lose_server_answers),
-            FaultKind(name="replica_deaf", strike=self._deafen_replica),
-            FaultKind(name="key_withdrawn", strike=self._withdraw_key),
-            FaultKind(name="configuration", strike=self._change_configuration),
+            FaultKind(name="kill", inject=self._kill),
+            FaultKind(name="kill_many", inject=self._kill_many),
+            FaultKind(name="pause", inject=self._pause),
+            FaultKind(name="stop", inject=self._stop),
+            FaultKind(name="store_link", inject=self._harm_store_link),
+            FaultKind(name="store_down", inject=self._take_store_down),
+            FaultKind(name="store_answers_lost", inject=self._lose_store_answers),
+            FaultKind(name="store_history", inject=self._forget_history),
+            FaultKind(name="server_link", inject=self._harm_server_link),
+            FaultKind(name="server_crash", inject=self._crash_server),
+            FaultKind(name="server_leaves", inject=self._drain_server),
+            FaultKind(name="server_answers_lost", inject=self._lose_server_answers),
+            FaultKind(name="replication_stopped", inject=self._stop_replication),
+            FaultKind(name="key_withdrawn", inject=self._withdraw_key),
+            FaultKind(name="configuration", inject=self._change_configuration),
         )
         self.played: list[str] = []
 
@@ -71,18 +71,18 @@
             if len(running) < OVERLAPPING:
                 kind = self._random.choice(self._kinds)
                 fault_s = self._random.uniform(0.3, MAX_FAULT_S)
-                running.add(asyncio.ensure_future(self._strike(kind, fault_s)))
+                running.add(asyncio.ensure_future(self._inject(kind, fault_s)))
         await asyncio.gather(*running)
 
-    async def _strike(self, kind: FaultKind, fault_s: float) -> None:
+    async def _inject(self, kind: FaultKind, fault_s: float) -> None:
         log.info("fault_begun", kind=kind.name, for_s=round(fault_s, 2))
         self.played.append(kind.name)
-        await kind.strike(fault_s)
+        await kind.inject(fault_s)
         log.info("fault_ended", kind=kind.name)
 
     def _choose_proxy(self) -> ProxyProcess | None:
         """Return a proxy without a signal fault, and mark it; one is always left alone."""
-        free = [proxy for proxy in self._world.proxies if proxy.vm not in self._busy]
+        free = [proxy for proxy in self._deployment.proxies if proxy.vm not in self._busy]
         if len(free) < 2:
             return None
         proxy = self._random.choice(free)
@@ -96,7 +96,7 @@
             await self._start_again(proxy)
 
     async def _kill_many(self, fault_s: float) -> None:
-        proxies = [proxy for proxy in self._world.proxies if proxy.vm not in self._busy]
+        proxies = [proxy for proxy in self._deployment.proxies if proxy.vm not in self._busy]
         self._busy |= {proxy.vm for proxy in proxies}
         for proxy in proxies:
             proxy.kill()
@@ -123,26 +123,26 @@
             await self._start_again(proxy)
 
     async def _harm_store_link(self, fault_s: float) -> None:
-        link = self._random.choice(self._world.proxies).store_link
+        link = self._random.choice(self._deployment.proxies).store_link
         link.begin(self._random.choice(LINK_FAULTS), delay_s=self._random.uniform(0.05, 0.4))
         await asyncio.sleep(fault_s)
         link.end()
 
     async def _take_store_down(self, fault_s: float) -> None:
-        self._world.store.faults.down = True
+        self._deployment.store.faults.down = True
         await asyncio.sleep(fault_s)
-        self._world.store.faults.down = False
+        self._deployment.store.faults.down = False
 
     async def _lose_store_answers(self, fault_s: float) -> None:
-        self._world.store.faults.lost += self._random.randrange(1, 4)
+        self._deployment.store.faults.lost += self._random.randrange(1, 4)
         await asyncio.sleep(fault_s)
-        self._world.store.faults.lost = 0
+        self._deployment.store.faults.lost = 0
 
     async def _forget_history(self, fault_s: float) -> None:
-        self._world.store.forget_history()
+        self._deployment.store.forget_history()
 
     async def _harm_server_link(self, fault_s: float) -> None:
-        link = self._world.server_links[self._choose_server().id]
+        link = self._deployment.server_links[self._choose_server().id]
         if self._random.random() < 0.3:
             link.reset()
             return
@@ -152,20 +152,20 @@
 
     async def _crash_server(self, fault_s: float) -> None:
         """Crash one server; only one at a time, since an acknowledged commit is on two."""
-        group = self._world.group
+        group = self._deployment.group
         server = self._choose_server()
-        if any(entry.faults.down or entry.faults.deaf for entry in group.servers):
+        if any(entry.faults.down or entry.faults.receives_nothing for entry in group.servers):
             return
         await server.stop()
         await asyncio.sleep(fault_s)
-        await self._world.restart_server(server)
+        await self._deployment.restart_server(server)
 
     async def _drain_server(self, fault_s: float) -> None:
         server = self._choose_server()
         if not server.faults.down:
-            self._world.register(server, state="draining")
+            self._deployment.register(server, state="draining")
             await asyncio.sleep(fault_s)
-            self._world.register(server)
+            self._deployment.register(server)
 
     async def _lose_server_answers(self, fault_s: float) -> None:
         server = self._choose_server()
@@ -173,31 +173,31 @@
         await asyncio.sleep(fault_s)
         server.faults.lose_answers = 0
 
-    async def _deafen_replica(self, fault_s: float) -> None:
-        group = self._world.group
+    async def _stop_replication(self, fault_s: float) -> None:
+        group = self._deployment.group
         replicas = [entry for entry in group.servers if entry is not group.leader]
         replica = self._random.choice(replicas)
-        if any(entry.faults.down or entry.faults.deaf for entry in group.servers):
+        if any(entry.faults.down or entry.faults.receives_nothing for entry in group.servers):
             return
-        replica.faults.deaf = True
+        replica.faults.receives_nothing = True
         await asyncio.sleep(fault_s)
-        replica.faults.deaf = False
+        replica.faults.receives_nothing = False
         group.catch_up(replica)
 
     async def _withdraw_key(self, fault_s: float) -> None:
-        account = self._random.choice(sorted(self._world.keys))
-        keys = self._world.keys[account]
+        account = self._random.choice(sorted(self._deployment.keys))
+        keys = self._deployment.keys[account]
         keys.append(f"{account}-key-{self._random.getrandbits(32):08x}")
         if len(keys) > 2:
             withdrawn = keys.pop(0)
             now = asyncio.get_running_loop().time()
             self._history.withdrawals.append(Withdrawal(key=withdrawn, at=now))
-        self._world.put_manifest()
+        self._deployment.put_manifest()
 
     async def _change_configuration(self, fault_s: float) -> None:
         for _ in range(self._random.randrange(1, 5)):
-            self._world.put_manifest()
+            self._deployment.put_manifest()
             await asyncio.sleep(fault_s / 8)
 
     def _choose_server(self) -> StandinServer:
-        return self._random.choice(self._world.group.servers)
+        return self._random.choice(self._deployment.group.servers)
--- a/lentilring/soak/run.py
+++ b/lentilring/soak/run.py
@@ -1,4 +1,4 @@
-"""One run of the soak: a world, callers, faults, a quiet end, and the checks."""
+"""One run of the soak: a deployment, callers, faults, a quiet end, and the checks."""
 
 import asyncio
 from dataclasses import dataclass
@@ -8,9 +8,9 @@
 from ..catalog.model import Consistency
 from ..telemetry.log import Log
 from .callers import Caller, CallerRoute, Credentials
+from .deployment import ACCOUNT_RATE, BUSY_ACCOUNT_RATE, WINDOW, SoakDeployment, build_deployment
 from .faults import FaultPlayer
 from .history import Bounds, History, Violation
-from .world import ACCOUNT_RATE, BUSY_ACCOUNT_RATE, WINDOW, World, build_world
 
 CALLERS = 24
 # An operator's change is in force this long after the store has it, if the store answers; without
@@ -53,42 +53,42 @@
     """Play faults for a time and check the promises; logs stay in the folder."""
     random = Random(seed)
     network = f"127.{FIRST_NETWORK + seed % NETWORKS}.{seed // NETWORKS % 250}"
-    world, history = build_world(folder, host_prefix=network), History()
+    deployment, history = build_deployment(folder, host_prefix=network), History()
     try:
-        await world.start(vms=vms)
-        group = [_build_caller(world, history, random) for _ in range(callers)]
+        await deployment.start(vms=vms)
+        group = [_build_caller(deployment, history, random) for _ in range(callers)]
         tasks = [asyncio.ensure_future(caller.run()) for caller in group]
-        player = FaultPlayer(world=world, history=history, random=random)
+        player = FaultPlayer(deployment=deployment, history=history, random=random)
         await player.play(duration_s=duration_s)
         await asyncio.sleep(RECOVERY_S)
         ended_at = asyncio.get_running_loop().time()
         for caller in group:
             caller.stop()
         await asyncio.gather(*tasks)
-        violations = _check(world, history) + _check_service(group, ended_at)
+        violations = _check(deployment, history) + _check_service(group, ended_at)
         return SoakResult(
             seed=seed,
             faults=tuple(player.played),
             done=sum(caller.counts.done for caller in group),
             refused=sum(caller.counts.refused for caller in group),
             unknown=sum(caller.counts.unknown for caller in group),
-            commits=len(world.group.log),
-            runs=len(world.group.runs),
+            commits=len(deployment.group.log),
+            runs=len(deployment.group.runs),
             violations=tuple(violations),
         )
     finally:
-        await world.stop()
+        await deployment.stop()
 
 
-def _build_caller(world: World, history: History, random: Random) -> Caller:
+def _build_caller(deployment: SoakDeployment, history: History, random: Random) -> Caller:
     own = Random(random.getrandbits(64))
 
     def choose_address() -> str:
-        return own.choice(world.proxies).session_address
+        return own.choice(deployment.proxies).session_address
 
     def choose_credentials() -> Credentials:
-        account = own.choice(sorted(world.keys))
-        return Credentials(account=account, key=own.choice(world.keys[account]))
+        account = own.choice(sorted(deployment.keys))
+        return Credentials(account=account, key=own.choice(deployment.keys[account]))
 
     return Caller(
         history=history,
@@ -99,20 +99,20 @@
     )
 
 
-def _check(world: World, history: History) -> list[Violation]:
+def _check(deployment: SoakDeployment, history: History) -> list[Violation]:
     rates = {"busy": BUSY_ACCOUNT_RATE}
     bounds = Bounds(
-        withdrawal_s=world.max_configuration_age_s() + APPLY_S,
+        withdrawal_s=deployment.max_configuration_age_s() + APPLY_S,
         window_s=WINDOW.length_s,
         allowed_per_window={
             name: WINDOW.count_allowed(rates.get(name, ACCOUNT_RATE), rates.get(name, ACCOUNT_RATE))
-            for name in world.keys
+            for name in deployment.keys
         },
     )
     return history.check(
-        runs=world.group.runs,
-        log=world.group.log,
-        rolled_back=world.group.rolled_back,
+        runs=deployment.group.runs,
+        log=deployment.group.log,
+        rolled_back=deployment.group.rolled_back,
         bounds=bounds,
     )
 
--- a/lentilring/standin/prepared/servers.py
+++ b/lentilring/standin/prepared/servers.py
@@ -16,7 +16,7 @@
     lose_answers: int = 0
     busy: bool = False
     # A replica that receives nothing, and a crashed server until it starts again.
-    deaf: bool = False
+    receives_nothing: bool = False
     down: bool = False
 
 
@@ -195,7 +195,9 @@
 
     def _receives(self, server: StandinServer) -> bool:
         stopped = server.paused_term or server.cut_off_term
-        return not (server is self.leader or stopped or server.faults.deaf or server.faults.down)
+        return not (
+            server is self.leader or stopped or server.faults.receives_nothing or server.faults.down
+        )
 
     def applied_by(self, server: StandinServer) -> Position:
         """Return what a replica has applied."""
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -5,7 +5,7 @@
 from testtools import TestCase
 
 from lentilring.clock import LoopClock
-from lentilring.gateways.pool import SPARE_IDLE_S, ConnectionPool
+from lentilring.gateways.pool import STANDBY_IDLE_S, ConnectionPool
 from lentilring.gateways.server import ServerRefused
 from lentilring.statements.model import Failure
 from lentilring.telemetry.metrics import Telemetry
@@ -75,7 +75,7 @@
 
         self.assertEqual(1, run_virtual(scenario()))
 
-    def test_spare_gateway_gives_back_what_it_does_not_use(self) -> None:
+    def test_standby_gateway_gives_back_what_it_does_not_use(self) -> None:
         """Guards against idle connections of many gateways that fill a server for good.
 
         Found in an incident (khaima-ops inc-3ba6): the first gateway of a server was refused 936
@@ -89,7 +89,7 @@
                 pool.give(connection)
             pool.trim()
             assert connector.open_count == 2
-            await asyncio.sleep(SPARE_IDLE_S + 0.1)
+            await asyncio.sleep(STANDBY_IDLE_S + 0.1)
             pool.trim()
             return connector.open_count
 
