--- a/lentilring/soak/run.py
+++ b/lentilring/soak/run.py
@@ -1,6 +1,7 @@
 """One run of the soak: a deployment, callers, faults, a quiet end, and the checks."""
 
 import asyncio
+import signal
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
@@ -51,6 +52,10 @@
     *, seed: int, duration_s: float, vms: int, folder: Path, callers: int = CALLERS
 ) -> SoakResult:
     """Play faults for a time and check the promises; logs stay in the folder."""
+    task = asyncio.current_task()
+    assert task is not None
+    # Otherwise the proxies would outlive a soak that is ended.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     random = Random(seed)
     network = f"127.{FIRST_NETWORK + seed % NETWORKS}.{seed // NETWORKS % 250}"
     deployment, history = build_deployment(folder, host_prefix=network), History()
