Keep the platform's names out of the soak; probe readiness with the project's HTTP call

The configuration that the soak's operator writes stands with the other stand-ins of the prepared platform, and the soak asks for readiness with http.exchange instead of a request of its own.

--- a/lentilring/soak/deployment.py
+++ b/lentilring/soak/deployment.py
@@ -7,12 +7,20 @@
 import subprocess
 import sys
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from pathlib import Path
-from typing import IO, Any
+from typing import IO
 
+from ..http.exchange import ExchangeFailed, exchange
 from ..limits.window import LimitWindow
 from ..platform.boot import BOOT_VARIABLE, read_boot_file
 from ..standin.prepared.boot import StandinVm, write_boot_file
+from ..standin.prepared.configuration import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    StandinAccount,
+    build_configuration,
+)
 from ..standin.prepared.servers import ServerGroup, StandinServer
 from ..standin.prepared.store import PreparedStore
 from .relay import Relay
@@ -27,6 +35,7 @@
 # For which proxies may go on with a configuration that the store does not confirm.
 UNSTABLE_STORE_S = 5.0
 READY_WITHIN_S = 30.0
+PROBE_TIMEOUT_S = 1.0
 ACCOUNT_RATE = 400.0
 BUSY_ACCOUNT_RATE = 20.0
 WINDOW = LimitWindow(length_s=5.0, overage=0.1, slack=20.0)
@@ -121,30 +130,14 @@
         """Write a new version of the configuration, as the operator does."""
         self.version += 3
         rates = {"busy": BUSY_ACCOUNT_RATE}
-        tenants = [
-            {
-                "name": name,
-                "api-keys": keys,
-                "rate-per-s": rates.get(name, ACCOUNT_RATE),
-                "burst": rates.get(name, ACCOUNT_RATE),
-            }
+        accounts = [
+            StandinAccount(name=name, keys=tuple(keys), rate_per_s=rates.get(name, ACCOUNT_RATE))
             for name, keys in self.keys.items()
         ]
-        routes = [
-            _build_route("booking", "primary", 0),
-            _build_route("stock", "bounded_staleness", 1500),
-            _build_route("delivery", "read_your_writes", 2500),
-        ]
         self.store.put(
-            "config",
-            "main",
-            {
-                "version": self.version,
-                "routes": routes,
-                "services": [{"name": SERVICE, "max-connections": 24, "sync-replicas": 1}],
-                "limits": {"tx-idle-ms": 2000},
-                "tenants": tenants,
-            },
+            CONFIGURATION_KIND,
+            CONFIGURATION_NAME,
+            build_configuration(self.version, service=SERVICE, accounts=accounts),
         )
 
     def register_all(self) -> None:
@@ -241,19 +234,6 @@
     return deployment
 
 
-def _build_route(name: str, kind: str, staleness_ms: int) -> dict[str, Any]:
-    return {
-        "name": f"r-{name}",
-        "host": name,
-        "type": kind,
-        "timeout-ms": 1500,
-        "target-latency-ms": 800,
-        "priority": 1,
-        "service": SERVICE,
-        "max-staleness-ms": staleness_ms,
-    }
-
-
 def _find_free_port(host: str) -> int:
     """Return a port that is free for TCP and UDP."""
     while True:
@@ -268,13 +248,10 @@
 
 
 async def _is_ready(address: str) -> bool:
-    host, _, port = address.rpartition(":")
     try:
-        async with asyncio.timeout(1.0):
-            reader, writer = await asyncio.open_connection(host, int(port))
-            writer.write(b"GET /ready HTTP/1.1\r\nHost: soak\r\nConnection: close\r\n\r\n")
-            status = await reader.readline()
-            writer.close()
-    except (OSError, TimeoutError):
+        answer = await exchange(
+            address, "GET", "/ready", timeout_s=PROBE_TIMEOUT_S, connect_timeout_s=PROBE_TIMEOUT_S
+        )
+    except ExchangeFailed:
         return False
-    return b" 200 " in status
+    return answer.status == HTTPStatus.OK
