Read the platform's records through a few proxies instead of one watch each

Cause: each proxy listed and watched four kinds of records itself, and each change woke the watches of all.

Change: one proxy of each failure domain (three at least) reads the store. All others follow two of these readers in different domains by long polls over the peer transport (catalog/relay.py); the choice of readers and the history that they serve are code of their own (readers.py, history.py). An answer carries how old the store's confirmation is and how long the request waited, so a follower counts the age from its own request, on the clock that includes suspensions. A follower turns to other readers when one is silent (heartbeat every 2 s), refuses, or has lost the store, and to the store when there is none; while readers report the store as lost, it tries the store itself every 5 s, as the store may refuse the readers only. Lists stay direct reads, that of the proxies and the secret with serializable=1; both are confirmed by what follows. After a failure the first watch waits 0.5 s, so that the age of the configuration recovers sooner.

Ruled out: longer waits of watches alone (each registration still wakes all), one leader for all (its loss stops the others), relaying by one reader a follower (a reader that is cut off silently would keep an evacuation from its followers for as long as its own time-out).

--- a/lentilring/catalog/follower.py
+++ b/lentilring/catalog/follower.py
@@ -83,11 +83,21 @@
             batch = await self._source.watch(
                 self.kind, after_revision=self._revision, wait_s=self._wait_s
             )
-            self._apply_changes(batch)
+            (self._replace_all if batch.is_complete else self._apply_changes)(batch)
         self._revision = max(batch.revision, self._revision or 0)
-        waited_s = self._clock.boottime() - sent_at
-        certain_wait_s = self._wait_s * CERTAIN_WAIT_FRACTION if waited_s >= self._wait_s else 0.0
-        self.confirmed_at = max(self.confirmed_at, sent_at + certain_wait_s)
+        if batch.confirmed_after_s is not None:
+            confirmed_at = sent_at + batch.confirmed_after_s
+        else:
+            confirmed_at = estimate_confirmation(
+                sent_at=sent_at, answered_at=self._clock.boottime(), wait_s=self._wait_s
+            )
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
         if batch.records and self._batch_delay_s:
             # Registrations come in groups. Waiting for the rest of a group saves watch calls.
             await asyncio.sleep(self._batch_delay_s)
+
+
+def estimate_confirmation(*, sent_at: float, answered_at: float, wait_s: float) -> float:
+    """Return when the records of an answered call were certainly up to date."""
+    waited_in_full = answered_at - sent_at >= wait_s > 0
+    return sent_at + (wait_s * CERTAIN_WAIT_FRACTION if waited_in_full else 0.0)
--- /dev/null
+++ b/lentilring/catalog/relay.py
@@ -0,0 +1,372 @@
+"""Records through peers: a few proxies read the store, the others follow those.
+
+Every call to the store is billed, and each change wakes every watch. Reading through peers keeps
+the calls of the whole fleet independent of its size.
+"""
+
+import asyncio
+from dataclasses import dataclass, field
+from random import Random
+
+from ..clock import SuspensionClock
+from ..errors import LentilringError
+from ..kernel import Service
+from ..peers.transport import (
+    PeerAnswerLost,
+    PeerRejected,
+    PeerTransport,
+    PeerUnreachable,
+    Sender,
+)
+from ..platform.store import StoreUnavailable
+from ..telemetry.log import Log
+from ..telemetry.metrics import Telemetry
+from .follower import estimate_confirmation
+from .history import RecordHistory
+from .messages import RelayedRecord, RelayedRecords, WatchRecords, WatchRefusal
+from .readers import FOLLOWED_READERS, choose_readers, order_readers
+from .source import ProxyEntry, ProxyRegister, Record, RecordKind, Records, RecordSource
+
+# Time beyond a watch's wait in which a reader's answer arrives, retransmissions included.
+ANSWER_MARGIN_S = 1.0
+# After a failure, the first watch waits only this long, since its answer confirms the records.
+REGAIN_WAIT_S = 0.5
+# Readers answer watches of the configuration this often, so that a silent one is soon replaced.
+HEARTBEAT_KIND = RecordKind.MANIFEST
+HEARTBEAT_S = 2.0
+# A new choice of readers replaces a suspected one within this time.
+CHOICE_INTERVAL_S = 1.0
+# At start, time for reading which proxies there are, before records are read from the store.
+START_WAIT_S = 1.0
+START_POLL_S = 0.05
+# A reader that failed to answer is not asked again for this long.
+READER_RETRY_S = 2.0
+# While readers report that the store is lost, a follower tries the store itself this often: the
+# store may refuse the readers only.
+DIRECT_RETRY_S = 5.0
+DIRECT_RETRY_JITTER = 0.3
+# Larger answers would occupy the link of a reader; followers read these from the store.
+MAX_ANSWER_BYTES = 32 * 1024
+
+log = Log(source="relay")
+
+
+@dataclass(kw_only=True, eq=False)
+class ReaderFailed(LentilringError):
+    """Report that a reader gave no records, and why."""
+
+    detail: str
+    refusal: WatchRefusal = WatchRefusal.NONE
+
+
+@dataclass(kw_only=True)
+class _Feed:
+    """Hold what is known of one kind of records and the watches at its readers."""
+
+    history: RecordHistory = field(default_factory=RecordHistory)
+    watches: dict[str, asyncio.Task[Records]] = field(default_factory=dict)
+    updated: asyncio.Event = field(default_factory=asyncio.Event)
+    failed_until: dict[str, float] = field(default_factory=dict)
+    is_store_lost: bool = False
+    direct_at: float = float("-inf")
+
+    def notify(self) -> None:
+        """Wake all that wait for an update."""
+        self.updated.set()
+        self.updated = asyncio.Event()
+
+
+class RecordRelay(Service):
+    """Implement RecordSource: read through peers, or from `source` if this process is a reader."""
+
+    def __init__(
+        self,
+        *,
+        source: RecordSource,
+        transport: PeerTransport,
+        clock: SuspensionClock,
+        random: Random,
+        telemetry: Telemetry,
+    ) -> None:
+        self.proxies: ProxyRegister | None = None
+        self._source, self._transport = source, transport
+        self._clock, self._random, self._telemetry = clock, random, telemetry
+        self._feeds = {kind: _Feed() for kind in RecordKind}
+        self._members: tuple[ProxyEntry, ...] = ()
+        self._readers: tuple[ProxyEntry, ...] = ()
+        self._is_stopping = False
+
+    async def start(self) -> None:
+        """Answer the watches of peers."""
+        self._transport.handle(WatchRecords, self._handle_watch)
+
+    async def stop(self) -> None:
+        """End all watches; followers of this process turn to other readers."""
+        self._is_stopping = True
+        for feed in self._feeds.values():
+            feed.notify()
+            for task in feed.watches.values():
+                task.cancel()
+
+    def is_reader(self) -> bool:
+        """Tell whether this process reads the store itself, so that others may follow it."""
+        local = None if self.proxies is None else self.proxies.local
+        return local is not None and any(entry.vm == local.vm for entry in self._find_readers())
+
+    async def list(self, kind: RecordKind) -> Records:
+        """Return all records of a kind."""
+        sent_at = self._clock.boottime()
+        try:
+            batch = await self._source.list(kind)
+        except StoreUnavailable:
+            self._set_store_lost(kind, True)
+            raise
+        self._set_store_lost(kind, False)
+        confirmed_after_s = batch.confirmed_after_s
+        self._update(kind, batch, sent_at + (confirmed_after_s or 0.0))
+        return batch
+
+    async def watch(self, kind: RecordKind, *, after_revision: int, wait_s: float) -> Records:
+        """Return the records changed after a revision."""
+        feed = self._feeds[kind]
+        await self._wait_for_register()
+        while True:
+            for reader in self._choose_usable(kind):
+                if reader.vm not in feed.watches:
+                    feed.watches[reader.vm] = asyncio.ensure_future(
+                        self._ask(reader, kind, after_revision=after_revision, wait_s=wait_s)
+                    )
+            if not feed.watches:
+                return await self._watch_directly(kind, after_revision, wait_s)
+            await asyncio.wait(
+                feed.watches.values(),
+                timeout=CHOICE_INTERVAL_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            batch = self._collect(feed, kind, after_revision)
+            if batch is not None:
+                return batch
+
+    async def register(self, entry: ProxyEntry, *, revision: int | None) -> int:
+        """Create or replace the entry of a proxy and return its revision."""
+        return await self._source.register(entry, revision=revision)
+
+    async def deregister(self, vm: str, *, revision: int) -> None:
+        """Remove the entry of a proxy unless it has another revision by now."""
+        await self._source.deregister(vm, revision=revision)
+
+    def decode(self, kind: RecordKind, record: Record) -> Record:
+        """Return a record with its value."""
+        return self._source.decode(kind, record)
+
+    async def _wait_for_register(self) -> None:
+        """Wait until the other proxies are known, so that not each of them reads the store."""
+        if self.proxies is None:
+            return
+        deadline = self._clock.boottime() + START_WAIT_S
+        while not self.proxies.is_synchronized and self._clock.boottime() < deadline:
+            await self._clock.sleep(START_POLL_S)
+
+    def _collect(self, feed: _Feed, kind: RecordKind, after_revision: int) -> Records | None:
+        """Return the first answer of the watches that ended; None if all of those failed."""
+        for vm, task in list(feed.watches.items()):
+            if not task.done():
+                continue
+            del feed.watches[vm]
+            if task.cancelled():
+                continue
+            error = task.exception()
+            if error is None:
+                return _remove_known(task.result(), after_revision)
+            if not isinstance(error, ReaderFailed):
+                raise error
+            self._note_failure(vm, kind, error)
+        return None
+
+    async def _watch_directly(
+        self, kind: RecordKind, after_revision: int, wait_s: float
+    ) -> Records:
+        """Watch the store, but seldom while readers report that it is lost."""
+        feed, now = self._feeds[kind], self._clock.boottime()
+        if not self.is_reader() and feed.is_store_lost and now < feed.direct_at:
+            raise StoreUnavailable(operation=f"relay {kind}", detail="readers have lost the store")
+        jitter = self._random.uniform(1 - DIRECT_RETRY_JITTER, 1 + DIRECT_RETRY_JITTER)
+        feed.direct_at = now + DIRECT_RETRY_S * jitter
+        # Without readers, the wait is short, so that a reader is followed as soon as there is one.
+        direct_wait_s = wait_s if self.is_reader() else min(wait_s, READER_RETRY_S)
+        if feed.is_store_lost:
+            direct_wait_s = min(direct_wait_s, REGAIN_WAIT_S)
+        try:
+            batch = await self._source.watch(
+                kind, after_revision=after_revision, wait_s=direct_wait_s
+            )
+        except StoreUnavailable:
+            self._set_store_lost(kind, True)
+            raise
+        confirmed_at = estimate_confirmation(
+            sent_at=now, answered_at=self._clock.boottime(), wait_s=direct_wait_s
+        )
+        self._set_store_lost(kind, False)
+        self._update(kind, batch, confirmed_at)
+        return Records(
+            records=batch.records,
+            revision=batch.revision,
+            is_complete=batch.is_complete,
+            confirmed_after_s=confirmed_at - now,
+        )
+
+    def _update(self, kind: RecordKind, batch: Records, confirmed_at: float) -> None:
+        feed = self._feeds[kind]
+        feed.history.update(batch, confirmed_at=confirmed_at)
+        feed.notify()
+
+    def _set_store_lost(self, kind: RecordKind, is_lost: bool) -> None:
+        feed = self._feeds[kind]
+        if feed.is_store_lost != is_lost:
+            feed.is_store_lost = is_lost
+            feed.notify()
+
+    def _find_readers(self) -> tuple[ProxyEntry, ...]:
+        if self.proxies is None or not self.proxies.is_synchronized:
+            return ()
+        members = self.proxies.members()
+        if members is not self._members:
+            self._members, self._readers = members, choose_readers(members)
+        return self._readers
+
+    def _choose_usable(self, kind: RecordKind) -> tuple[ProxyEntry, ...]:
+        """Return the readers to follow; none if this process is one or none answers."""
+        if self.proxies is None or self.is_reader():
+            return ()
+        now, failed_until = self._clock.boottime(), self._feeds[kind].failed_until
+        usable = [
+            entry
+            for entry in order_readers(self._find_readers(), self.proxies.local)
+            if failed_until.get(entry.vm, 0.0) <= now and not self.proxies.is_suspect(entry.vm)
+        ]
+        return tuple(usable[:FOLLOWED_READERS])
+
+    def _note_failure(self, vm: str, kind: RecordKind, error: ReaderFailed) -> None:
+        """Follow other readers for a while, for all kinds if there was no answer."""
+        retry_at = self._clock.boottime() + READER_RETRY_S
+        is_silent = error.refusal is WatchRefusal.NONE
+        for failed_kind in RecordKind if is_silent else (kind,):
+            self._feeds[failed_kind].failed_until[vm] = retry_at
+        if is_silent:
+            self._cancel_watches(vm)
+        if error.refusal is WatchRefusal.STORE_LOST:
+            self._feeds[kind].is_store_lost = True
+        self._telemetry.count("relay_failures", kind=kind, reason=error.refusal or "no_answer")
+        log.info("reader_failed", reader=vm, kind=kind, detail=error.detail)
+
+    def _cancel_watches(self, vm: str) -> None:
+        for feed in self._feeds.values():
+            if vm in feed.watches:
+                feed.watches[vm].cancel()
+
+    async def _ask(
+        self, reader: ProxyEntry, kind: RecordKind, *, after_revision: int, wait_s: float
+    ) -> Records:
+        """Return a reader's records; raise ReaderFailed."""
+        if kind is HEARTBEAT_KIND:
+            wait_s = min(wait_s, HEARTBEAT_S)
+        request = WatchRecords(kind=kind, after_revision=after_revision, wait_s=wait_s)
+        sent_at = self._clock.boottime()
+        try:
+            answer = await self._transport.call(
+                reader.address, request, timeout_s=wait_s + ANSWER_MARGIN_S
+            )
+        except (PeerUnreachable, PeerAnswerLost, PeerRejected) as error:
+            raise ReaderFailed(detail=str(error)) from error
+        if not isinstance(answer, RelayedRecords):
+            raise ReaderFailed(detail="answer of another type")
+        if answer.refusal is not WatchRefusal.NONE:
+            raise ReaderFailed(detail=answer.refusal, refusal=answer.refusal)
+        # The answer was made after the request was sent, so this is the earliest possible moment.
+        confirmed_after_s = answer.waited_s - answer.age_s
+        batch = Records(
+            records=tuple(self._decode(kind, entry) for entry in answer.records),
+            revision=answer.revision,
+            is_complete=answer.is_complete,
+            confirmed_after_s=confirmed_after_s,
+        )
+        self._feeds[kind].is_store_lost = False
+        self._update(kind, batch, sent_at + confirmed_after_s)
+        return batch
+
+    def _decode(self, kind: RecordKind, entry: RelayedRecord) -> Record:
+        record = Record(
+            name=entry.name,
+            revision=entry.revision,
+            value=None,
+            is_deleted=entry.is_deleted,
+            content=entry.content,
+        )
+        return record if entry.is_deleted else self._source.decode(kind, record)
+
+    async def _handle_watch(self, sender: Sender, request: WatchRecords) -> RelayedRecords:
+        arrived_at = self._clock.boottime()
+        feed = self._feeds[request.kind]
+        while True:
+            refusal = self._find_refusal(feed)
+            if refusal is not WatchRefusal.NONE:
+                return RelayedRecords(refusal=refusal)
+            now = self._clock.boottime()
+            history, updated = feed.history, feed.updated
+            remaining_s = arrived_at + request.wait_s - now
+            is_new = history.revision > request.after_revision and (
+                not history.covers(request.after_revision)
+                or history.list_changes(request.after_revision)
+            )
+            if is_new or history.confirmed_at > arrived_at or remaining_s <= 0:
+                return _build_answer(history, request.after_revision, now, arrived_at)
+            try:
+                async with asyncio.timeout(remaining_s):
+                    await updated.wait()
+            except TimeoutError:
+                continue
+
+    def _find_refusal(self, feed: _Feed) -> WatchRefusal:
+        if self._is_stopping or not self.is_reader() or not feed.history.is_synchronized:
+            return WatchRefusal.NOT_A_READER
+        return WatchRefusal.STORE_LOST if feed.is_store_lost else WatchRefusal.NONE
+
+
+def _build_answer(
+    history: RecordHistory, after_revision: int, now: float, arrived_at: float
+) -> RelayedRecords:
+    is_complete = not history.covers(after_revision) and history.revision > after_revision
+    records = history.list() if is_complete else history.list_changes(after_revision)
+    if sum(len(record.content) for record in records) > MAX_ANSWER_BYTES:
+        return RelayedRecords(refusal=WatchRefusal.TOO_LARGE)
+    return RelayedRecords(
+        revision=history.revision,
+        is_complete=is_complete,
+        records=tuple(
+            RelayedRecord(
+                name=record.name,
+                revision=record.revision,
+                is_deleted=record.is_deleted,
+                content=record.content,
+            )
+            for record in records
+        ),
+        age_s=now - history.confirmed_at,
+        waited_s=now - arrived_at,
+    )
+
+
+def _remove_known(batch: Records, after_revision: int) -> Records:
+    """Return a batch without the records that a newer one from another reader contained."""
+    is_new = batch.revision > after_revision
+    records = [
+        record
+        for record in batch.records
+        if is_new and (batch.is_complete or record.is_deleted or record.revision > after_revision)
+    ]
+    return Records(
+        records=tuple(records),
+        revision=batch.revision,
+        is_complete=batch.is_complete and is_new,
+        confirmed_after_s=batch.confirmed_after_s,
+    )
--- a/lentilring/catalog/source.py
+++ b/lentilring/catalog/source.py
@@ -42,20 +42,31 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Record:
-    """Hold one record; `value` is None when it was deleted or cannot be read."""
+    """Hold one record; `value` is None when it was deleted or cannot be read.
+
+    `content` is the record as its source encodes it, for processes that read through this one.
+    """
 
     name: str
     revision: int
     value: RecordValue | None
     is_deleted: bool = False
+    content: bytes = b""
 
 
 @dataclass(frozen=True, kw_only=True)
 class Records:
-    """Hold records and the revision of the store up to which they are complete."""
+    """Hold records and the revision of the store up to which they are complete.
+
+    `is_complete` says that these are all records, not only changed ones. `confirmed_after_s` is the
+    time from the call to the last moment at which they were certainly up to date, negative if that
+    was before the call; None if the source does not know.
+    """
 
     records: tuple[Record, ...]
     revision: int
+    is_complete: bool = False
+    confirmed_after_s: float | None = None
 
 
 class RecordSource(Protocol):
@@ -77,6 +88,36 @@
         """Remove the entry of a proxy unless it has another revision by now."""
         ...
 
+    def decode(self, kind: RecordKind, record: Record) -> Record:
+        """Return a record with the value that its content encodes."""
+        ...
+
+
+class ProxyRegister(Protocol):
+    """Know the registered proxies."""
+
+    @property
+    def local(self) -> ProxyEntry:
+        """Return this process as a member."""
+        ...
+
+    @property
+    def is_synchronized(self) -> bool:
+        """Tell whether the other proxies were read at least once."""
+        ...
+
+    def members(self) -> tuple[ProxyEntry, ...]:
+        """Return the proxies that accept work."""
+        ...
+
+    def find(self, vm: str) -> ProxyEntry | None:
+        """Return the registration of a VM's proxy."""
+        ...
+
+    def is_suspect(self, vm: str) -> bool:
+        """Tell whether a peer failed to answer a call and has not answered any since."""
+        ...
+
 
 class HistoryExpired(Exception):
     """Report that the changes after a revision are no longer stored; list all records again."""
--- a/lentilring/platform/objects.py
+++ b/lentilring/platform/objects.py
@@ -15,6 +15,8 @@
 # 25 times the usual response time, so that a store slowed down 100 times still answers in time.
 CALL_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
+# The platform's word for reads that need not be linearizable.
+OLD_DATA_PARAMETER = "serializable=1"
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 log = Log(source="store")
@@ -66,12 +68,14 @@
         self._address, self._telemetry = address, telemetry
         self.is_reachable: bool | None = None
 
-    async def list(self, kind: str) -> ObjectList:
-        """Return all objects of a kind."""
+    async def list(self, kind: str, *, may_be_old: bool = False) -> ObjectList:
+        """Return all objects of a kind; `may_be_old` allows data seconds old, at less cost."""
         objects: list[PlatformObject] = []
         after = ""
         while True:
-            path = kind + (f"?after={quote(after, safe='')}" if after else "")
+            parameters = [f"after={quote(after, safe='')}"] if after else []
+            parameters += [OLD_DATA_PARAMETER] if may_be_old else []
+            path = "?".join([kind, "&".join(parameters)] if parameters else [kind])
             body = await self._call_ok("GET", path)
             page = [decode_object(entry) for entry in _get_list(body, "items")]
             objects += [entry for entry in page if entry is not None]
@@ -94,9 +98,10 @@
                 changed.append(entry)
         return ObjectList(objects=tuple(changed), revision=int(body.get("as-of", after_revision)))
 
-    async def get(self, kind: str, name: str) -> PlatformObject | None:
-        """Return one object, or None if it does not exist."""
-        status, body = await self._call("GET", f"{kind}/{quote(name, safe='')}")
+    async def get(self, kind: str, name: str, *, may_be_old: bool = False) -> PlatformObject | None:
+        """Return one object, or None if it does not exist; `may_be_old` as in `list`."""
+        suffix = f"?{OLD_DATA_PARAMETER}" if may_be_old else ""
+        status, body = await self._call("GET", f"{kind}/{quote(name, safe='')}{suffix}")
         if status == HTTPStatus.NOT_FOUND:
             return None
         if status != HTTPStatus.OK:
--- a/lentilring/platform/records.py
+++ b/lentilring/platform/records.py
@@ -1,6 +1,10 @@
 """Implementations of RecordSource and Store on the platform's metadata store."""
 
+import zlib
 from collections.abc import Sequence
+from dataclasses import replace
+
+import msgspec
 
 from ..catalog.source import (
     HistoryExpired,
@@ -23,7 +27,7 @@
     encode_proxy,
 )
 from .objects import HistoryLost, ObjectClient, ObjectConflict, ObjectList, PlatformObject
-from .store import Snapshot, StoredObject, VersionConflict, VmEntry
+from .store import Kind, Snapshot, StoredObject, VersionConflict, VmEntry
 
 OWN_KIND_PREFIX = "lentilring-"
 
@@ -38,7 +42,15 @@
 
     async def list(self, kind: RecordKind) -> Records:
         """Return all records of a kind."""
-        return _convert_objects(kind, await self._objects.list(STORE_KINDS[kind]))
+        # A watch follows each list and brings what an old list of proxies lacks. The other kinds
+        # decide where statements may go, also in the time before that watch answers.
+        may_be_old = kind is RecordKind.PROXIES
+        listed = await self._objects.list(STORE_KINDS[kind], may_be_old=may_be_old)
+        return replace(
+            _convert_objects(kind, listed),
+            is_complete=True,
+            confirmed_after_s=float("-inf") if may_be_old else 0.0,
+        )
 
     async def watch(self, kind: RecordKind, *, after_revision: int, wait_s: float) -> Records:
         """Return the records changed after a revision."""
@@ -74,6 +86,16 @@
         except ObjectConflict:
             log.info("proxy_entry_not_removed", vm=vm, revision=revision)
 
+    def decode(self, kind: RecordKind, record: Record) -> Record:
+        """Return a record with the value that its content encodes."""
+        try:
+            spec = msgspec.json.decode(zlib.decompress(record.content))
+        except (msgspec.DecodeError, zlib.error) as error:
+            log.warning("content_unreadable", kind=kind, name=record.name, detail=error)
+            return record
+        entry = PlatformObject(name=record.name, revision=record.revision, spec=spec)
+        return replace(record, value=_decode_value(kind, entry))
+
 
 class PlatformStore:
     """Implement Store for lentilring's own kinds; an object's version is its revision."""
@@ -82,8 +104,12 @@
         self._objects = objects
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
-        """Return the newest version of an object."""
-        entry = await self._objects.get(OWN_KIND_PREFIX + kind, name)
+        """Return the newest version of an object, or an old one of a secret, which never changes.
+
+        Whoever misses a secret tries to create it, and a conflict names the stored one.
+        """
+        may_be_old = kind == Kind.SECRET
+        entry = await self._objects.get(OWN_KIND_PREFIX + kind, name, may_be_old=may_be_old)
         return None if entry is None else _convert_object(kind, entry)
 
     async def put(
@@ -137,6 +163,7 @@
             revision=entry.revision,
             value=None if entry.is_deleted else _decode_value(kind, entry),
             is_deleted=entry.is_deleted,
+            content=b"" if entry.is_deleted else zlib.compress(msgspec.json.encode(entry.spec)),
         )
         for entry in listed.objects
         if kind is not RecordKind.MANIFEST or entry.name == MANIFEST_NAME
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -6,6 +6,7 @@
 import time
 
 from .catalog.fleet import FleetService
+from .catalog.relay import RecordRelay
 from .catalog.service import CatalogService
 from .catalog.source import ProxyEntry
 from .clock import BootClock
@@ -95,7 +96,6 @@
 ) -> SessionReadiness:
     """Register all services by name, in the order in which they start."""
     clock, random_source = BootClock(), random.Random()
-    records = PlatformRecords(objects=objects)
     transport = TcpTransport(
         vm=settings.vm,
         incarnation=incarnation,
@@ -105,6 +105,13 @@
         telemetry=telemetry,
         connect_timeout_s=PEER_CONNECT_TIMEOUT_S,
     )
+    records = RecordRelay(
+        source=PlatformRecords(objects=objects),
+        transport=transport,
+        clock=clock,
+        random=random_source,
+        telemetry=telemetry,
+    )
     catalog = CatalogService(
         source=records,
         clock=clock,
@@ -126,6 +133,7 @@
         random=random_source,
         telemetry=telemetry,
     )
+    records.proxies = fleet
     limiter = RegionalLimiter(
         fleet=fleet,
         transport=transport,
@@ -192,6 +200,7 @@
     )
     services = {
         "transport": transport,
+        "records": records,
         "catalog": catalog,
         "fleet": fleet,
         "limits": limiter,
--- a/tests/prepared.py
+++ b/tests/prepared.py
@@ -8,6 +8,7 @@
 from itertools import count
 from typing import Any
 
+from lentilring.catalog.service import CatalogService
 from lentilring.kernel import Kernel
 from lentilring.platform.objects import ObjectClient
 from lentilring.session_process import register_session_services
@@ -201,6 +202,10 @@
             telemetry=self.telemetry,
         )
 
+    @property
+    def catalog(self) -> CatalogService:
+        return self.kernel.find("catalog", CatalogService)
+
     async def start(self) -> None:
         await self.kernel.start()
 
