Keep replicas paused while another takeover may have checked them; know all servers before a takeover

Second cause: a process that started while registrations had lapsed does not know the replica that may hold the newest acknowledged commit, and took over as soon as the primary was silent.

Change: the statuses are read first; the decision to resume is a conditional write to the record of promotions, so a takeover that began before it cannot claim; after half a lease (a suspension) nothing is resumed; all replicas are resumed at once.

Ruled out: leaving replicas paused after a takeover that gave up (a primary that leads stays without replicas until the next takeover).

--- a/lentilring/catalog/follower.py
+++ b/lentilring/catalog/follower.py
@@ -41,6 +41,7 @@
         self.kind = kind
         self.confirmed_at = float("-inf")
         self.failed_at = float("-inf")
+        self.synchronized_at = float("inf")
         self._source, self._clock, self._random = source, clock, random
         self._telemetry = telemetry
         self._replace_all, self._apply_changes = replace_all, apply_changes
@@ -78,6 +79,7 @@
         sent_at = self._clock.boottime()
         if self._revision is None:
             batch = await self._source.list(self.kind)
+            self.synchronized_at = min(self.synchronized_at, self._clock.boottime())
             self._replace_all(batch)
         else:
             batch = await self._source.watch(
--- a/lentilring/catalog/service.py
+++ b/lentilring/catalog/service.py
@@ -181,6 +181,11 @@
             return is_primary and now - since <= self._evacuation_grace_s
         return True
 
+    def knows_all_servers(self) -> bool:
+        """Tell whether servers whose registrations had lapsed at the start are registered again."""
+        since = self._registrations.synchronized_at
+        return self._clock.boottime() - since >= REMOVAL_DELAY_S
+
     def missing_servers(self) -> frozenset[str]:
         """Return the servers whose registrations are missing, but may only have lapsed."""
         return frozenset(self._removal_timers)
--- a/lentilring/takeover/authority.py
+++ b/lentilring/takeover/authority.py
@@ -75,11 +75,16 @@
         """
         return await self._write(service, server, received, previous=previous, is_open=True)
 
-    async def mark_completed(self, service: str, *, previous: PromotionIntent) -> None:
-        """Record that a promotion took effect; raise StoreUnavailable."""
-        await self._write(
+    async def mark_completed(self, service: str, *, previous: PromotionIntent) -> bool:
+        """Record that a promotion cannot take effect any more; raise StoreUnavailable.
+
+        False if another proxy recorded one meanwhile. If True, claims by takeovers that read the
+        previous intent fail.
+        """
+        written = await self._write(
             service, previous.server, previous.received, previous=previous, is_open=False
         )
+        return written is not None
 
     async def _write(
         self,
--- a/lentilring/takeover/replicas.py
+++ b/lentilring/takeover/replicas.py
@@ -67,11 +67,15 @@
 
     async def resume_all(self) -> None:
         """Let all connected servers receive again."""
-        for server, session in self._sessions.items():
-            try:
-                await session.resume(timeout_s=CALL_TIMEOUT_S)
-            except (ServerLost, ServerUnreachable) as error:
-                log.warning("replica_not_resumed", server=server, detail=error)
+        await asyncio.gather(
+            *(self._resume(server, session) for server, session in self._sessions.items())
+        )
+
+    async def _resume(self, server: str, session: ServerSession) -> None:
+        try:
+            await session.resume(timeout_s=CALL_TIMEOUT_S)
+        except (ServerLost, ServerUnreachable) as error:
+            log.warning("replica_not_resumed", server=server, detail=error)
 
     def close(self) -> None:
         """Close all connections."""
--- a/lentilring/takeover/service.py
+++ b/lentilring/takeover/service.py
@@ -36,6 +36,9 @@
 PRIMARY_DRAIN_S = 0.06
 LEADERSHIP_TIMEOUT_S = 2.5
 LEADERSHIP_POLL_S = 0.05
+# Another takeover that begins later checks the replicas a whole lease after it stopped them, unless
+# the old primary has stepped down. Replicas that are resumed must receive before that.
+MAX_RESUME_DELAY_S = LEASE_S / 2
 RETRY_S = 0.5
 BUSY_RETRY_S = 0.2
 
@@ -123,6 +126,8 @@
         was_proved = self._gateways.get_history(service).find_newest() is not None
         if not watch.is_due(rank=rank, was_proved=was_proved, now=now):
             return
+        if not self._catalog.knows_all_servers():
+            return
         entries = self._catalog.servers.by_service.get(service, ())
         replicas = tuple(entry for entry in entries if primary is None or entry.id != primary.id)
         if not replicas:
@@ -215,17 +220,23 @@
         self, takeover: _Takeover, control: ReplicaControl, intent: PromotionIntent
     ) -> bool:
         """Tell whether replicas may receive again, as no recorded promotion can still run."""
+        statuses = await control.read_all(takeover.replicas)
+        asked_at = self._clock.boottime()
         try:
             newest = await self._authority.read(takeover.service)
+            intended = statuses.get(newest.server)
+            # Once the promotion took effect, the new primary needs replicas that receive. Any other
+            # server that is still the primary is about to be replaced.
+            has_effect = newest.is_open and intended is not None and _is_primary(intended)
+            is_own = newest.vm == self._fleet.local.vm and not intent.is_open
+            if newest.is_open and not has_effect and not is_own:
+                return False
+            # A takeover that checked the replicas before they receive again must not claim after.
+            if not await self._authority.mark_completed(takeover.service, previous=newest):
+                return False
         except StoreUnavailable:
             return False
-        statuses = await control.read_all(takeover.replicas)
-        intended = statuses.get(newest.server)
-        if newest.is_open and intended is not None and _is_primary(intended):
-            # The promotion took effect, and the new primary needs replicas that receive. Any other
-            # server that is still the primary is about to be replaced.
-            return True
-        return not newest.is_open or (newest.vm == self._fleet.local.vm and not intent.is_open)
+        return self._clock.boottime() - asked_at <= MAX_RESUME_DELAY_S
 
     async def _replace_primary(
         self, takeover: _Takeover, control: ReplicaControl, intent: PromotionIntent
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -2,14 +2,18 @@
 
 import asyncio
 from dataclasses import replace
+from types import SimpleNamespace
+from typing import Any
 
 from testtools import TestCase
 
 from lentilring.catalog.leadership import Leadership
 from lentilring.catalog.model import ServerEntry, ServerRole, build_server_table
 from lentilring.catalog.service import CatalogService
+from lentilring.clock import LoopClock
 from lentilring.gateways.lease import LEASE_MARGIN_S, LEASE_S, LeadershipLease
 from lentilring.gateways.server import ReplicationStatus
+from lentilring.gateways.service import GatewayService
 from lentilring.platform.store import Kind, StoredObject, VersionConflict
 from lentilring.statements.model import Position
 from lentilring.takeover.authority import NO_COMMITS, PromotionAuthority, PromotionIntent
@@ -23,6 +27,7 @@
     ReplacementWatch,
     find_replacement_reason,
 )
+from lentilring.takeover.service import TakeoverService, _Takeover
 from lentilring.takeover.succession import (
     Candidate,
     NoSafeSuccessor,
@@ -30,6 +35,7 @@
     choose_pause_term,
     choose_successor,
 )
+from lentilring.telemetry.metrics import Telemetry
 
 from .prepared import run, run_prepared_platform, wait_until
 
@@ -350,6 +356,99 @@
         asyncio.run(scenario())
 
 
+class ResumeTest(TestCase):
+    """Whether a takeover that gave up may let the replicas receive again."""
+
+    def build(self, store: MemoryStore, clock: LoopClock) -> TakeoverService:
+        unused: Any = None
+        fleet: Any = SimpleNamespace(local=SimpleNamespace(vm="vm-b"))
+        return TakeoverService(
+            catalog=unused,
+            fleet=fleet,
+            gateways=unused,
+            sampler=unused,
+            connector=unused,
+            authority=PromotionAuthority(store=store, vm="vm-b"),  # type: ignore[arg-type]
+            promotion=unused,
+            clock=clock,  # type: ignore[arg-type]
+            telemetry=Telemetry(),
+        )
+
+    async def decide(self, store: MemoryStore, control: Any, clock: LoopClock) -> bool:
+        service = self.build(store, clock)
+        takeover = _Takeover(
+            service="rental", reason=ReplacementReason.SILENT, old_primary=None, replicas=()
+        )
+        intent = await service._authority.read("rental")
+        return await service._may_resume(takeover, control, intent)
+
+    def test_replicas_stay_paused_if_another_proxy_claims_meanwhile(self) -> None:
+        """Guards against the loss of an acknowledged commit.
+
+        One supervisor gives up and asks the replicas for their status, which takes half a second if
+        one is silent. Meanwhile another records its promotion and checks that the replicas are
+        still paused. If the first one resumed them then, they would confirm commits of the old
+        primary that the promoted server lacks.
+        """
+
+        async def scenario() -> None:
+            store = MemoryStore()
+            other = PromotionAuthority(store=store, vm="vm-a")  # type: ignore[arg-type]
+
+            async def read_all(servers: object) -> dict[str, ReplicationStatus]:
+                seen = await other.read("rental")
+                position = Position(term=1, number=9)
+                assert await other.claim("rental", "a", received=position, previous=seen)
+                return {}
+
+            control = SimpleNamespace(read_all=read_all)
+            self.assertFalse(await self.decide(store, control, _BoottimeClock()))
+
+        asyncio.run(scenario())
+
+    def test_a_takeover_that_began_before_the_replicas_resume_cannot_claim(self) -> None:
+        """Guards against a claim between the decision to resume replicas and the resumption."""
+
+        async def scenario() -> None:
+            store = MemoryStore()
+            other = PromotionAuthority(store=store, vm="vm-a")  # type: ignore[arg-type]
+            seen = await other.read("rental")
+            control = SimpleNamespace(read_all=_read_nothing)
+            self.assertTrue(await self.decide(store, control, _BoottimeClock()))
+            position = Position(term=1, number=9)
+            self.assertIsNone(await other.claim("rental", "a", received=position, previous=seen))
+
+        asyncio.run(scenario())
+
+    def test_a_process_that_was_suspended_after_its_decision_resumes_nothing(self) -> None:
+        """Guards against a resumption after a later takeover has checked the replicas."""
+
+        async def scenario() -> None:
+            clock = _BoottimeClock()
+
+            class SuspendingStore(MemoryStore):
+                async def put(self, *values, **options):  # type: ignore[no-untyped-def]
+                    clock.suspended_s += 3.0
+                    return await super().put(*values, **options)
+
+            control = SimpleNamespace(read_all=_read_nothing)
+            self.assertFalse(await self.decide(SuspendingStore(), control, clock))
+
+        asyncio.run(scenario())
+
+
+class _BoottimeClock(LoopClock):
+    def __init__(self) -> None:
+        self.suspended_s = 0.0
+
+    def boottime(self) -> float:
+        return self.monotonic() + self.suspended_s
+
+
+async def _read_nothing(servers: object) -> dict[str, ReplicationStatus]:
+    return {}
+
+
 class TakeoverProcessTest(TestCase):
     def test_leaving_primary_is_replaced_and_writes_go_on(self) -> None:
         """Guards against sending work to a primary after its grace time for leaving."""
@@ -428,6 +527,34 @@
 
         run(scenario())
 
+    def test_new_process_waits_for_registrations_that_lapsed(self) -> None:
+        """Guards against a promotion without a replica that is alive, but not registered.
+
+        Registrations lapse while the store is away and are back within 2 s. A process that started
+        meanwhile has not seen the replica, which may have the newest acknowledged commit.
+        """
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=0) as platform:
+                primary, lapsed = platform.group.servers[0], platform.group.servers[2]
+                platform.store.remove("servers", lapsed.id)
+                proxy = await platform.add_proxy("vm-0", "casa-a")
+                await platform.wait_ready()
+                gateways = proxy.kernel.find("gateways", GatewayService)
+                await (await proxy.open("stock")).query("READ tent")
+                await wait_until(
+                    lambda: gateways.get_history("rental").find_newest() is not None, within_s=1.0
+                )
+                await primary.stop()
+                primary.faults.refuses_connections = True
+                await asyncio.sleep(1.7)
+                self.assertEqual([], platform.store.promotions)
+                platform.register(lapsed)
+                await wait_until(lambda: bool(platform.store.promotions), within_s=8)
+                self.assertIn(lapsed.id, proxy.catalog.servers.entries)
+
+        run(scenario())
+
     def test_silent_replica_prevents_a_promotion_until_it_answers(self) -> None:
         """Guards against a promotion while a replica that acknowledged a commit is silent."""
 
