Count the age of relayed records from the poll that was answered

Cause, found in the read-through: a follower keeps two polls open, and one that is answered may have been sent before the present watch began. The age was counted from the present watch, so a configuration could seem up to 8 s newer than it was (test: 7.5 instead of 4.5 s), and withdrawn keys or evacuations could stay unnoticed for that long behind cut-off readers.

Change: a batch carries the moment of its confirmation on the local boot clock instead of a time relative to some call; lists that may be old say so by a field of their own.

--- a/lentilring/catalog/follower.py
+++ b/lentilring/catalog/follower.py
@@ -87,13 +87,13 @@
             )
             (self._replace_all if batch.is_complete else self._apply_changes)(batch)
         self._revision = max(batch.revision, self._revision or 0)
-        if batch.confirmed_after_s is not None:
-            confirmed_at = sent_at + batch.confirmed_after_s
-        else:
+        confirmed_at = batch.confirmed_at
+        if confirmed_at is None:
             confirmed_at = estimate_confirmation(
                 sent_at=sent_at, answered_at=self._clock.boottime(), wait_s=self._wait_s
             )
-        self.confirmed_at = max(self.confirmed_at, confirmed_at)
+        if not batch.may_be_old:
+            self.confirmed_at = max(self.confirmed_at, confirmed_at)
         if batch.records and self._batch_delay_s:
             # Registrations come in groups. Waiting for the rest of a group saves watch calls.
             await asyncio.sleep(self._batch_delay_s)
--- a/lentilring/catalog/relay.py
+++ b/lentilring/catalog/relay.py
@@ -122,8 +122,7 @@
             self._set_store_lost(kind, True)
             raise
         self._set_store_lost(kind, False)
-        confirmed_after_s = batch.confirmed_after_s
-        self._update(kind, batch, sent_at + (confirmed_after_s or 0.0))
+        self._update(kind, batch, float("-inf") if batch.may_be_old else sent_at)
         return batch
 
     async def watch(self, kind: RecordKind, *, after_revision: int, wait_s: float) -> Records:
@@ -212,7 +211,7 @@
             records=batch.records,
             revision=batch.revision,
             is_complete=batch.is_complete,
-            confirmed_after_s=confirmed_at - now,
+            confirmed_at=confirmed_at,
         )
 
     def _update(self, kind: RecordKind, batch: Records, confirmed_at: float) -> None:
@@ -283,15 +282,15 @@
         if answer.refusal is not WatchRefusal.NONE:
             raise ReaderFailed(detail=answer.refusal, refusal=answer.refusal)
         # The answer was made after the request was sent, so this is the earliest possible moment.
-        confirmed_after_s = answer.waited_s - answer.age_s
+        confirmed_at = sent_at + answer.waited_s - answer.age_s
         batch = Records(
             records=tuple(self._decode(kind, entry) for entry in answer.records),
             revision=answer.revision,
             is_complete=answer.is_complete,
-            confirmed_after_s=confirmed_after_s,
+            confirmed_at=confirmed_at,
         )
         self._feeds[kind].is_store_lost = False
-        self._update(kind, batch, sent_at + confirmed_after_s)
+        self._update(kind, batch, confirmed_at)
         return batch
 
     def _decode(self, kind: RecordKind, entry: RelayedRecord) -> Record:
@@ -368,5 +367,5 @@
         records=tuple(records),
         revision=batch.revision,
         is_complete=batch.is_complete and is_new,
-        confirmed_after_s=batch.confirmed_after_s,
+        confirmed_at=batch.confirmed_at,
     )
--- a/lentilring/catalog/source.py
+++ b/lentilring/catalog/source.py
@@ -58,15 +58,16 @@
 class Records:
     """Hold records and the revision of the store up to which they are complete.
 
-    `is_complete` says that these are all records, not only changed ones. `confirmed_after_s` is the
-    time from the call to the last moment at which they were certainly up to date, negative if that
-    was before the call; None if the source does not know.
+    `is_complete` says that these are all records, not only changed ones, `may_be_old` that they may
+    lack changes made before the call. `confirmed_at` is the last moment at which they were
+    certainly up to date, in seconds of the boot clock; None if the source does not know.
     """
 
     records: tuple[Record, ...]
     revision: int
     is_complete: bool = False
-    confirmed_after_s: float | None = None
+    may_be_old: bool = False
+    confirmed_at: float | None = None
 
 
 class RecordSource(Protocol):
--- a/lentilring/platform/records.py
+++ b/lentilring/platform/records.py
@@ -46,11 +46,7 @@
         # decide where statements may go, also in the time before that watch answers.
         may_be_old = kind is RecordKind.PROXIES
         listed = await self._objects.list(STORE_KINDS[kind], may_be_old=may_be_old)
-        return replace(
-            _convert_objects(kind, listed),
-            is_complete=True,
-            confirmed_after_s=float("-inf") if may_be_old else 0.0,
-        )
+        return replace(_convert_objects(kind, listed), is_complete=True, may_be_old=may_be_old)
 
     async def watch(self, kind: RecordKind, *, after_revision: int, wait_s: float) -> Records:
         """Return the records changed after a revision."""
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -96,7 +96,7 @@
         self.calls += 1
         if self.is_down:
             raise StoreUnavailable(operation="list")
-        return Records(records=(), revision=1, is_complete=True, confirmed_after_s=0.0)
+        return Records(records=(), revision=1, is_complete=True)
 
     async def watch(self, kind: RecordKind, *, after_revision: int, wait_s: float) -> Records:
         self.calls += 1
@@ -245,7 +245,25 @@
             scene.answer(scene.followed[0], 2.0, revision=1, age_s=7.0, waited_s=1.5)
             scene.answer(scene.followed[1], 1000.0)
             batch = await scene.watch()
-            self.assertEqual(-5.5, batch.confirmed_after_s)
+            self.assertEqual(-5.5, batch.confirmed_at)
+
+        run_virtual(scenario())
+
+    def test_age_counts_from_the_poll_that_was_answered(self) -> None:
+        """Guards against a configuration that seems newer than it is.
+
+        The second reader answers a poll that was sent before the present watch began.
+        """
+
+        async def scenario() -> None:
+            scene = Scene()
+            scene.answer(scene.followed[0], 3.0, revision=1, age_s=0.5, waited_s=3.0)
+            scene.answer(scene.followed[1], 5.0, revision=1, age_s=0.5, waited_s=5.0)
+            first = await scene.watch()
+            self.assertEqual(2.5, first.confirmed_at)
+            second = await scene.watch()
+            self.assertEqual(5.0, scene.relay._clock.boottime())
+            self.assertEqual(4.5, second.confirmed_at)
 
         run_virtual(scenario())
 
