Read the list of proxies anew after lost history; say in one place when records were confirmed

Which reads may be old was decided in the adapter by kind, the moment of confirmation was computed in the follower and in the relay, and three comments claimed shares of the start that no run had shown.

Change: only the first list of a process may be old, as the fleet service asks for; the secret's store is built to accept old data where it is read. The relay alone says when records were confirmed (a slow list no longer counts as a watch that waited). RecordHistory.read_after replaces three methods; the relay loses a method and its checks for a missing register; the two test clocks are one.

--- a/lentilring/catalog/fleet.py
+++ b/lentilring/catalog/fleet.py
@@ -51,6 +51,9 @@
             replace_all=self._replace,
             apply_changes=self._apply_changes,
             batch_delay_s=BATCH_DELAY_S,
+            # The watch that follows brings what an old list of proxies lacks. Lists of servers and
+            # evacuations decide where statements may go, also before that watch answers.
+            may_begin_old=True,
         )
         self._tasks: list[asyncio.Task[None]] = []
 
--- a/lentilring/catalog/follower.py
+++ b/lentilring/catalog/follower.py
@@ -12,9 +12,6 @@
 
 # Without changes, the records are confirmed once in this time; calls are billed and rate-limited.
 WATCH_WAIT_S = 8.0
-# When a watch has lasted its whole wait time, the records count as confirmed after this part of it,
-# not only when the watch was sent.
-CERTAIN_WAIT_FRACTION = 0.9
 RETRY_S = 0.3
 MAX_RETRY_S = 1.2
 RETRY_JITTER = 0.3
@@ -37,6 +34,7 @@
         apply_changes: Callable[[Records], None],
         wait_s: float = WATCH_WAIT_S,
         batch_delay_s: float = 0.0,
+        may_begin_old: bool = False,
     ) -> None:
         self.kind = kind
         self.confirmed_at = float("-inf")
@@ -46,6 +44,7 @@
         self._telemetry = telemetry
         self._replace_all, self._apply_changes = replace_all, apply_changes
         self._wait_s, self._batch_delay_s = wait_s, batch_delay_s
+        self._may_begin_old = may_begin_old
         self._revision: int | None = None
         self._retry_s = RETRY_S
 
@@ -76,9 +75,11 @@
                 self._retry_s = min(MAX_RETRY_S, 2 * self._retry_s)
 
     async def _step(self) -> None:
-        sent_at = self._clock.boottime()
         if self._revision is None:
-            batch = await self._source.list(self.kind)
+            # A later list must not be older than the history that the store keeps, which has just
+            # become shorter.
+            may_be_old = self._may_begin_old and self.synchronized_at == float("inf")
+            batch = await self._source.list(self.kind, may_be_old=may_be_old)
             self.synchronized_at = min(self.synchronized_at, self._clock.boottime())
             self._replace_all(batch)
         else:
@@ -87,19 +88,7 @@
             )
             (self._replace_all if batch.is_complete else self._apply_changes)(batch)
         self._revision = max(batch.revision, self._revision or 0)
-        confirmed_at = batch.confirmed_at
-        if confirmed_at is None:
-            confirmed_at = estimate_confirmation(
-                sent_at=sent_at, answered_at=self._clock.boottime(), wait_s=self._wait_s
-            )
-        if not batch.may_be_old:
-            self.confirmed_at = max(self.confirmed_at, confirmed_at)
+        self.confirmed_at = max(self.confirmed_at, batch.confirmed_at)
         if batch.records and self._batch_delay_s:
             # Registrations come in groups. Waiting for the rest of a group saves watch calls.
             await asyncio.sleep(self._batch_delay_s)
-
-
-def estimate_confirmation(*, sent_at: float, answered_at: float, wait_s: float) -> float:
-    """Return when the records of an answered call were certainly up to date."""
-    waited_in_full = answered_at - sent_at >= wait_s > 0
-    return sent_at + (wait_s * CERTAIN_WAIT_FRACTION if waited_in_full else 0.0)
--- a/lentilring/catalog/history.py
+++ b/lentilring/catalog/history.py
@@ -11,7 +11,7 @@
     """
 
     def __init__(self) -> None:
-        self.revision = 0
+        self.revision = -1
         self.confirmed_at = float("-inf")
         self._first_revision: int | None = None
         self._records: dict[str, Record] = {}
@@ -22,38 +22,40 @@
         """Tell whether all records were read at least once."""
         return self._first_revision is not None
 
-    def update(self, batch: Records, *, confirmed_at: float) -> None:
+    def update(self, batch: Records) -> None:
         """Take a batch of records; one that is older than what is known only confirms it."""
-        self.confirmed_at = max(self.confirmed_at, confirmed_at)
-        if batch.is_complete and batch.revision >= self.revision:
+        self.confirmed_at = max(self.confirmed_at, batch.confirmed_at)
+        if batch.revision <= self.revision:
+            return
+        if batch.is_complete:
             self._delete_missing(batch)
-        if batch.revision > self.revision or not self.is_synchronized:
-            self._put(batch)
-        if batch.is_complete and self._first_revision is None:
-            self._first_revision = batch.revision
-
-    def covers(self, revision: int) -> bool:
-        """Tell whether all changes after a revision are known."""
-        return self._first_revision is not None and revision >= self._first_revision
-
-    def list(self) -> tuple[Record, ...]:
-        """Return all records that exist."""
-        return tuple(record for record in self._records.values() if not record.is_deleted)
+            if self._first_revision is None:
+                self._first_revision = batch.revision
+        for record in batch.records:
+            self._records[record.name] = record
+            self._batch_revisions[record.name] = batch.revision
+        self.revision = batch.revision
 
-    def list_changes(self, after_revision: int) -> tuple[Record, ...]:
-        """Return the newest state of the records changed after a revision."""
-        return tuple(
+    def read_after(self, revision: int) -> Records:
+        """Return the records changed after a revision; all if its changes are not known."""
+        is_complete = self._first_revision is None or revision < self._first_revision
+        records = [
             record
             for name, record in self._records.items()
-            if self._batch_revisions[name] > after_revision
-            and (record.is_deleted or record.revision > after_revision)
+            if (not record.is_deleted if is_complete else self._has_changed(name, revision))
+        ]
+        return Records(
+            records=tuple(records),
+            revision=self.revision,
+            is_complete=is_complete,
+            confirmed_at=self.confirmed_at,
         )
 
-    def _put(self, batch: Records) -> None:
-        for record in batch.records:
-            self._records[record.name] = record
-            self._batch_revisions[record.name] = batch.revision
-        self.revision = max(self.revision, batch.revision)
+    def _has_changed(self, name: str, revision: int) -> bool:
+        record = self._records[name]
+        return self._batch_revisions[name] > revision and (
+            record.is_deleted or record.revision > revision
+        )
 
     def _delete_missing(self, batch: Records) -> None:
         listed = {record.name for record in batch.records}
--- a/lentilring/catalog/readers.py
+++ b/lentilring/catalog/readers.py
@@ -1,11 +1,11 @@
 """Which proxies read the store themselves, and which of these a proxy follows."""
 
+import math
 from collections.abc import Sequence
 
 from ..placement import rank_members
 from .source import ProxyEntry
 
-READERS_PER_DOMAIN = 1
 # Two readers may fail while a third still follows the store.
 MIN_READERS = 3
 # A proxy follows two readers of different failure domains: one that fails is not missed.
@@ -19,7 +19,7 @@
         domains.setdefault(entry.failure_domain, []).append(entry)
     if not domains:
         return ()
-    per_domain = max(READERS_PER_DOMAIN, -(-MIN_READERS // len(domains)))
+    per_domain = math.ceil(MIN_READERS / len(domains))
     return tuple(
         entry
         for domain in sorted(domains)
--- a/lentilring/catalog/relay.py
+++ b/lentilring/catalog/relay.py
@@ -5,7 +5,8 @@
 """
 
 import asyncio
-from dataclasses import dataclass, field
+from collections.abc import Awaitable
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from ..clock import SuspensionClock
@@ -21,14 +22,23 @@
 from ..platform.store import StoreUnavailable
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
-from .follower import estimate_confirmation
 from .history import RecordHistory
 from .messages import RelayedRecord, RelayedRecords, WatchRecords, WatchRefusal
 from .readers import FOLLOWED_READERS, choose_readers, order_readers
-from .source import ProxyEntry, ProxyRegister, Record, RecordKind, Records, RecordSource
+from .source import (
+    EncodedRecordSource,
+    ProxyEntry,
+    ProxyRegister,
+    Record,
+    RecordKind,
+    Records,
+)
 
 # Time beyond a watch's wait in which a reader's answer arrives, retransmissions included.
 ANSWER_MARGIN_S = 1.0
+# When a watch has lasted its whole wait time, the records count as confirmed after this part of it,
+# not only when the watch was sent.
+CERTAIN_WAIT_FRACTION = 0.9
 # After a failure, the first watch waits only this long, since its answer confirms the records.
 REGAIN_WAIT_S = 0.5
 # Readers answer watches of the configuration this often, so that a silent one is soon replaced.
@@ -68,7 +78,7 @@
     updated: asyncio.Event = field(default_factory=asyncio.Event)
     failed_until: dict[str, float] = field(default_factory=dict)
     is_store_lost: bool = False
-    direct_at: float = float("-inf")
+    next_direct_at: float = float("-inf")
 
     def notify(self) -> None:
         """Wake all that wait for an update."""
@@ -77,18 +87,22 @@
 
 
 class RecordRelay(Service):
-    """Implement RecordSource: read through peers, or from `source` if this process is a reader."""
+    """Implement RecordSource: read through peers, or from `source` if this process is a reader.
+
+    `proxies` is set before the start, because the register of proxies itself reads through this.
+    """
+
+    proxies: ProxyRegister
 
     def __init__(
         self,
         *,
-        source: RecordSource,
+        source: EncodedRecordSource,
         transport: PeerTransport,
         clock: SuspensionClock,
         random: Random,
         telemetry: Telemetry,
     ) -> None:
-        self.proxies: ProxyRegister | None = None
         self._source, self._transport = source, transport
         self._clock, self._random, self._telemetry = clock, random, telemetry
         self._feeds = {kind: _Feed() for kind in RecordKind}
@@ -110,19 +124,16 @@
 
     def is_reader(self) -> bool:
         """Tell whether this process reads the store itself, so that others may follow it."""
-        local = None if self.proxies is None else self.proxies.local
-        return local is not None and any(entry.vm == local.vm for entry in self._find_readers())
+        local = self.proxies.local
+        return any(entry.vm == local.vm for entry in self._find_readers())
 
-    async def list(self, kind: RecordKind) -> Records:
+    async def list(self, kind: RecordKind, *, may_be_old: bool = False) -> Records:
         """Return all records of a kind."""
         sent_at = self._clock.boottime()
-        try:
-            batch = await self._source.list(kind)
-        except StoreUnavailable:
-            self._set_store_lost(kind, True)
-            raise
-        self._set_store_lost(kind, False)
-        self._update(kind, batch, float("-inf") if batch.may_be_old else sent_at)
+        batch = await self._read_store(kind, self._source.list(kind, may_be_old=may_be_old))
+        if not may_be_old:
+            batch = replace(batch, confirmed_at=sent_at)
+        self._update(kind, batch)
         return batch
 
     async def watch(self, kind: RecordKind, *, after_revision: int, wait_s: float) -> Records:
@@ -154,14 +165,8 @@
         """Remove the entry of a proxy unless it has another revision by now."""
         await self._source.deregister(vm, revision=revision)
 
-    def decode(self, kind: RecordKind, record: Record) -> Record:
-        """Return a record with its value."""
-        return self._source.decode(kind, record)
-
     async def _wait_for_register(self) -> None:
         """Wait until the other proxies are known, so that not each of them reads the store."""
-        if self.proxies is None:
-            return
         deadline = self._clock.boottime() + START_WAIT_S
         while not self.proxies.is_synchronized and self._clock.boottime() < deadline:
             await self._clock.sleep(START_POLL_S)
@@ -187,36 +192,35 @@
     ) -> Records:
         """Watch the store, but seldom while readers report that it is lost."""
         feed, now = self._feeds[kind], self._clock.boottime()
-        if not self.is_reader() and feed.is_store_lost and now < feed.direct_at:
+        if not self.is_reader() and feed.is_store_lost and now < feed.next_direct_at:
             raise StoreUnavailable(operation=f"relay {kind}", detail="readers have lost the store")
         jitter = self._random.uniform(1 - DIRECT_RETRY_JITTER, 1 + DIRECT_RETRY_JITTER)
-        feed.direct_at = now + DIRECT_RETRY_S * jitter
+        feed.next_direct_at = now + DIRECT_RETRY_S * jitter
         # Without readers, the wait is short, so that a reader is followed as soon as there is one.
         direct_wait_s = wait_s if self.is_reader() else min(wait_s, READER_RETRY_S)
         if feed.is_store_lost:
             direct_wait_s = min(direct_wait_s, REGAIN_WAIT_S)
+        watch = self._source.watch(kind, after_revision=after_revision, wait_s=direct_wait_s)
+        batch = await self._read_store(kind, watch)
+        waited_in_full = self._clock.boottime() - now >= direct_wait_s
+        certain_wait_s = direct_wait_s * CERTAIN_WAIT_FRACTION if waited_in_full else 0.0
+        batch = replace(batch, confirmed_at=now + certain_wait_s)
+        self._update(kind, batch)
+        return batch
+
+    async def _read_store(self, kind: RecordKind, call: Awaitable[Records]) -> Records:
+        """Return the answer of a call to the store; record whether the store can be reached."""
         try:
-            batch = await self._source.watch(
-                kind, after_revision=after_revision, wait_s=direct_wait_s
-            )
+            batch = await call
         except StoreUnavailable:
             self._set_store_lost(kind, True)
             raise
-        confirmed_at = estimate_confirmation(
-            sent_at=now, answered_at=self._clock.boottime(), wait_s=direct_wait_s
-        )
         self._set_store_lost(kind, False)
-        self._update(kind, batch, confirmed_at)
-        return Records(
-            records=batch.records,
-            revision=batch.revision,
-            is_complete=batch.is_complete,
-            confirmed_at=confirmed_at,
-        )
+        return batch
 
-    def _update(self, kind: RecordKind, batch: Records, confirmed_at: float) -> None:
+    def _update(self, kind: RecordKind, batch: Records) -> None:
         feed = self._feeds[kind]
-        feed.history.update(batch, confirmed_at=confirmed_at)
+        feed.history.update(batch)
         feed.notify()
 
     def _set_store_lost(self, kind: RecordKind, is_lost: bool) -> None:
@@ -226,7 +230,7 @@
             feed.notify()
 
     def _find_readers(self) -> tuple[ProxyEntry, ...]:
-        if self.proxies is None or not self.proxies.is_synchronized:
+        if not self.proxies.is_synchronized:
             return ()
         members = self.proxies.members()
         if members is not self._members:
@@ -235,7 +239,7 @@
 
     def _choose_usable(self, kind: RecordKind) -> tuple[ProxyEntry, ...]:
         """Return the readers to follow; none if this process is one or none answers."""
-        if self.proxies is None or self.is_reader():
+        if self.is_reader():
             return ()
         now, failed_until = self._clock.boottime(), self._feeds[kind].failed_until
         usable = [
@@ -290,7 +294,7 @@
             confirmed_at=confirmed_at,
         )
         self._feeds[kind].is_store_lost = False
-        self._update(kind, batch, confirmed_at)
+        self._update(kind, batch)
         return batch
 
     def _decode(self, kind: RecordKind, entry: RelayedRecord) -> Record:
@@ -311,14 +315,12 @@
             if refusal is not WatchRefusal.NONE:
                 return RelayedRecords(refusal=refusal)
             now = self._clock.boottime()
-            history, updated = feed.history, feed.updated
+            updated = feed.updated
             remaining_s = arrived_at + request.wait_s - now
-            is_new = history.revision > request.after_revision and (
-                not history.covers(request.after_revision)
-                or history.list_changes(request.after_revision)
-            )
-            if is_new or history.confirmed_at > arrived_at or remaining_s <= 0:
-                return _build_answer(history, request.after_revision, now, arrived_at)
+            batch = feed.history.read_after(request.after_revision)
+            is_confirmed = batch.confirmed_at > arrived_at
+            if batch.records or batch.is_complete or is_confirmed or remaining_s <= 0:
+                return _build_answer(batch, now, arrived_at)
             try:
                 async with asyncio.timeout(remaining_s):
                     await updated.wait()
@@ -331,16 +333,12 @@
         return WatchRefusal.STORE_LOST if feed.is_store_lost else WatchRefusal.NONE
 
 
-def _build_answer(
-    history: RecordHistory, after_revision: int, now: float, arrived_at: float
-) -> RelayedRecords:
-    is_complete = not history.covers(after_revision) and history.revision > after_revision
-    records = history.list() if is_complete else history.list_changes(after_revision)
-    if sum(len(record.content) for record in records) > MAX_ANSWER_BYTES:
+def _build_answer(batch: Records, now: float, arrived_at: float) -> RelayedRecords:
+    if sum(len(record.content) for record in batch.records) > MAX_ANSWER_BYTES:
         return RelayedRecords(refusal=WatchRefusal.TOO_LARGE)
     return RelayedRecords(
-        revision=history.revision,
-        is_complete=is_complete,
+        revision=batch.revision,
+        is_complete=batch.is_complete,
         records=tuple(
             RelayedRecord(
                 name=record.name,
@@ -348,9 +346,9 @@
                 is_deleted=record.is_deleted,
                 content=record.content,
             )
-            for record in records
+            for record in batch.records
         ),
-        age_s=now - history.confirmed_at,
+        age_s=now - batch.confirmed_at,
         waited_s=now - arrived_at,
     )
 
@@ -363,9 +361,4 @@
         for record in batch.records
         if is_new and (batch.is_complete or record.is_deleted or record.revision > after_revision)
     ]
-    return Records(
-        records=tuple(records),
-        revision=batch.revision,
-        is_complete=batch.is_complete and is_new,
-        confirmed_at=batch.confirmed_at,
-    )
+    return replace(batch, records=tuple(records), is_complete=batch.is_complete and is_new)
--- a/lentilring/catalog/source.py
+++ b/lentilring/catalog/source.py
@@ -58,23 +58,21 @@
 class Records:
     """Hold records and the revision of the store up to which they are complete.
 
-    `is_complete` says that these are all records, not only changed ones, `may_be_old` that they may
-    lack changes made before the call. `confirmed_at` is the last moment at which they were
-    certainly up to date, in seconds of the boot clock; None if the source does not know.
+    `is_complete` says that these are all records, not only changed ones. `confirmed_at` is the last
+    moment at which they were certainly up to date, in seconds of the boot clock.
     """
 
     records: tuple[Record, ...]
     revision: int
     is_complete: bool = False
-    may_be_old: bool = False
-    confirmed_at: float | None = None
+    confirmed_at: float = float("-inf")
 
 
 class RecordSource(Protocol):
     """Read and watch records; calls raise StoreUnavailable, `watch` also HistoryExpired."""
 
-    async def list(self, kind: RecordKind) -> Records:
-        """Return all records of a kind."""
+    async def list(self, kind: RecordKind, *, may_be_old: bool = False) -> Records:
+        """Return all records of a kind; `may_be_old` allows data seconds old, at less cost."""
         ...
 
     async def watch(self, kind: RecordKind, *, after_revision: int, wait_s: float) -> Records:
@@ -89,6 +87,10 @@
         """Remove the entry of a proxy unless it has another revision by now."""
         ...
 
+
+class EncodedRecordSource(RecordSource, Protocol):
+    """Read records that other processes can decode from their content."""
+
     def decode(self, kind: RecordKind, record: Record) -> Record:
         """Return a record with the value that its content encodes."""
         ...
--- a/lentilring/platform/records.py
+++ b/lentilring/platform/records.py
@@ -27,7 +27,7 @@
     encode_proxy,
 )
 from .objects import HistoryLost, ObjectClient, ObjectConflict, ObjectList, PlatformObject
-from .store import Kind, Snapshot, StoredObject, VersionConflict, VmEntry
+from .store import Snapshot, StoredObject, VersionConflict, VmEntry
 
 OWN_KIND_PREFIX = "lentilring-"
 
@@ -35,18 +35,15 @@
 
 
 class PlatformRecords:
-    """Implement RecordSource on the platform's metadata store."""
+    """Implement EncodedRecordSource on the platform's metadata store."""
 
     def __init__(self, *, objects: ObjectClient) -> None:
         self._objects = objects
 
-    async def list(self, kind: RecordKind) -> Records:
-        """Return all records of a kind."""
-        # A watch follows each list and brings what an old list of proxies lacks. The other kinds
-        # decide where statements may go, also in the time before that watch answers.
-        may_be_old = kind is RecordKind.PROXIES
+    async def list(self, kind: RecordKind, *, may_be_old: bool = False) -> Records:
+        """Return all records of a kind; `may_be_old` allows data seconds old, at less cost."""
         listed = await self._objects.list(STORE_KINDS[kind], may_be_old=may_be_old)
-        return replace(_convert_objects(kind, listed), is_complete=True, may_be_old=may_be_old)
+        return replace(_convert_objects(kind, listed), is_complete=True)
 
     async def watch(self, kind: RecordKind, *, after_revision: int, wait_s: float) -> Records:
         """Return the records changed after a revision."""
@@ -94,18 +91,17 @@
 
 
 class PlatformStore:
-    """Implement Store for lentilring's own kinds; an object's version is its revision."""
+    """Implement Store for lentilring's own kinds; an object's version is its revision.
 
-    def __init__(self, *, objects: ObjectClient) -> None:
-        self._objects = objects
+    With `may_be_old`, `get` may return data seconds old, at less cost.
+    """
 
-    async def get(self, kind: str, name: str) -> StoredObject | None:
-        """Return the newest version of an object, or an old one of a secret, which never changes.
+    def __init__(self, *, objects: ObjectClient, may_be_old: bool = False) -> None:
+        self._objects, self._may_be_old = objects, may_be_old
 
-        Whoever misses a secret tries to create it, and a conflict names the stored one.
-        """
-        may_be_old = kind == Kind.SECRET
-        entry = await self._objects.get(OWN_KIND_PREFIX + kind, name, may_be_old=may_be_old)
+    async def get(self, kind: str, name: str) -> StoredObject | None:
+        """Return the newest version of an object."""
+        entry = await self._objects.get(OWN_KIND_PREFIX + kind, name, may_be_old=self._may_be_old)
         return None if entry is None else _convert_object(kind, entry)
 
     async def put(
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -66,7 +66,8 @@
     )
     objects = ObjectClient(address=settings.store_address, telemetry=telemetry)
     kernel = Kernel()
-    secret = await _wait_for_secret(PlatformStore(objects=objects), stopping)
+    # The secret never changes, and a proxy that misses it learns of it when it tries to create one.
+    secret = await _wait_for_secret(PlatformStore(objects=objects, may_be_old=True), stopping)
     if secret is not None:
         readiness = register_session_services(
             kernel,
--- a/lentilring/session_settings.py
+++ b/lentilring/session_settings.py
@@ -18,8 +18,7 @@
     """Hold the settings of a session proxy; `check_settings` checks them.
 
     It runs on a prepared platform, which provides the store, the backend servers and promotions.
-    The checks are msgspec's, because importing pydantic doubles the time that a proxy needs to
-    start.
+    The checks are msgspec's, because importing pydantic delays the start.
     """
 
     vm: Annotated[Label, Meta(description="name of this VM, unique in the deployment")]
--- a/lentilring/standin/prepared/store.py
+++ b/lentilring/standin/prepared/store.py
@@ -13,11 +13,15 @@
 
 @dataclass(kw_only=True)
 class StoreFaults:
-    """Hold the fault switches; `lose_answers` counts changes that take effect unanswered."""
+    """Hold the fault switches; `lose_answers` counts changes that take effect unanswered.
+
+    Lists that need not be newest name `old_revision` as theirs.
+    """
 
     down: bool = False
     lose_answers: int = 0
     refused_hosts: set[str] = field(default_factory=set)
+    old_revision: int | None = None
 
 
 @dataclass(kw_only=True)
@@ -142,7 +146,9 @@
         names = sorted(entry for entry in objects if entry > after)
         shown = [objects[entry].show(entry) for entry in names[:MAX_PAGE]]
         more = len(names) > MAX_PAGE
-        return web.json_response({"items": shown, "more": more, "as-of": self._revision})
+        is_old = "serializable" in request.query and self.faults.old_revision is not None
+        as_of = self.faults.old_revision if is_old else self._revision
+        return web.json_response({"items": shown, "more": more, "as-of": as_of})
 
     async def _watch(self, request: web.Request, kind: str) -> web.Response:
         since = int(request.query["watch"])
--- a/lentilring/telemetry/metrics.py
+++ b/lentilring/telemetry/metrics.py
@@ -1,7 +1,7 @@
 """Counters, gauges and histograms; OpenTelemetry exports them in Prometheus form.
 
-A process counts from its first moment, but loads OpenTelemetry only when metrics are first read:
-that takes longer than the start of a proxy without it.
+A process counts from its first moment, but loads OpenTelemetry only when metrics are first read,
+because importing it delays the start.
 """
 
 from collections import Counter
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -10,15 +10,16 @@
 from lentilring.catalog.history import RecordHistory
 from lentilring.catalog.messages import RelayedRecord, RelayedRecords, WatchRecords, WatchRefusal
 from lentilring.catalog.readers import choose_readers, order_readers
-from lentilring.catalog.relay import DIRECT_RETRY_S, RecordRelay
+from lentilring.catalog.relay import DIRECT_RETRY_S, HEARTBEAT_S, RecordRelay
+from lentilring.catalog.service import MAX_MANIFEST_WAIT_S
 from lentilring.catalog.source import ProxyEntry, Record, RecordKind, Records
-from lentilring.clock import LoopClock
 from lentilring.peers.transport import PeerAnswerLost, PeerUnreachable
+from lentilring.platform.documents import STORE_KINDS
 from lentilring.platform.store import StoreUnavailable
 from lentilring.telemetry.metrics import Telemetry
 
 from .prepared import Proxy, build_manifest, run, run_prepared_platform, wait_until
-from .virtual_time import run_virtual
+from .virtual_time import SuspensibleClock, run_virtual
 
 KIND = RecordKind.EVACUATIONS
 WAIT_S = 8.0
@@ -39,9 +40,8 @@
     return Record(name=name, revision=revision, value=None, is_deleted=is_deleted, content=b"x")
 
 
-class BoottimeClock(LoopClock):
-    def boottime(self) -> float:
-        return self.monotonic()
+def build_batch(*records: Record, **values: Any) -> Records:
+    return Records(records=records, **values)
 
 
 class Register:
@@ -92,7 +92,7 @@
         self.is_down = False
         self.calls = 0
 
-    async def list(self, kind: RecordKind) -> Records:
+    async def list(self, kind: RecordKind, *, may_be_old: bool = False) -> Records:
         self.calls += 1
         if self.is_down:
             raise StoreUnavailable(operation="list")
@@ -126,7 +126,7 @@
         self.relay = RecordRelay(
             source=self.source,
             transport=self.transport,
-            clock=BoottimeClock(),
+            clock=SuspensibleClock(),
             random=Random(1),
             telemetry=Telemetry(),
         )
@@ -177,47 +177,39 @@
 class HistoryTest(TestCase):
     def test_changes_after_a_revision_are_the_newest_states(self) -> None:
         history = RecordHistory()
-        history.update(
-            Records(records=(build_record("a", 3),), revision=5, is_complete=True), confirmed_at=1.0
-        )
-        history.update(
-            Records(records=(build_record("a", 6), build_record("b", 7)), revision=7),
-            confirmed_at=2.0,
-        )
-        self.assertFalse(history.covers(4))
-        self.assertTrue(history.covers(5))
-        self.assertEqual(["a", "b"], sorted(entry.name for entry in history.list_changes(5)))
-        self.assertEqual(["b"], [entry.name for entry in history.list_changes(6)])
-        self.assertEqual(2.0, history.confirmed_at)
+        history.update(build_batch(build_record("a", 3), revision=5, is_complete=True))
+        changes = (build_record("a", 6), build_record("b", 7))
+        history.update(build_batch(*changes, revision=7, confirmed_at=2.0))
+        self.assertTrue(history.read_after(4).is_complete)
+        after = history.read_after(5)
+        self.assertFalse(after.is_complete)
+        self.assertEqual(["a", "b"], sorted(entry.name for entry in after.records))
+        self.assertEqual(["b"], [entry.name for entry in history.read_after(6).records])
+        self.assertEqual((7, 2.0), (after.revision, after.confirmed_at))
 
     def test_a_deletion_may_name_the_revision_before_it(self) -> None:
         """Guards against a server that left and stays in use at the followers of a reader."""
         history = RecordHistory()
-        history.update(
-            Records(records=(build_record("a", 3),), revision=5, is_complete=True), confirmed_at=1.0
-        )
+        history.update(build_batch(build_record("a", 3), revision=5, is_complete=True))
         deletion = build_record("a", 3, is_deleted=True)
-        history.update(Records(records=(deletion,), revision=8), confirmed_at=2.0)
-        self.assertEqual((deletion,), history.list_changes(5))
-        self.assertEqual((), history.list())
+        history.update(build_batch(deletion, revision=8))
+        self.assertEqual((deletion,), history.read_after(5).records)
+        self.assertEqual((), history.read_after(4).records)
 
     def test_a_new_list_deletes_what_it_lacks(self) -> None:
         """Guards against changes that are lost when the store forgets its history."""
         history = RecordHistory()
-        first = Records(records=(build_record("a", 3),), revision=5, is_complete=True)
-        history.update(first, confirmed_at=1.0)
-        second = Records(records=(build_record("b", 8),), revision=9, is_complete=True)
-        history.update(second, confirmed_at=2.0)
-        changes = {entry.name: entry.is_deleted for entry in history.list_changes(5)}
+        history.update(build_batch(build_record("a", 3), revision=5, is_complete=True))
+        history.update(build_batch(build_record("b", 8), revision=9, is_complete=True))
+        changes = {entry.name: entry.is_deleted for entry in history.read_after(5).records}
         self.assertEqual({"a": True, "b": False}, changes)
 
     def test_an_older_batch_changes_nothing(self) -> None:
         """Guards against an old reader that brings back a record that was deleted."""
         history = RecordHistory()
-        history.update(Records(records=(), revision=9, is_complete=True), confirmed_at=1.0)
-        old = Records(records=(build_record("a", 3),), revision=5, is_complete=True)
-        history.update(old, confirmed_at=2.0)
-        self.assertEqual((9, ()), (history.revision, history.list()))
+        history.update(build_batch(revision=9, is_complete=True))
+        history.update(build_batch(build_record("a", 3), revision=5, is_complete=True))
+        self.assertEqual((9, ()), (history.revision, history.read_after(4).records))
 
 
 class FollowerTest(TestCase):
@@ -359,7 +351,7 @@
                 after = [proxy.telemetry.read("store_calls", method="GET") for proxy in followers]
                 self.assertEqual(counts, after)
                 for entry in catalogs:
-                    self.assertTrue(entry.manifest_age_s() < 6.0, entry.manifest_age_s())
+                    self.assertLess(entry.manifest_age_s(), MAX_MANIFEST_WAIT_S + HEARTBEAT_S)
 
         run(scenario())
 
@@ -404,6 +396,24 @@
 
         run(scenario())
 
+    def test_records_are_read_anew_once_when_the_store_forgets_its_history(self) -> None:
+        """Guards against a loop of lists that are older than the history that the store keeps."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as platform:
+                await asyncio.sleep(0.5)
+                platform.store.faults.old_revision = platform.store.put("other", "a", {})
+                platform.store.put("other", "b", {})
+                platform.store.forget_history()
+                platform.store.calls.clear()
+                await asyncio.sleep(2.0)
+                paths = [path for _, path in platform.store.calls]
+                for kind in STORE_KINDS.values():
+                    # A refused watch may be followed by one list and one new watch.
+                    self.assertLessEqual(paths.count(kind), 3, kind)
+
+        run(scenario())
+
 
 class _LostSource(ScriptedSource):
     def __init__(self) -> None:
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -9,7 +9,7 @@
 from lentilring.session_settings import check_settings
 from lentilring.telemetry.metrics import MAX_PENDING_DURATIONS, Telemetry
 
-# Loading any of these takes a tenth or more of the time in which a proxy starts.
+# Libraries of other programs, or that are used only after the start.
 DEFERRED_LIBRARIES = (
     "aiohttp",
     "cherrypy",
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -10,7 +10,6 @@
 from lentilring.catalog.leadership import Leadership
 from lentilring.catalog.model import ServerEntry, ServerRole, build_server_table
 from lentilring.catalog.service import CatalogService
-from lentilring.clock import LoopClock
 from lentilring.gateways.lease import LEASE_MARGIN_S, LEASE_S, LeadershipLease
 from lentilring.gateways.server import ReplicationStatus
 from lentilring.gateways.service import GatewayService
@@ -38,6 +37,7 @@
 from lentilring.telemetry.metrics import Telemetry
 
 from .prepared import run, run_prepared_platform, wait_until
+from .virtual_time import SuspensibleClock
 
 
 def build_entry(
@@ -359,7 +359,7 @@
 class ResumeTest(TestCase):
     """Whether a takeover that gave up may let the replicas receive again."""
 
-    def build(self, store: MemoryStore, clock: LoopClock) -> TakeoverService:
+    def build(self, store: MemoryStore, clock: SuspensibleClock) -> TakeoverService:
         unused: Any = None
         fleet: Any = SimpleNamespace(local=SimpleNamespace(vm="vm-b"))
         return TakeoverService(
@@ -370,11 +370,11 @@
             connector=unused,
             authority=PromotionAuthority(store=store, vm="vm-b"),  # type: ignore[arg-type]
             promotion=unused,
-            clock=clock,  # type: ignore[arg-type]
+            clock=clock,
             telemetry=Telemetry(),
         )
 
-    async def decide(self, store: MemoryStore, control: Any, clock: LoopClock) -> bool:
+    async def decide(self, store: MemoryStore, control: Any, clock: SuspensibleClock) -> bool:
         service = self.build(store, clock)
         takeover = _Takeover(
             service="rental", reason=ReplacementReason.SILENT, old_primary=None, replicas=()
@@ -402,7 +402,7 @@
                 return {}
 
             control = SimpleNamespace(read_all=read_all)
-            self.assertFalse(await self.decide(store, control, _BoottimeClock()))
+            self.assertFalse(await self.decide(store, control, SuspensibleClock()))
 
         asyncio.run(scenario())
 
@@ -414,7 +414,7 @@
             other = PromotionAuthority(store=store, vm="vm-a")  # type: ignore[arg-type]
             seen = await other.read("rental")
             control = SimpleNamespace(read_all=_read_nothing)
-            self.assertTrue(await self.decide(store, control, _BoottimeClock()))
+            self.assertTrue(await self.decide(store, control, SuspensibleClock()))
             position = Position(term=1, number=9)
             self.assertIsNone(await other.claim("rental", "a", received=position, previous=seen))
 
@@ -424,7 +424,7 @@
         """Guards against a resumption after a later takeover has checked the replicas."""
 
         async def scenario() -> None:
-            clock = _BoottimeClock()
+            clock = SuspensibleClock()
 
             class SuspendingStore(MemoryStore):
                 async def put(self, *values, **options):  # type: ignore[no-untyped-def]
@@ -437,14 +437,6 @@
         asyncio.run(scenario())
 
 
-class _BoottimeClock(LoopClock):
-    def __init__(self) -> None:
-        self.suspended_s = 0.0
-
-    def boottime(self) -> float:
-        return self.monotonic() + self.suspended_s
-
-
 async def _read_nothing(servers: object) -> dict[str, ReplicationStatus]:
     return {}
 
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -5,9 +5,21 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
+from lentilring.clock import LoopClock
+
 T = TypeVar("T")
 
 
+class SuspensibleClock(LoopClock):
+    """Read the loop's time; its boot clock also counts `suspended_s`."""
+
+    def __init__(self) -> None:
+        self.suspended_s = 0.0
+
+    def boottime(self) -> float:
+        return self.monotonic() + self.suspended_s
+
+
 class _JumpingSelector(selectors.SelectSelector):
     """Advance the loop's time instead of sleeping."""
 
