Log the era of the store and the records that a reader leaves aside

The logs could not tell whether proxies missed a configuration because a reader left it aside, because the store's watch skipped it, or because the reader had lost the store. New lines: store_era, store_restored, records_listed_again, records_ignored, manifest_ignored; counters store_restorations and relay_records_ignored. No decision is changed.

--- a/lentilring/catalog/follower.py
+++ b/lentilring/catalog/follower.py
@@ -80,6 +80,8 @@
             # become shorter.
             may_be_old = self._may_begin_old and self.synchronized_at == float("inf")
             batch = await self._source.list(self.kind, may_be_old=may_be_old)
+            if self.synchronized_at < float("inf"):
+                log.info("records_listed_again", kind=self.kind, revision=batch.revision)
             self.synchronized_at = min(self.synchronized_at, self._clock.boottime())
             self._replace_all(batch)
         else:
--- a/lentilring/catalog/history.py
+++ b/lentilring/catalog/history.py
@@ -36,6 +36,12 @@
             self._batch_revisions[record.name] = batch.revision
         self.revision = batch.revision
 
+    def list_ignored(self, batch: Records) -> tuple[Record, ...]:
+        """Return the records of a batch that `update` would leave aside though they differ."""
+        if batch.revision > self.revision:
+            return ()
+        return tuple(record for record in batch.records if self._has_other_content(record))
+
     def read_after(self, revision: int) -> Records:
         """Return the records changed after a revision; all if its changes are not known."""
         is_complete = self._first_revision is None or revision < self._first_revision
@@ -51,6 +57,12 @@
             confirmed_at=self.confirmed_at,
         )
 
+    def _has_other_content(self, record: Record) -> bool:
+        known = self._records.get(record.name)
+        if known is None:
+            return not record.is_deleted
+        return (known.is_deleted, known.content) != (record.is_deleted, record.content)
+
     def _has_changed(self, name: str, revision: int) -> bool:
         record = self._records[name]
         return self._batch_revisions[name] > revision and (
--- a/lentilring/catalog/relay.py
+++ b/lentilring/catalog/relay.py
@@ -57,6 +57,7 @@
 DIRECT_RETRY_JITTER = 0.3
 # Larger answers would occupy the link of a reader; followers read these from the store.
 MAX_ANSWER_BYTES = 32 * 1024
+MAX_LOGGED_NAMES = 5
 
 log = Log(source="relay")
 
@@ -220,6 +221,16 @@
 
     def _update(self, kind: RecordKind, batch: Records) -> None:
         feed = self._feeds[kind]
+        ignored = feed.history.list_ignored(batch)
+        if ignored:
+            self._telemetry.count("relay_records_ignored", len(ignored), kind=kind)
+            log.info(
+                "records_ignored",
+                kind=kind,
+                names=",".join(sorted(record.name for record in ignored)[:MAX_LOGGED_NAMES]),
+                revision=batch.revision,
+                known_revision=feed.history.revision,
+            )
         feed.history.update(batch)
         feed.notify()
 
--- a/lentilring/catalog/service.py
+++ b/lentilring/catalog/service.py
@@ -200,6 +200,13 @@
             if not isinstance(manifest, Manifest):
                 continue
             if self.manifest is not None and manifest.version <= self.manifest.version:
+                if manifest.version < self.manifest.version:
+                    log.warning(
+                        "manifest_ignored",
+                        version=manifest.version,
+                        known=self.manifest.version,
+                        revision=record.revision,
+                    )
                 continue
             manifest = self._fit_limits(manifest)
             self._log_changed_limits(manifest)
--- a/lentilring/http/exchange.py
+++ b/lentilring/http/exchange.py
@@ -8,7 +8,7 @@
 import asyncio
 import socket
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import h11
 
@@ -34,10 +34,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class HttpAnswer:
-    """Hold a complete answer."""
+    """Hold a complete answer; names of headers are in lower case."""
 
     status: int
     content: bytes
+    headers: Mapping[str, str] = field(default_factory=dict)
 
 
 async def exchange(
@@ -98,19 +99,21 @@
 
 async def _read_answer(connection: h11.Connection, reader: asyncio.StreamReader) -> HttpAnswer:
     status, parts, size = 0, [], 0
+    headers: dict[str, str] = {}
     while True:
         event = connection.next_event()
         if event is h11.NEED_DATA:
             connection.receive_data(await reader.read(READ_BYTES))
         elif isinstance(event, h11.Response):
             status = event.status_code
+            headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
         elif isinstance(event, h11.Data):
             parts.append(bytes(event.data))
             size += len(event.data)
             if size > MAX_CONTENT_BYTES:
                 raise ExchangeFailed(detail=f"an answer of more than {MAX_CONTENT_BYTES} bytes")
         elif isinstance(event, h11.EndOfMessage):
-            return HttpAnswer(status=status, content=b"".join(parts))
+            return HttpAnswer(status=status, content=b"".join(parts), headers=headers)
         elif isinstance(event, h11.ConnectionClosed):
             raise EOFError("closed before the answer")
 
--- a/lentilring/platform/objects.py
+++ b/lentilring/platform/objects.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ..http.exchange import ExchangeFailed, exchange
+from ..http.exchange import ExchangeFailed, HttpAnswer, exchange
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .store import StoreUnavailable
@@ -18,6 +18,8 @@
 # The platform's word for reads that need not be linearizable.
 OLD_DATA_PARAMETER = "serializable=1"
 JSON_HEADERS = {"Content-Type": "application/json"}
+# Rises by one each time the store returns from an older copy of its data.
+ERA_HEADER = "store-era"
 
 log = Log(source="store")
 
@@ -67,6 +69,7 @@
     def __init__(self, *, address: str, telemetry: Telemetry) -> None:
         self._address, self._telemetry = address, telemetry
         self.is_reachable: bool | None = None
+        self._era: int | None = None
 
     async def list(self, kind: str, *, may_be_old: bool = False) -> ObjectList:
         """Return all objects of a kind; `may_be_old` allows data seconds old, at less cost."""
@@ -162,8 +165,20 @@
         status = answer.status
         unavailable = status >= 500 or status == HTTPStatus.TOO_MANY_REQUESTS
         self._set_reachable(not unavailable, method, path, f"status {status}")
+        self._note_era(_read_era(answer))
         return status, _decode_body(answer.content)
 
+    def _note_era(self, era: int | None) -> None:
+        """Log once when the store has returned from an older copy."""
+        if era is None or (self._era is not None and era <= self._era):
+            return
+        if self._era is not None:
+            self._telemetry.count("store_restorations")
+            log.warning("store_restored", era=era, previous_era=self._era)
+        else:
+            log.info("store_era", era=era)
+        self._era = era
+
     def _set_reachable(self, reachable: bool, method: str, path: str, detail: str) -> None:
         """Log once when the store stops answering and once when it answers again."""
         if reachable == self.is_reachable:
@@ -173,6 +188,11 @@
         log.warning(event, method=method, path=path, detail=detail)
 
 
+def _read_era(answer: HttpAnswer) -> int | None:
+    value = answer.headers.get(ERA_HEADER, "")
+    return int(value) if value.isdecimal() else None
+
+
 def decode_object(body: Any, *, is_deleted: bool = False) -> PlatformObject | None:
     """Return the object in a response body, or None if the body is not an object."""
     if not isinstance(body, dict):
