--- a/lentilring/standin/prepared/store.py
+++ b/lentilring/standin/prepared/store.py
@@ -1,14 +1,17 @@
 """A stand-in for the platform's metadata store and promotion call, with fault switches."""
 
 import asyncio
+import copy
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 from aiohttp import web
+from aiohttp.typedefs import Handler
 
 MAX_PAGE = 500
 DEFAULT_WAIT_MS = 1000
+ERA_HEADER = "Store-Era"
 
 
 @dataclass(kw_only=True)
@@ -42,6 +45,15 @@
         return {"meta": meta, "spec": self.spec, "status": None}
 
 
+@dataclass(frozen=True, kw_only=True)
+class StoreCopy:
+    """Hold a copy of the store's objects and events."""
+
+    revision: int
+    objects: dict[str, dict[str, _Entry]]
+    events: list[tuple[int, str, dict[str, Any], bool]]
+
+
 class PreparedStore:
     """Serve objects by kind and name, conditional changes and watches."""
 
@@ -51,6 +63,7 @@
         self.promotions: list[tuple[str, str, str, int]] = []
         self.address = ""
         self._promote = promote
+        self._era = 1
         self._revision = 1
         self._objects: dict[str, dict[str, _Entry]] = {}
         self._events: list[tuple[int, str, dict[str, Any], bool]] = []
@@ -61,7 +74,7 @@
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
         """Listen on a free port."""
-        application = web.Application()
+        application = web.Application(middlewares=[self._add_era])
         application.router.add_route("*", "/objects/{path:.*}", self._answer)
         application.router.add_post("/promote", self._answer_promotion)
         self._runner = web.AppRunner(
@@ -113,6 +126,29 @@
         self._events.clear()
         self._first_event = self._revision
 
+    def make_copy(self) -> StoreCopy:
+        """Return a copy that `restore` takes."""
+        return StoreCopy(
+            revision=self._revision,
+            objects=copy.deepcopy(self._objects),
+            events=list(self._events),
+        )
+
+    def restore(self, older: StoreCopy) -> None:
+        """Return to an older copy: later changes are lost and their revisions are used again."""
+        self._era += 1
+        self._revision = older.revision
+        self._objects = copy.deepcopy(older.objects)
+        self._events = list(older.events)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    @web.middleware
+    async def _add_era(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        response = await handler(request)
+        response.headers[ERA_HEADER] = str(self._era)
+        return response
+
     def _record_event(self, kind: str, shown: dict[str, Any], *, deleted: bool) -> None:
         self._events.append((self._revision, kind, shown, deleted))
         self._changed.set()
@@ -156,7 +192,7 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + wait_s
         while True:
-            if since < self._first_event:
+            if since < self._first_event or since > self._revision:
                 return web.json_response({}, status=410)
             if self.faults.down:
                 return web.Response(status=503)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -41,8 +41,14 @@
         )
 
         async def scenario() -> None:
-            self.assertEqual(HttpAnswer(status=200, content=b"hello"), await call(with_length))
-            self.assertEqual(HttpAnswer(status=409, content=b"hello"), await call(chunked))
+            self.assertEqual(
+                HttpAnswer(status=200, content=b"hello", headers={"content-length": "5"}),
+                await call(with_length),
+            )
+            self.assertEqual(
+                HttpAnswer(status=409, content=b"hello", headers={"transfer-encoding": "chunked"}),
+                await call(chunked),
+            )
 
         run(scenario())
 
