Order the store's revisions by era, so that they increase across a restoration

Cause: revisions were compared as plain numbers. The store had gone back to an older number and gave 22 out again, so the reader's history took the new configuration for one that it knew. Fencing tokens, which are revisions too, went back the same way: the promotion service would refuse them, or two proxies would use one token. Evidence: records_ignored at the three readers; both tests fail without the change ('condition does not hold within 3.0 s', '2 not greater than 5') and pass with it.

Change: the adapter puts the store's era into the upper part of each revision. All comparisons, and tokens, stay as they are and have one order. Logs show era.number.

--- a/lentilring/catalog/follower.py
+++ b/lentilring/catalog/follower.py
@@ -6,6 +6,7 @@
 
 from ..clock import SuspensionClock
 from ..platform.store import StoreUnavailable
+from ..revisions import format_revision
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .source import HistoryExpired, RecordKind, Records, RecordSource
@@ -64,7 +65,11 @@
                 await self._step()
                 self._retry_s = RETRY_S
             except HistoryExpired:
-                log.info("watch_history_expired", kind=self.kind, revision=self._revision)
+                log.info(
+                    "watch_history_expired",
+                    kind=self.kind,
+                    revision=format_revision(self._revision or 0),
+                )
                 self._revision = None
             except StoreUnavailable as error:
                 self.failed_at = self._clock.boottime()
@@ -81,7 +86,9 @@
             may_be_old = self._may_begin_old and self.synchronized_at == float("inf")
             batch = await self._source.list(self.kind, may_be_old=may_be_old)
             if self.synchronized_at < float("inf"):
-                log.info("records_listed_again", kind=self.kind, revision=batch.revision)
+                log.info(
+                    "records_listed_again", kind=self.kind, revision=format_revision(batch.revision)
+                )
             self.synchronized_at = min(self.synchronized_at, self._clock.boottime())
             self._replace_all(batch)
         else:
--- a/lentilring/catalog/relay.py
+++ b/lentilring/catalog/relay.py
@@ -20,6 +20,7 @@
     Sender,
 )
 from ..platform.store import StoreUnavailable
+from ..revisions import format_revision
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .history import RecordHistory
@@ -228,8 +229,8 @@
                 "records_ignored",
                 kind=kind,
                 names=",".join(sorted(record.name for record in ignored)[:MAX_LOGGED_NAMES]),
-                revision=batch.revision,
-                known_revision=feed.history.revision,
+                revision=format_revision(batch.revision),
+                known_revision=format_revision(feed.history.revision),
             )
         feed.history.update(batch)
         feed.notify()
--- a/lentilring/catalog/service.py
+++ b/lentilring/catalog/service.py
@@ -9,6 +9,7 @@
 from ..configuration.accounts import ClientAccount, hash_key
 from ..kernel import Service
 from ..limits.window import LimitWindow, fit_account
+from ..revisions import format_revision
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .follower import WATCH_WAIT_S, Follower
@@ -205,7 +206,7 @@
                         "manifest_ignored",
                         version=manifest.version,
                         known=self.manifest.version,
-                        revision=record.revision,
+                        revision=format_revision(record.revision),
                     )
                 continue
             manifest = self._fit_limits(manifest)
@@ -214,7 +215,7 @@
             log.info(
                 "manifest_taken",
                 version=manifest.version,
-                revision=record.revision,
+                revision=format_revision(record.revision),
                 routes=len(manifest.routes),
                 accounts=len(manifest.accounts),
             )
@@ -276,7 +277,7 @@
             domain=entry.failure_domain,
             role=entry.role,
             draining=entry.is_draining,
-            revision=entry.revision,
+            revision=format_revision(entry.revision),
         )
 
     def _schedule_removal(self, server: str) -> None:
--- a/lentilring/platform/objects.py
+++ b/lentilring/platform/objects.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ..http.exchange import ExchangeFailed, HttpAnswer, exchange
+from ..revisions import combine_revision, find_number
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .store import StoreUnavailable
@@ -26,7 +27,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class PlatformObject:
-    """Hold one object of the store; `revision` is that of its last change."""
+    """Hold one object of the store; `revision` is that of its last change, with the era."""
 
     name: str
     revision: int
@@ -55,6 +56,24 @@
         self.current = current
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Answer:
+    """Hold an answer's status, decoded body and the store's era."""
+
+    status: int
+    body: dict[str, Any]
+    era: int
+
+    def read_revision(self) -> int:
+        """Return the revision of the store up to which a list or watch is complete."""
+        number = self.body.get("as-of")
+        return combine_revision(self.era, number if isinstance(number, int) else 0)
+
+    def decode_object(self) -> PlatformObject | None:
+        """Return the object in the body, or None if it is not an object."""
+        return decode_object(self.body, era=self.era)
+
+
 @dataclass(frozen=True, kw_only=True)
 class _Meta:
     name: str
@@ -79,37 +98,45 @@
             parameters = [f"after={quote(after, safe='')}"] if after else []
             parameters += [OLD_DATA_PARAMETER] if may_be_old else []
             path = "?".join([kind, "&".join(parameters)] if parameters else [kind])
-            body = await self._call_ok("GET", path)
-            page = [decode_object(entry) for entry in _get_list(body, "items")]
+            answer = await self._call("GET", path)
+            if answer.status != HTTPStatus.OK:
+                raise StoreUnavailable(operation=f"list {kind}", detail=f"status {answer.status}")
+            page = [
+                decode_object(entry, era=answer.era) for entry in _get_list(answer.body, "items")
+            ]
             objects += [entry for entry in page if entry is not None]
-            if not body.get("more") or not objects:
-                return ObjectList(objects=tuple(objects), revision=int(body.get("as-of", 0)))
+            if not answer.body.get("more") or not objects:
+                return ObjectList(objects=tuple(objects), revision=answer.read_revision())
             after = objects[-1].name
 
     async def watch(self, kind: str, *, after_revision: int, wait_s: float) -> ObjectList:
         """Return the objects changed after a revision; raise HistoryLost if they are not kept."""
-        path = f"{kind}?watch={after_revision}&wait-ms={int(wait_s * 1000)}"
-        status, body = await self._call("GET", path, timeout_s=wait_s + CALL_TIMEOUT_S)
-        if status == HTTPStatus.GONE:
+        path = f"{kind}?watch={find_number(after_revision)}&wait-ms={int(wait_s * 1000)}"
+        answer = await self._call("GET", path, timeout_s=wait_s + CALL_TIMEOUT_S)
+        if answer.status == HTTPStatus.GONE:
             raise HistoryLost
-        if status != HTTPStatus.OK:
-            raise StoreUnavailable(operation=f"watch {kind}", detail=f"status {status}")
+        if answer.status != HTTPStatus.OK:
+            raise StoreUnavailable(operation=f"watch {kind}", detail=f"status {answer.status}")
         changed = []
-        for event in _get_list(body, "events"):
-            entry = decode_object(event.get("object"), is_deleted=bool(event.get("deleted")))
+        for event in _get_list(answer.body, "events"):
+            entry = decode_object(
+                event.get("object"), era=answer.era, is_deleted=bool(event.get("deleted"))
+            )
             if entry is not None:
                 changed.append(entry)
-        return ObjectList(objects=tuple(changed), revision=int(body.get("as-of", after_revision)))
+        return ObjectList(
+            objects=tuple(changed), revision=max(after_revision, answer.read_revision())
+        )
 
     async def get(self, kind: str, name: str, *, may_be_old: bool = False) -> PlatformObject | None:
         """Return one object, or None if it does not exist; `may_be_old` as in `list`."""
         suffix = f"?{OLD_DATA_PARAMETER}" if may_be_old else ""
-        status, body = await self._call("GET", f"{kind}/{quote(name, safe='')}{suffix}")
-        if status == HTTPStatus.NOT_FOUND:
+        answer = await self._call("GET", f"{kind}/{quote(name, safe='')}{suffix}")
+        if answer.status == HTTPStatus.NOT_FOUND:
             return None
-        if status != HTTPStatus.OK:
-            raise StoreUnavailable(operation=f"get {kind}", detail=f"status {status}")
-        return decode_object(body)
+        if answer.status != HTTPStatus.OK:
+            raise StoreUnavailable(operation=f"get {kind}", detail=f"status {answer.status}")
+        return answer.decode_object()
 
     async def create(self, kind: str, name: str, spec: Any) -> PlatformObject:
         """Create an object; raise ObjectConflict if it exists."""
@@ -117,36 +144,33 @@
 
     async def replace(self, kind: str, name: str, spec: Any, *, revision: int) -> PlatformObject:
         """Replace an object that has this revision; raise ObjectConflict otherwise."""
-        body = {"meta": {"name": name, "revision": revision}, "spec": spec}
+        body = {"meta": {"name": name, "revision": find_number(revision)}, "spec": spec}
         return await self._change("PUT", f"{kind}/{quote(name, safe='')}", body)
 
     async def delete(self, kind: str, name: str, *, revision: int) -> None:
         """Delete an object that has this revision; raise ObjectConflict otherwise."""
-        path = f"{kind}/{quote(name, safe='')}?revision={revision}"
-        status, body = await self._call("DELETE", path)
-        if status == HTTPStatus.CONFLICT:
-            raise ObjectConflict(decode_object(body))
-        if status not in (HTTPStatus.OK, HTTPStatus.NOT_FOUND, HTTPStatus.NO_CONTENT):
-            raise StoreUnavailable(operation=f"delete {kind}", detail=f"status {status}")
+        path = f"{kind}/{quote(name, safe='')}?revision={find_number(revision)}"
+        answer = await self._call("DELETE", path)
+        if answer.status == HTTPStatus.CONFLICT:
+            raise ObjectConflict(answer.decode_object())
+        if answer.status not in (HTTPStatus.OK, HTTPStatus.NOT_FOUND, HTTPStatus.NO_CONTENT):
+            raise StoreUnavailable(operation=f"delete {kind}", detail=f"status {answer.status}")
 
     async def _change(self, method: str, path: str, body: Any) -> PlatformObject:
-        status, answer = await self._call(method, path, body)
-        if status in (HTTPStatus.CONFLICT, HTTPStatus.NOT_FOUND):
-            raise ObjectConflict(decode_object(answer) if status == HTTPStatus.CONFLICT else None)
-        written = decode_object(answer) if status in (HTTPStatus.OK, HTTPStatus.CREATED) else None
+        answer = await self._call(method, path, body)
+        if answer.status == HTTPStatus.CONFLICT:
+            raise ObjectConflict(answer.decode_object())
+        if answer.status == HTTPStatus.NOT_FOUND:
+            raise ObjectConflict(None)
+        is_done = answer.status in (HTTPStatus.OK, HTTPStatus.CREATED)
+        written = answer.decode_object() if is_done else None
         if written is None:
-            raise StoreUnavailable(operation=f"{method} {path}", detail=f"status {status}")
+            raise StoreUnavailable(operation=f"{method} {path}", detail=f"status {answer.status}")
         return written
 
-    async def _call_ok(self, method: str, path: str) -> dict[str, Any]:
-        status, body = await self._call(method, path)
-        if status != HTTPStatus.OK:
-            raise StoreUnavailable(operation=f"{method} {path}", detail=f"status {status}")
-        return body
-
     async def _call(
         self, method: str, path: str, body: Any = None, *, timeout_s: float = CALL_TIMEOUT_S
-    ) -> tuple[int, dict[str, Any]]:
+    ) -> _Answer:
         self._telemetry.count("store_calls", method=method)
         data = None if body is None else msgspec.json.encode(body)
         try:
@@ -166,7 +190,11 @@
         unavailable = status >= 500 or status == HTTPStatus.TOO_MANY_REQUESTS
         self._set_reachable(not unavailable, method, path, f"status {status}")
         self._note_era(_read_era(answer))
-        return status, _decode_body(answer.content)
+        return _Answer(status=status, body=_decode_body(answer.content), era=self._find_era(answer))
+
+    def _find_era(self, answer: HttpAnswer) -> int:
+        era = _read_era(answer)
+        return (self._era or 0) if era is None else era
 
     def _note_era(self, era: int | None) -> None:
         """Log once when the store has returned from an older copy."""
@@ -193,7 +221,7 @@
     return int(value) if value.isdecimal() else None
 
 
-def decode_object(body: Any, *, is_deleted: bool = False) -> PlatformObject | None:
+def decode_object(body: Any, *, era: int, is_deleted: bool = False) -> PlatformObject | None:
     """Return the object in a response body, or None if the body is not an object."""
     if not isinstance(body, dict):
         return None
@@ -203,7 +231,7 @@
         return None
     return PlatformObject(
         name=meta.name,
-        revision=meta.revision,
+        revision=combine_revision(era, meta.revision),
         spec=body.get("spec"),
         is_deleted=is_deleted or meta.deleting,
         finalizers=tuple(meta.finalizers),
--- a/lentilring/platform/records.py
+++ b/lentilring/platform/records.py
@@ -15,6 +15,7 @@
     RecordValue,
 )
 from ..outcomes import JsonValue
+from ..revisions import format_revision
 from ..telemetry.log import Log
 from .documents import (
     MANIFEST_NAME,
@@ -77,7 +78,7 @@
         try:
             await self._objects.delete(STORE_KINDS[RecordKind.PROXIES], vm, revision=revision)
         except ObjectConflict:
-            log.info("proxy_entry_not_removed", vm=vm, revision=revision)
+            log.info("proxy_entry_not_removed", vm=vm, revision=format_revision(revision))
 
     def decode(self, kind: RecordKind, record: Record) -> Record:
         """Return a record with the value that its content encodes."""
--- a/tests/test_store_restoration.py
+++ b/tests/test_store_restoration.py
@@ -2,6 +2,13 @@
 
 from testtools import TestCase
 
+from lentilring.platform.objects import ObjectClient
+from lentilring.platform.records import PlatformStore
+from lentilring.standin.prepared.store import PreparedStore
+from lentilring.statements.model import Position
+from lentilring.takeover.authority import PromotionAuthority
+from lentilring.telemetry.metrics import Telemetry
+
 from .prepared import build_manifest, run, run_prepared_platform, wait_until
 
 READERS = 3
@@ -33,3 +40,40 @@
                 )
 
         run(scenario())
+
+
+class PromotionTokenTest(TestCase):
+    def test_fencing_tokens_increase_across_a_restoration(self) -> None:
+        """Guards against a token that two proxies use, or that is lower than one that was used."""
+
+        async def scenario() -> None:
+            store = PreparedStore()
+            await store.start()
+            try:
+                first, second = build_authority(store, "vm-1"), build_authority(store, "vm-2")
+                older = store.make_copy()
+                for _ in range(3):
+                    store.put("other", "a", {})
+                before = await claim(first)
+                store.restore(older)
+                after = await claim(second)
+                self.assertGreater(after, before)
+            finally:
+                await store.stop()
+
+        run(scenario())
+
+
+def build_authority(store: PreparedStore, vm: str) -> PromotionAuthority:
+    objects = ObjectClient(address=store.address, telemetry=Telemetry())
+    return PromotionAuthority(store=PlatformStore(objects=objects), vm=vm)
+
+
+async def claim(authority: PromotionAuthority) -> int:
+    """Claim a promotion; return the fencing token."""
+    previous = await authority.read("rental")
+    claimed = await authority.claim(
+        "rental", "i-1", received=Position(term=1, number=2), previous=previous
+    )
+    assert claimed is not None
+    return claimed.version
