List records again when a watch began in an earlier era of the store

Callers would see: an evacuation, a withdrawn key or a leaving server is missed until the next change of the same record. Cause: a returned store that has a watch's revision again gives no 410, but the revision stands for another state by then. Both tests fail without the change ('condition does not hold within 3.0 s' and '1.5 s') and pass with it.

Change: a watch of an earlier era counts as one whose history is lost, also when its answer comes from a later one; watches that are waiting end as soon as any answer shows a later era, as they could wait 8 s.

--- a/lentilring/platform/objects.py
+++ b/lentilring/platform/objects.py
@@ -1,5 +1,6 @@
 """Client of the prepared platform's metadata store: objects, changes and long-poll watches."""
 
+import asyncio
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any
@@ -8,7 +9,7 @@
 import msgspec
 
 from ..http.exchange import ExchangeFailed, HttpAnswer, exchange
-from ..revisions import combine_revision, find_number
+from ..revisions import combine_revision, find_era, find_number
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .store import StoreUnavailable
@@ -89,6 +90,7 @@
         self._address, self._telemetry = address, telemetry
         self.is_reachable: bool | None = None
         self._era: int | None = None
+        self._era_ended = asyncio.Event()
 
     async def list(self, kind: str, *, may_be_old: bool = False) -> ObjectList:
         """Return all objects of a kind; `may_be_old` allows data seconds old, at less cost."""
@@ -111,9 +113,14 @@
 
     async def watch(self, kind: str, *, after_revision: int, wait_s: float) -> ObjectList:
         """Return the objects changed after a revision; raise HistoryLost if they are not kept."""
+        era = find_era(after_revision)
+        if self._era is not None and era != self._era:
+            raise HistoryLost
         path = f"{kind}?watch={find_number(after_revision)}&wait-ms={int(wait_s * 1000)}"
-        answer = await self._call("GET", path, timeout_s=wait_s + CALL_TIMEOUT_S)
-        if answer.status == HTTPStatus.GONE:
+        answer = await self._watch_in_era(path, timeout_s=wait_s + CALL_TIMEOUT_S)
+        # In another era the number stands for another state, even if the store has it.
+        is_other_era = answer.status == HTTPStatus.OK and answer.era != era
+        if answer.status == HTTPStatus.GONE or is_other_era:
             raise HistoryLost
         if answer.status != HTTPStatus.OK:
             raise StoreUnavailable(operation=f"watch {kind}", detail=f"status {answer.status}")
@@ -128,6 +135,19 @@
             objects=tuple(changed), revision=max(after_revision, answer.read_revision())
         )
 
+    async def _watch_in_era(self, path: str, *, timeout_s: float) -> _Answer:
+        """Return the answer to a watch; raise HistoryLost once the store has a later era."""
+        call = asyncio.ensure_future(self._call("GET", path, timeout_s=timeout_s))
+        era_end = asyncio.ensure_future(self._era_ended.wait())
+        try:
+            await asyncio.wait({call, era_end}, return_when=asyncio.FIRST_COMPLETED)
+            if not call.done():
+                raise HistoryLost
+            return call.result()
+        finally:
+            call.cancel()
+            era_end.cancel()
+
     async def get(self, kind: str, name: str, *, may_be_old: bool = False) -> PlatformObject | None:
         """Return one object, or None if it does not exist; `may_be_old` as in `list`."""
         suffix = f"?{OLD_DATA_PARAMETER}" if may_be_old else ""
@@ -197,10 +217,12 @@
         return (self._era or 0) if era is None else era
 
     def _note_era(self, era: int | None) -> None:
-        """Log once when the store has returned from an older copy."""
+        """End all watches and log once when the store has returned from an older copy."""
         if era is None or (self._era is not None and era <= self._era):
             return
         if self._era is not None:
+            self._era_ended.set()
+            self._era_ended = asyncio.Event()
             self._telemetry.count("store_restorations")
             log.warning("store_restored", era=era, previous_era=self._era)
         else:
--- a/tests/test_store_restoration.py
+++ b/tests/test_store_restoration.py
@@ -1,5 +1,7 @@
 """A store that comes back from an older copy: its revisions go back and are used again."""
 
+import asyncio
+
 from testtools import TestCase
 
 from lentilring.platform.objects import ObjectClient
@@ -41,6 +43,41 @@
 
         run(scenario())
 
+    def test_change_at_a_revision_that_was_seen_before_is_not_missed(self) -> None:
+        """Guards against a watch that the returned store accepts because it has the revision."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as platform:
+                store, catalog = platform.store, platform.proxies["vm-0"].catalog
+                older = store.make_copy()
+                store.put("other", "a", {})
+                store.put("evacuations", "fes-a", {})
+                await wait_until(lambda: catalog.evacuated == {"fes-a"}, within_s=3.0)
+                store.restore(older)
+                store.put("evacuations", "mrk-a", {})
+                for _ in range(3):
+                    store.put("evacuations", "fes-a", {})
+                await wait_until(lambda: catalog.evacuated == {"fes-a", "mrk-a"}, within_s=3.0)
+
+        run(scenario())
+
+    def test_watches_from_before_a_restoration_end_when_it_is_noticed(self) -> None:
+        """Guards against changes that wait for the end of a watch of another kind of records."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as platform:
+                store, catalog = platform.store, platform.proxies["vm-0"].catalog
+                await asyncio.sleep(0.5)
+                older = store.make_copy()
+                store.put("evacuations", "fes-a", {})
+                await wait_until(lambda: catalog.evacuated == {"fes-a"}, within_s=3.0)
+                store.restore(older)
+                store.put("evacuations", "mrk-a", {})
+                store.put("config", "main", build_manifest(9))
+                await wait_until(lambda: "mrk-a" in catalog.evacuated, within_s=1.5)
+
+        run(scenario())
+
 
 class PromotionTokenTest(TestCase):
     def test_fencing_tokens_increase_across_a_restoration(self) -> None:
