Refuse conditional writes and lists that mix two eras of the store

Callers would see: a promotion or registration of one proxy overwritten by another that had read an earlier one, because its revision was given out again after a restoration; a list that holds some records from before it and some from after. Cause: conditions were sent with the plain number of an earlier era. Both tests fail without the change ('StoreUnavailable not raised') and pass with it.

Change: a write whose revision is of an era that is known to have ended is a conflict without a call. If only its answer shows the new era, its effect is unknown (StoreUnavailable), so that no promotion is asked for with it. A list whose pages are of two eras fails and is read again.

--- a/lentilring/platform/objects.py
+++ b/lentilring/platform/objects.py
@@ -106,6 +106,8 @@
             page = [
                 decode_object(entry, era=answer.era) for entry in _get_list(answer.body, "items")
             ]
+            if objects:
+                _check_same_era(f"list {kind}", objects[0].revision, answer.read_revision())
             objects += [entry for entry in page if entry is not None]
             if not answer.body.get("more") or not objects:
                 return ObjectList(objects=tuple(objects), revision=answer.read_revision())
@@ -164,11 +166,15 @@
 
     async def replace(self, kind: str, name: str, spec: Any, *, revision: int) -> PlatformObject:
         """Replace an object that has this revision; raise ObjectConflict otherwise."""
+        self._check_era(revision)
         body = {"meta": {"name": name, "revision": find_number(revision)}, "spec": spec}
-        return await self._change("PUT", f"{kind}/{quote(name, safe='')}", body)
+        written = await self._change("PUT", f"{kind}/{quote(name, safe='')}", body)
+        _check_same_era(f"replace {kind}", revision, written.revision)
+        return written
 
     async def delete(self, kind: str, name: str, *, revision: int) -> None:
         """Delete an object that has this revision; raise ObjectConflict otherwise."""
+        self._check_era(revision)
         path = f"{kind}/{quote(name, safe='')}?revision={find_number(revision)}"
         answer = await self._call("DELETE", path)
         if answer.status == HTTPStatus.CONFLICT:
@@ -176,6 +182,11 @@
         if answer.status not in (HTTPStatus.OK, HTTPStatus.NOT_FOUND, HTTPStatus.NO_CONTENT):
             raise StoreUnavailable(operation=f"delete {kind}", detail=f"status {answer.status}")
 
+    def _check_era(self, revision: int) -> None:
+        """Raise ObjectConflict for a revision of an earlier era, whose number may be used again."""
+        if self._era is not None and find_era(revision) < self._era:
+            raise ObjectConflict(None)
+
     async def _change(self, method: str, path: str, body: Any) -> PlatformObject:
         answer = await self._call(method, path, body)
         if answer.status == HTTPStatus.CONFLICT:
@@ -238,6 +249,14 @@
         log.warning(event, method=method, path=path, detail=detail)
 
 
+def _check_same_era(operation: str, first: int, second: int) -> None:
+    """Raise StoreUnavailable if the store returned from an older copy between two revisions."""
+    if find_era(first) != find_era(second):
+        raise StoreUnavailable(
+            operation=operation, detail="the store returned from an older copy meanwhile"
+        )
+
+
 def _read_era(answer: HttpAnswer) -> int | None:
     value = answer.headers.get(ERA_HEADER, "")
     return int(value) if value.isdecimal() else None
--- a/tests/test_store_restoration.py
+++ b/tests/test_store_restoration.py
@@ -2,11 +2,13 @@
 
 import asyncio
 
-from testtools import TestCase
+from aiohttp import web
+from testtools import ExpectedException, TestCase
 
 from lentilring.platform.objects import ObjectClient
 from lentilring.platform.records import PlatformStore
-from lentilring.standin.prepared.store import PreparedStore
+from lentilring.platform.store import Kind, StoreUnavailable, VersionConflict
+from lentilring.standin.prepared.store import MAX_PAGE, PreparedStore, StoreCopy
 from lentilring.statements.model import Position
 from lentilring.takeover.authority import PromotionAuthority
 from lentilring.telemetry.metrics import Telemetry
@@ -101,9 +103,67 @@
         run(scenario())
 
 
+class ConditionTest(TestCase):
+    def test_condition_on_a_revision_from_before_a_restoration_does_not_hold(self) -> None:
+        """Guards against overwriting a record whose revision happens to be a reused one."""
+
+        async def scenario() -> None:
+            store = PreparedStore()
+            await store.start()
+            try:
+                stored = PlatformStore(objects=build_client(store))
+                older = store.make_copy()
+                first = await stored.put(Kind.PROMOTION, "a", {"by": "me"}, expected_version=0)
+                store.restore(older)
+                store.put("lentilring-promotion", "a", {"by": "another"})
+                # The first write does not know of the new era yet, the second one does.
+                for failure in (StoreUnavailable, VersionConflict):
+                    with ExpectedException(failure):
+                        await stored.put(
+                            Kind.PROMOTION, "a", {"by": "me"}, expected_version=first.version
+                        )
+            finally:
+                await store.stop()
+
+        run(scenario())
+
+    def test_list_with_pages_of_two_eras_fails(self) -> None:
+        """Guards against a list that mixes records from before and after a restoration."""
+
+        async def scenario() -> None:
+            store = _RestoredBetweenPages()
+            await store.start()
+            try:
+                client = build_client(store)
+                with ExpectedException(StoreUnavailable):
+                    await client.list("other")
+                self.assertEqual(MAX_PAGE + 1, len((await client.list("other")).objects))
+            finally:
+                await store.stop()
+
+        run(scenario())
+
+
+class _RestoredBetweenPages(PreparedStore):
+    def __init__(self) -> None:
+        super().__init__()
+        for index in range(MAX_PAGE + 1):
+            self.put("other", f"record-{index:04}", {})
+        self._older: StoreCopy | None = self.make_copy()
+
+    async def _read(self, request: web.Request, kind: str, name: str) -> web.Response:
+        if "after" in request.query and self._older is not None:
+            self.restore(self._older)
+            self._older = None
+        return await super()._read(request, kind, name)
+
+
+def build_client(store: PreparedStore) -> ObjectClient:
+    return ObjectClient(address=store.address, telemetry=Telemetry())
+
+
 def build_authority(store: PreparedStore, vm: str) -> PromotionAuthority:
-    objects = ObjectClient(address=store.address, telemetry=Telemetry())
-    return PromotionAuthority(store=PlatformStore(objects=objects), vm=vm)
+    return PromotionAuthority(store=PlatformStore(objects=build_client(store)), vm=vm)
 
 
 async def claim(authority: PromotionAuthority) -> int:
