Ignore entries of servers that a restoration set back

Callers would see: new statements at a server that was draining or had left, and statements to a primary that had been replaced, until the servers registered again. Cause: the older copy holds their entries from before these changes, and a proxy took whatever the store showed. The three tests fail without the change (draining server ready again; removed server in the table; 'i-rental-1' != 'i-rental-0' as primary) and pass with it.

Change: an entry from a later era with a smaller start time or registration count than the known entry is ignored. The last entries of removed servers are kept for a minute for this. Within an era the store's order still decides, so a server that starts again under its id is taken as before.

--- a/lentilring/catalog/model.py
+++ b/lentilring/catalog/model.py
@@ -4,6 +4,7 @@
 from enum import StrEnum, unique
 
 from ..configuration.accounts import ClientAccount
+from ..revisions import find_era
 
 
 @unique
@@ -71,7 +72,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class ServerEntry:
-    """Describe a registered backend server; `revision` is that of its record in the store."""
+    """Describe a registered backend server; `revision` is that of its record in the store.
+
+    `sequence` counts the registrations since the server started.
+    """
 
     id: str
     service: str
@@ -84,6 +88,14 @@
     started_ms: int
     revision: int
     version: str = ""
+    sequence: int = 0
+
+    def is_set_back_from(self, known: "ServerEntry") -> bool:
+        """Tell whether a store that returned from an older copy set this entry back."""
+        return find_era(self.revision) > find_era(known.revision) and (
+            self.started_ms,
+            self.sequence,
+        ) < (known.started_ms, known.sequence)
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/lentilring/catalog/service.py
+++ b/lentilring/catalog/service.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from random import Random
 
 from ..clock import SuspensionClock
@@ -19,6 +19,8 @@
 
 # Registrations that lapsed during an outage of the store are back within 2 s of its return.
 REMOVAL_DELAY_S = 2.5
+# A copy of the store, and a server's entry in it, may be this old.
+DEPARTED_MEMORY_S = 60.0
 # The age of the configuration is known to this accuracy, on which the withdrawal of keys depends.
 MAX_MANIFEST_WAIT_S = 4.0
 # A proxy whose configuration was not confirmed for this fraction of its greatest age accepts no new
@@ -30,6 +32,14 @@
 log = Log(source="catalog")
 
 
+@dataclass(frozen=True, kw_only=True)
+class _DepartedServer:
+    """Hold the last entry of a server that was removed."""
+
+    entry: ServerEntry
+    removed_at: float
+
+
 class CatalogService(Service):
     """Hold what is configured and registered; the configuration's version never decreases."""
 
@@ -55,6 +65,7 @@
         self._evacuation_grace_s = evacuation_grace_s
         self._draining_since: dict[str, float] = {}
         self._evacuated_since: dict[str, float] = {}
+        self._departed: dict[str, _DepartedServer] = {}
         self._removal_timers: dict[str, asyncio.TimerHandle] = {}
         self._waiters: list[asyncio.Future[None]] = []
         self._callbacks: list[Callable[[], None]] = []
@@ -263,12 +274,24 @@
         timer = self._removal_timers.pop(entry.id, None)
         if timer is not None:
             timer.cancel()
-        previous = self.servers.entries.get(entry.id)
+        known = self._find_known(entry.id)
+        if known is not None and entry.is_set_back_from(known):
+            log.info(
+                "server_entry_ignored",
+                server=entry.id,
+                draining=entry.is_draining,
+                role=entry.role,
+                sequence=entry.sequence,
+                known_sequence=known.sequence,
+                revision=format_revision(entry.revision),
+            )
+            return
+        self._departed.pop(entry.id, None)
         if entry.is_draining:
             self._draining_since.setdefault(entry.id, self._clock.boottime())
         else:
             self._draining_since.pop(entry.id, None)
-        self.leadership.record_registration(entry, previous)
+        self.leadership.record_registration(entry, known)
         self.servers = self.servers.put(entry)
         log.info(
             "server_registered",
@@ -280,6 +303,11 @@
             revision=format_revision(entry.revision),
         )
 
+    def _find_known(self, server: str) -> ServerEntry | None:
+        """Return the newest entry of a server, also for a while after it was removed."""
+        departed = self._departed.get(server)
+        return self.servers.entries.get(server) or (None if departed is None else departed.entry)
+
     def _schedule_removal(self, server: str) -> None:
         """Remove a server; later if it was not draining, as its registration may have lapsed."""
         if self.servers.entries[server].is_draining:
@@ -293,10 +321,20 @@
         self._removal_timers.pop(server, None)
         self._draining_since.pop(server, None)
         if server in self.servers.entries:
+            self._remember_departed(self.servers.entries[server])
             self.servers = self.servers.remove(server)
             log.info("server_removed", server=server)
             self._notify_subscribers()
 
+    def _remember_departed(self, entry: ServerEntry) -> None:
+        now = self._clock.boottime()
+        self._departed = {
+            name: departed
+            for name, departed in self._departed.items()
+            if now - departed.removed_at < DEPARTED_MEMORY_S
+        }
+        self._departed[entry.id] = _DepartedServer(entry=entry, removed_at=now)
+
     def _replace_evacuations(self, batch: Records) -> None:
         self._set_evacuated(
             frozenset(entry.name for entry in batch.records if _is_evacuation(entry))
--- a/lentilring/platform/documents.py
+++ b/lentilring/platform/documents.py
@@ -98,6 +98,7 @@
     capacity: int = 1  # statements that the server runs at a time
     cold_remaining_ms: float = 0.0
     born: int = 0
+    sequence: int = 0
 
 
 class _Proxy(PlatformDocument):
@@ -163,6 +164,7 @@
         started_ms=body.born,
         revision=revision,
         version=body.version,
+        sequence=body.sequence,
     )
 
 
--- a/tests/test_store_restoration.py
+++ b/tests/test_store_restoration.py
@@ -1,19 +1,22 @@
 """A store that comes back from an older copy: its revisions go back and are used again."""
 
 import asyncio
+from typing import Any
 
 from aiohttp import web
 from testtools import ExpectedException, TestCase
 
+from lentilring.catalog.service import CatalogService
 from lentilring.platform.objects import ObjectClient
 from lentilring.platform.records import PlatformStore
 from lentilring.platform.store import Kind, StoreUnavailable, VersionConflict
+from lentilring.standin.prepared.servers import StandinServer
 from lentilring.standin.prepared.store import MAX_PAGE, PreparedStore, StoreCopy
 from lentilring.statements.model import Position
 from lentilring.takeover.authority import PromotionAuthority
 from lentilring.telemetry.metrics import Telemetry
 
-from .prepared import build_manifest, run, run_prepared_platform, wait_until
+from .prepared import PreparedPlatform, build_manifest, run, run_prepared_platform, wait_until
 
 READERS = 3
 
@@ -81,6 +84,89 @@
         run(scenario())
 
 
+class ServerEntryTest(TestCase):
+    def test_leaving_server_does_not_become_ready_again(self) -> None:
+        """Guards against new work at a server whose draining the store has forgotten."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as platform:
+                catalog = platform.proxies["vm-0"].catalog
+                server = platform.group.servers[2]
+                older = platform.store.make_copy()
+                register(platform, server, state="draining", sequence=5)
+                await wait_until(lambda: is_draining(catalog, server.id), within_s=3.0)
+                platform.store.restore(older)
+                platform.store.put("config", "main", build_manifest(9))
+                await wait_until(lambda: catalog.version == 9, within_s=3.0)
+                for _ in range(20):
+                    await asyncio.sleep(0.05)
+                    self.assertTrue(is_draining(catalog, server.id))
+                register(platform, server, state="ready", sequence=1, born=2)
+                await wait_until(lambda: not is_draining(catalog, server.id), within_s=3.0)
+
+        run(scenario())
+
+    def test_server_that_left_does_not_come_back(self) -> None:
+        """Guards against new work at a server that is in the older copy only."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as platform:
+                catalog = platform.proxies["vm-0"].catalog
+                server = platform.group.servers[2]
+                older = platform.store.make_copy()
+                register(platform, server, state="draining", sequence=5)
+                await wait_until(lambda: is_draining(catalog, server.id), within_s=3.0)
+                platform.store.remove("servers", server.id)
+                await wait_until(lambda: server.id not in catalog.servers.entries, within_s=3.0)
+                platform.store.restore(older)
+                platform.store.put("config", "main", build_manifest(9))
+                await wait_until(lambda: catalog.version == 9, within_s=3.0)
+                for _ in range(20):
+                    await asyncio.sleep(0.05)
+                    self.assertNotIn(server.id, catalog.servers.entries)
+
+        run(scenario())
+
+    def test_replaced_primary_does_not_lead_again(self) -> None:
+        """Guards against statements to a primary of before a promotion that the store forgot."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as platform:
+                catalog = platform.proxies["vm-0"].catalog
+                old, new = platform.group.servers[:2]
+                older = platform.store.make_copy()
+                platform.group.promote(new.id)
+                register(platform, new, sequence=5, **{"db-role": "primary"})
+                register(platform, old, sequence=5, **{"db-role": "replica"})
+                await wait_until(lambda: find_primary(catalog) == new.id, within_s=3.0)
+                platform.store.restore(older)
+                platform.store.put("config", "main", build_manifest(9))
+                while catalog.version != 9:
+                    await asyncio.sleep(0.005)
+                    self.assertEqual(new.id, find_primary(catalog))
+                for _ in range(100):
+                    await asyncio.sleep(0.005)
+                    self.assertEqual(new.id, find_primary(catalog))
+
+        run(scenario())
+
+
+def register(
+    platform: PreparedPlatform, server: StandinServer, *, state: str = "ready", **fields: Any
+) -> None:
+    entry = platform.group.build_registration(server, state=state)
+    platform.store.put("servers", server.id, {**entry, **fields})
+
+
+def is_draining(catalog: CatalogService, server: str) -> bool:
+    return catalog.servers.entries[server].is_draining
+
+
+def find_primary(catalog: CatalogService) -> str:
+    primary = catalog.find_primary("rental")
+    return "" if primary is None else primary.id
+
+
 class PromotionTokenTest(TestCase):
     def test_fencing_tokens_increase_across_a_restoration(self) -> None:
         """Guards against a token that two proxies use, or that is lower than one that was used."""
