Keep a proxy ready while it lists records again

Cause: a follower whose watch history was lost counted as never synchronized until the next list. If the store is lost again meanwhile, that lasts; readers then also refuse their followers.

Change: records count as read once they were read; how old they are is told by their confirmation.

--- a/lentilring/catalog/follower.py
+++ b/lentilring/catalog/follower.py
@@ -52,7 +52,7 @@
     @property
     def is_synchronized(self) -> bool:
         """Tell whether all records were read at least once."""
-        return self._revision is not None
+        return self.synchronized_at < float("inf")
 
     def confirmation_age_s(self) -> float:
         """Return how long ago the records were certainly up to date; suspensions count."""
