Keep proxies whose registrations a restoration lost, and register again

Callers would see: refusals or too much admitted, since limits and gateways are divided among the registered proxies, and statements sent to a process that has ended. Cause: after a restoration the list of proxies lacks those that registered since the copy and names earlier processes; a proxy that found itself missing from a whole list, or set back, did not register again.

Change: the first records after a restoration are marked. Peers that they lack are removed only after 6 s, and earlier processes of a VM are ignored; a proxy registers again when its own entry is missing or differs; peers that only the copy has are suspected until they answer a probe. A list read for another reason keeps the suspicion of peers that it names again.

--- a/lentilring/catalog/fleet.py
+++ b/lentilring/catalog/fleet.py
@@ -10,6 +10,7 @@
 from ..kernel import Service
 from ..placement import Ranking
 from ..platform.store import StoreUnavailable
+from ..revisions import find_era
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .follower import Follower
@@ -17,6 +18,9 @@
 
 REGISTER_RETRY_S = 0.5
 BATCH_DELAY_S = 0.3
+# A proxy whose registration a restoration of the store lost has registered again by then: its
+# readers notice within a few seconds, and it does one exchange later.
+RETURN_S = 6.0
 
 log = Log(source="fleet")
 
@@ -42,6 +46,7 @@
         self.on_suspected: Callable[[ProxyEntry], None] = _ignore_suspect
         self._revision: int | None = None
         self._revisions: dict[str, int] = {}
+        self._removal_timers: dict[str, asyncio.TimerHandle] = {}
         self._follower = Follower(
             kind=RecordKind.PROXIES,
             source=source,
@@ -78,6 +83,8 @@
         """End background work."""
         for task in self._tasks:
             task.cancel()
+        for timer in self._removal_timers.values():
+            timer.cancel()
 
     def leave(self) -> None:
         """Register that this process accepts no new work."""
@@ -159,31 +166,72 @@
                 await asyncio.sleep(REGISTER_RETRY_S)
 
     def _replace(self, batch: Records) -> None:
-        self._entries = {}
+        listed = {record.name for record in batch.records}
+        for vm in [vm for vm in self._entries if vm not in listed]:
+            self._remove(vm, batch)
+        if batch.follows_restoration and self._local.vm not in listed:
+            self._register_again()
         self._apply_changes(batch)
 
     def _apply_changes(self, batch: Records) -> None:
         for record in batch.records:
-            self._put(record)
+            if record.name == self._local.vm:
+                self._check_registration(record)
+            elif isinstance(record.value, ProxyEntry):
+                self._put(record.value, record.revision, batch)
+            else:
+                self._remove(record.name, batch)
         self._rebuild_ranking()
 
-    def _put(self, record: Record) -> None:
-        entry = record.value
-        if record.name == self._local.vm:
-            if record.value is None and self._revision is not None:
-                log.warning("registration_removed", vm=record.name)
-                self._revision = None
-                self._spawn(self._register())
+    def _check_registration(self, record: Record) -> None:
+        """Register again if the local registration was removed or set back."""
+        if self._revision is None:
             return
-        self._revisions[record.name] = record.revision
-        if not isinstance(entry, ProxyEntry):
-            self._entries.pop(record.name, None)
+        is_set_back = find_era(record.revision) > find_era(self._revision)
+        if record.value is None or (is_set_back and record.value != self._local):
+            self._register_again()
+
+    def _register_again(self) -> None:
+        if self._revision is not None:
+            log.warning("registration_removed", vm=self._local.vm)
+            self._revision = None
+            self._spawn(self._register())
+
+    def _put(self, entry: ProxyEntry, revision: int, batch: Records) -> None:
+        known = self._entries.get(entry.vm)
+        if (
+            batch.follows_restoration
+            and known is not None
+            and known.incarnation > entry.incarnation
+        ):
             return
-        known = self._entries.get(record.name)
+        timer = self._removal_timers.pop(entry.vm, None)
+        if timer is not None:
+            timer.cancel()
+        self._revisions[entry.vm] = revision
+        self._entries[entry.vm] = entry
         if known is None or known.incarnation != entry.incarnation:
-            self._suspects.discard(record.name)
+            self._suspects.discard(entry.vm)
             log.info("peer_registered", peer=entry.vm, incarnation=entry.incarnation)
-        self._entries[record.name] = entry
+        if batch.follows_restoration and known is None:
+            self.mark_suspect(entry.vm, "only an older copy of the store may have it")
+
+    def _remove(self, vm: str, batch: Records) -> None:
+        """Remove a peer; later if only a restoration of the store may have lost it."""
+        if not batch.follows_restoration:
+            self._forget(vm)
+        elif vm in self._entries and vm not in self._removal_timers:
+            loop = asyncio.get_running_loop()
+            self._removal_timers[vm] = loop.call_later(RETURN_S, self._forget, vm)
+            log.info("peer_registration_missing", peer=vm)
+
+    def _forget(self, vm: str) -> None:
+        timer = self._removal_timers.pop(vm, None)
+        if timer is not None:
+            timer.cancel()
+        if self._entries.pop(vm, None) is not None:
+            log.info("peer_removed", peer=vm)
+            self._rebuild_ranking()
 
     def _rebuild_ranking(self) -> None:
         known = [self._local, *self._entries.values()]
--- a/lentilring/catalog/follower.py
+++ b/lentilring/catalog/follower.py
@@ -2,11 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 
 from ..clock import SuspensionClock
 from ..platform.store import StoreUnavailable
-from ..revisions import format_revision
+from ..revisions import find_era, format_revision
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .source import HistoryExpired, RecordKind, Records, RecordSource
@@ -41,12 +42,14 @@
         self.confirmed_at = float("-inf")
         self.failed_at = float("-inf")
         self.synchronized_at = float("inf")
+        self.restored_at = float("-inf")
         self._source, self._clock, self._random = source, clock, random
         self._telemetry = telemetry
         self._replace_all, self._apply_changes = replace_all, apply_changes
         self._wait_s, self._batch_delay_s = wait_s, batch_delay_s
         self._may_begin_old = may_begin_old
         self._revision: int | None = None
+        self._era: int | None = None
         self._retry_s = RETRY_S
 
     @property
@@ -90,14 +93,24 @@
                     "records_listed_again", kind=self.kind, revision=format_revision(batch.revision)
                 )
             self.synchronized_at = min(self.synchronized_at, self._clock.boottime())
-            self._replace_all(batch)
+            self._replace_all(self._note_era(batch))
         else:
             batch = await self._source.watch(
                 self.kind, after_revision=self._revision, wait_s=self._wait_s
             )
-            (self._replace_all if batch.is_complete else self._apply_changes)(batch)
+            apply = self._replace_all if batch.is_complete else self._apply_changes
+            apply(self._note_era(batch))
         self._revision = max(batch.revision, self._revision or 0)
         self.confirmed_at = max(self.confirmed_at, batch.confirmed_at)
         if batch.records and self._batch_delay_s:
             # Registrations come in groups. Waiting for the rest of a group saves watch calls.
             await asyncio.sleep(self._batch_delay_s)
+
+    def _note_era(self, batch: Records) -> Records:
+        """Mark the first batch after the store returned from an older copy."""
+        era, known_era = find_era(batch.revision), self._era
+        self._era = era if known_era is None else max(era, known_era)
+        if known_era is None or era <= known_era:
+            return batch
+        self.restored_at = self._clock.boottime()
+        return replace(batch, follows_restoration=True)
--- a/lentilring/catalog/source.py
+++ b/lentilring/catalog/source.py
@@ -59,13 +59,16 @@
     """Hold records and the revision of the store up to which they are complete.
 
     `is_complete` says that these are all records, not only changed ones. `confirmed_at` is the last
-    moment at which they were certainly up to date, in seconds of the boot clock.
+    moment at which they were certainly up to date, in seconds of the boot clock. With
+    `follows_restoration`, the store returned from an older copy since the records before these:
+    changes that it lost are being written again.
     """
 
     records: tuple[Record, ...]
     revision: int
     is_complete: bool = False
     confirmed_at: float = float("-inf")
+    follows_restoration: bool = False
 
 
 class RecordSource(Protocol):
--- a/tests/test_store_restoration.py
+++ b/tests/test_store_restoration.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 from testtools import ExpectedException, TestCase
 
+from lentilring.catalog.fleet import RETURN_S, FleetService
 from lentilring.catalog.service import CatalogService
 from lentilring.platform.objects import ObjectClient
 from lentilring.platform.records import PlatformStore
@@ -167,6 +168,60 @@
     return "" if primary is None else primary.id
 
 
+class ProxyRegistrationTest(TestCase):
+    def test_proxy_whose_registration_was_lost_stays_a_member(self) -> None:
+        """Guards against limits and gateways that are divided among too few proxies."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=2) as platform:
+                older = platform.store.make_copy()
+                await platform.add_proxy("vm-2", "fes-a")
+                fleets = [
+                    proxy.kernel.find("fleet", FleetService) for proxy in platform.proxies.values()
+                ]
+                await wait_until(lambda: count_members(fleets) == [3, 3, 3], within_s=3.0)
+                platform.store.restore(older)
+                platform.store.put("config", "main", build_manifest(9))
+                catalogs = [proxy.catalog for proxy in platform.proxies.values()]
+                await wait_until(lambda: all(entry.version == 9 for entry in catalogs), within_s=5)
+                self.assertEqual([3, 3, 3], count_members(fleets))
+                await wait_until(
+                    lambda: platform.store.read("lentilring-proxies", "vm-2") is not None,
+                    within_s=3.0,
+                )
+                await asyncio.sleep(RETURN_S)
+                self.assertEqual([3, 3, 3], count_members(fleets))
+
+        run(scenario())
+
+    def test_proxy_registers_again_when_an_earlier_process_comes_back(self) -> None:
+        """Guards against peers that take a proxy for a process that has ended."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=2) as platform:
+                entry = platform.store.read("lentilring-proxies", "vm-1")
+                platform.store.put("lentilring-proxies", "vm-1", {**entry, "incarnation": 0})
+                older = platform.store.make_copy()
+                platform.store.put("lentilring-proxies", "vm-1", entry)
+                await asyncio.sleep(0.5)
+                platform.store.restore(older)
+                platform.store.put("config", "main", build_manifest(9))
+                await wait_until(
+                    lambda: platform.store.read("lentilring-proxies", "vm-1") == entry,
+                    within_s=3.0,
+                )
+                fleet = platform.proxies["vm-0"].kernel.find("fleet", FleetService)
+                known = fleet.find("vm-1")
+                assert known is not None
+                self.assertEqual(1, known.incarnation)
+
+        run(scenario())
+
+
+def count_members(fleets: list[FleetService]) -> list[int]:
+    return [len(fleet.members()) for fleet in fleets]
+
+
 class PromotionTokenTest(TestCase):
     def test_fencing_tokens_increase_across_a_restoration(self) -> None:
         """Guards against a token that two proxies use, or that is lower than one that was used."""
