Hold evacuations that a restoration lost until the operator repeats them

Callers would see: statements in an evacuated failure domain, between the return of the store and the operator's repetition. Cause: the older copy lacks evacuations begun since, and a list without one ended it at once. The test fails without the change ('False is not true' after the restoration) and passes with it.

--- a/lentilring/catalog/service.py
+++ b/lentilring/catalog/service.py
@@ -65,6 +65,8 @@
         self._evacuation_grace_s = evacuation_grace_s
         self._draining_since: dict[str, float] = {}
         self._evacuated_since: dict[str, float] = {}
+        self._unconfirmed_evacuations: frozenset[str] = frozenset()
+        self._evacuation_timer: asyncio.TimerHandle | None = None
         self._departed: dict[str, _DepartedServer] = {}
         self._removal_timers: dict[str, asyncio.TimerHandle] = {}
         self._waiters: list[asyncio.Future[None]] = []
@@ -112,6 +114,8 @@
             task.cancel()
         for timer in self._removal_timers.values():
             timer.cancel()
+        if self._evacuation_timer is not None:
+            self._evacuation_timer.cancel()
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call `callback` after each change."""
@@ -336,18 +340,36 @@
         self._departed[entry.id] = _DepartedServer(entry=entry, removed_at=now)
 
     def _replace_evacuations(self, batch: Records) -> None:
-        self._set_evacuated(
-            frozenset(entry.name for entry in batch.records if _is_evacuation(entry))
-        )
+        listed = frozenset(entry.name for entry in batch.records if _is_evacuation(entry))
+        self._unconfirmed_evacuations -= listed
+        if batch.follows_restoration:
+            self._end_evacuations_later(self.evacuated - listed)
+            listed |= self.evacuated
+        self._set_evacuated(listed)
 
     def _apply_evacuation_changes(self, batch: Records) -> None:
-        changed = set(self.evacuated)
-        for record in batch.records:
-            if _is_evacuation(record):
-                changed.add(record.name)
-            else:
-                changed.discard(record.name)
-        self._set_evacuated(frozenset(changed))
+        begun = {record.name for record in batch.records if _is_evacuation(record)}
+        ended = {record.name for record in batch.records} - begun
+        if batch.follows_restoration:
+            self._end_evacuations_later(self.evacuated & ended)
+            ended = set()
+        self._unconfirmed_evacuations -= begun
+        self._set_evacuated(self.evacuated - ended | begun)
+
+    def _end_evacuations_later(self, missing: frozenset[str]) -> None:
+        """End evacuations unless the operator, whose records a restoration lost, repeats them."""
+        if not missing:
+            return
+        self._unconfirmed_evacuations = missing
+        log.info("evacuations_missing", domains=",".join(sorted(missing)))
+        if self._evacuation_timer is not None:
+            self._evacuation_timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._evacuation_timer = loop.call_later(REMOVAL_DELAY_S, self._end_missing_evacuations)
+
+    def _end_missing_evacuations(self) -> None:
+        missing, self._unconfirmed_evacuations = self._unconfirmed_evacuations, frozenset()
+        self._set_evacuated(self.evacuated - missing)
 
     def _set_evacuated(self, evacuated: frozenset[str]) -> None:
         if evacuated == self.evacuated:
--- a/tests/test_store_restoration.py
+++ b/tests/test_store_restoration.py
@@ -7,7 +7,7 @@
 from testtools import ExpectedException, TestCase
 
 from lentilring.catalog.fleet import RETURN_S, FleetService
-from lentilring.catalog.service import CatalogService
+from lentilring.catalog.service import REMOVAL_DELAY_S, CatalogService
 from lentilring.platform.objects import ObjectClient
 from lentilring.platform.records import PlatformStore
 from lentilring.platform.store import Kind, StoreUnavailable, VersionConflict
@@ -85,6 +85,39 @@
         run(scenario())
 
 
+class EvacuationTest(TestCase):
+    def test_evacuation_that_was_lost_holds_until_the_operator_repeats_it(self) -> None:
+        """Guards against work in an evacuated domain between a restoration and the repetition."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=6) as platform:
+                store = platform.store
+                catalogs = [proxy.catalog for proxy in platform.proxies.values()]
+                await asyncio.sleep(0.5)
+                older = store.make_copy()
+                store.put("evacuations", "fes-a", {})
+                store.put("evacuations", "mrk-a", {})
+                both = frozenset({"fes-a", "mrk-a"})
+                await wait_until(lambda: all_evacuate(catalogs, both), within_s=3.0)
+                store.restore(older)
+                store.put("config", "main", build_manifest(9))
+                await wait_until(lambda: all(entry.version == 9 for entry in catalogs), within_s=5)
+                self.assertTrue(all_evacuate(catalogs, both))
+                store.put("evacuations", "fes-a", {})
+                only_repeated = frozenset({"fes-a"})
+                await wait_until(
+                    lambda: all_evacuate(catalogs, only_repeated), within_s=REMOVAL_DELAY_S + 1.0
+                )
+                await asyncio.sleep(REMOVAL_DELAY_S)
+                self.assertTrue(all_evacuate(catalogs, only_repeated))
+
+        run(scenario())
+
+
+def all_evacuate(catalogs: list[CatalogService], domains: frozenset[str]) -> bool:
+    return all(catalog.evacuated == domains for catalog in catalogs)
+
+
 class ServerEntryTest(TestCase):
     def test_leaving_server_does_not_become_ready_again(self) -> None:
         """Guards against new work at a server whose draining the store has forgotten."""
