--- a/lentilring/catalog/service.py
+++ b/lentilring/catalog/service.py
@@ -9,7 +9,7 @@
 from ..configuration.accounts import ClientAccount, hash_key
 from ..kernel import Service
 from ..limits.window import LimitWindow, fit_account
-from ..revisions import format_revision
+from ..revisions import find_era, format_revision
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .follower import WATCH_WAIT_S, Follower
@@ -63,6 +63,8 @@
         self._limit_window = limit_window
         self._leaving_grace_s = leaving_grace_s
         self._evacuation_grace_s = evacuation_grace_s
+        self.store_era = 0
+        self._restored_at = float("-inf")
         self._draining_since: dict[str, float] = {}
         self._evacuated_since: dict[str, float] = {}
         self._unconfirmed_evacuations: frozenset[str] = frozenset()
@@ -198,10 +200,20 @@
         return True
 
     def knows_all_servers(self) -> bool:
-        """Tell whether servers whose registrations had lapsed at the start are registered again."""
-        since = self._registrations.synchronized_at
+        """Tell whether servers are registered again whose registrations had lapsed or were lost.
+
+        They had lapsed at the start, or the store lost them as it returned from an older copy.
+        """
+        since = max(self._registrations.synchronized_at, self._restored_at)
         return self._clock.boottime() - since >= REMOVAL_DELAY_S
 
+    def note_restoration(self, era: int) -> None:
+        """Record that the store returned from an older copy, if this era is the newest."""
+        if era <= self.store_era:
+            return
+        self.store_era, self._restored_at = era, self._clock.boottime()
+        self._notify_subscribers()
+
     def missing_servers(self) -> frozenset[str]:
         """Return the servers whose registrations are missing, but may only have lapsed."""
         return frozenset(self._removal_timers)
@@ -266,6 +278,8 @@
         self._apply_server_changes(batch)
 
     def _apply_server_changes(self, batch: Records) -> None:
+        if batch.follows_restoration:
+            self.note_restoration(find_era(batch.revision))
         for record in batch.records:
             if isinstance(record.value, ServerEntry):
                 self._put_server(record.value)
--- a/lentilring/platform/objects.py
+++ b/lentilring/platform/objects.py
@@ -1,6 +1,7 @@
 """Client of the prepared platform's metadata store: objects, changes and long-poll watches."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any
@@ -91,6 +92,7 @@
         self.is_reachable: bool | None = None
         self._era: int | None = None
         self._era_ended = asyncio.Event()
+        self.on_restored: Callable[[int], None] = _ignore_restoration
 
     async def list(self, kind: str, *, may_be_old: bool = False) -> ObjectList:
         """Return all objects of a kind; `may_be_old` allows data seconds old, at less cost."""
@@ -236,6 +238,7 @@
             self._era_ended = asyncio.Event()
             self._telemetry.count("store_restorations")
             log.warning("store_restored", era=era, previous_era=self._era)
+            self.on_restored(era)
         else:
             log.info("store_era", era=era)
         self._era = era
@@ -249,6 +252,10 @@
         log.warning(event, method=method, path=path, detail=detail)
 
 
+def _ignore_restoration(era: int) -> None:
+    """Do nothing; used until a process registers a callback."""
+
+
 def _check_same_era(operation: str, first: int, second: int) -> None:
     """Raise StoreUnavailable if the store returned from an older copy between two revisions."""
     if find_era(first) != find_era(second):
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -127,6 +127,7 @@
             slack=settings.limit_slack,
         ),
     )
+    objects.on_restored = catalog.note_restoration
     fleet = FleetService(
         local=_describe_local_proxy(settings, incarnation),
         source=records,
--- a/lentilring/takeover/authority.py
+++ b/lentilring/takeover/authority.py
@@ -1,12 +1,15 @@
 """Authority to ask for promotions: fencing tokens from conditional writes to the store."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum, unique
 from typing import Protocol
 
 from ..outcomes import JsonValue
 from ..platform.store import Kind, Store, VersionConflict
 from ..statements.model import Position
+from ..telemetry.log import Log
+
+log = Log(source="takeover")
 
 NO_COMMITS = Position(term=0, number=0)
 
@@ -35,7 +38,8 @@
 class PromotionIntent:
     """Hold the newest promotion that was recorded; an open one may still take effect.
 
-    `received` is the position that the server had received when it was chosen.
+    `received` is the position that the server had received when it was chosen. `serial` counts the
+    writes; a smaller one in the store than was known means that the store lost some.
     """
 
     version: int
@@ -43,6 +47,7 @@
     is_open: bool
     vm: str = ""
     received: Position = NO_COMMITS
+    serial: int = 0
 
 
 class PromotionAuthority:
@@ -50,9 +55,33 @@
 
     def __init__(self, *, store: Store, vm: str) -> None:
         self._store, self._vm = store, vm
+        self._known: dict[str, PromotionIntent] = {}
 
     async def read(self, service: str) -> PromotionIntent:
-        """Return the newest intent; raise StoreUnavailable."""
+        """Return the newest intent, also if the store has lost it; raise StoreUnavailable."""
+        stored = await self._read_stored(service)
+        known = self._known.get(service)
+        if known is not None and known.serial > stored.serial:
+            return replace(known, version=stored.version)
+        self._known[service] = stored
+        return stored
+
+    async def write_again(self) -> None:
+        """Write the newest intents of this proxy again that the store has lost.
+
+        Raise StoreUnavailable.
+        """
+        for service, known in list(self._known.items()):
+            stored = await self._read_stored(service)
+            if known.vm != self._vm or known.serial <= stored.serial:
+                continue
+            lost = replace(known, version=stored.version, serial=known.serial - 1)
+            written = await self._write(
+                service, known.server, known.received, previous=lost, is_open=known.is_open
+            )
+            log.warning("promotion_written_again", service=service, written=written is not None)
+
+    async def _read_stored(self, service: str) -> PromotionIntent:
         current = await self._store.get(Kind.PROMOTION, service)
         if current is None:
             return PromotionIntent(version=0, server="", is_open=False)
@@ -64,6 +93,7 @@
             is_open=bool(value.get("open")),
             vm=str(value.get("vm", "")),
             received=_read_position(value),
+            serial=_read_serial(value),
         )
 
     async def claim(
@@ -103,6 +133,7 @@
             "term": received.term,
             "number": received.number,
             "after": previous.version,
+            "serial": previous.serial + 1,
         }
         try:
             written = await self._store.put(
@@ -110,9 +141,21 @@
             )
         except VersionConflict:
             return None
-        return PromotionIntent(
-            version=written.version, server=server, is_open=is_open, vm=self._vm, received=received
+        intent = PromotionIntent(
+            version=written.version,
+            server=server,
+            is_open=is_open,
+            vm=self._vm,
+            received=received,
+            serial=previous.serial + 1,
         )
+        self._known[service] = intent
+        return intent
+
+
+def _read_serial(value: dict[str, JsonValue]) -> int:
+    serial = value.get("serial")
+    return serial if isinstance(serial, int) else 0
 
 
 def _read_position(value: dict[str, JsonValue]) -> Position:
--- a/lentilring/takeover/service.py
+++ b/lentilring/takeover/service.py
@@ -42,6 +42,8 @@
 RETRY_S = 0.5
 BUSY_RETRY_S = 0.2
 
+RESTORED_DETAIL = "the store returned from an older copy"
+
 log = Log(source="takeover")
 
 
@@ -80,16 +82,38 @@
         self._takeovers: dict[str, asyncio.Task[None]] = {}
         self._retry_at: dict[str, float] = {}
         self._task: asyncio.Task[None] | None = None
+        self._rewriting: asyncio.Task[None] | None = None
+        self._written_era = catalog.store_era
 
     async def start(self) -> None:
         """Begin to supervise."""
+        self._catalog.subscribe(self._check_era)
         self._task = asyncio.ensure_future(self._run())
 
     async def stop(self) -> None:
         """End supervision; a takeover that runs is left to the next supervisor."""
-        for task in [*self._takeovers.values(), *([self._task] if self._task else [])]:
+        own = [task for task in (self._task, self._rewriting) if task is not None]
+        for task in [*self._takeovers.values(), *own]:
             task.cancel()
 
+    def _check_era(self) -> None:
+        """Write promotions again that the store lost as it returned from an older copy."""
+        if self._catalog.store_era == self._written_era:
+            return
+        self._written_era = self._catalog.store_era
+        if self._rewriting is not None:
+            self._rewriting.cancel()
+        self._rewriting = asyncio.ensure_future(self._write_again())
+
+    async def _write_again(self) -> None:
+        while not self._catalog.knows_all_servers():
+            try:
+                await self._authority.write_again()
+                return
+            except StoreUnavailable as error:
+                log.info("promotions_not_written_again", detail=error.detail)
+                await self._clock.sleep(RETRY_S)
+
     async def _run(self) -> None:
         while True:
             await self._clock.sleep(CHECK_INTERVAL_S)
@@ -184,7 +208,10 @@
                 self._gateways.pause_primary_work(paused_primary.id)
                 await self._clock.sleep(PRIMARY_DRAIN_S)
             intent = await self._authority.read(takeover.service)
-            if self._is_promoted_elsewhere(takeover.service, intent):
+            if not self._catalog.knows_all_servers():
+                log.info("takeover_postponed", service=takeover.service, detail=RESTORED_DETAIL)
+                done = True
+            elif self._is_promoted_elsewhere(takeover.service, intent):
                 log.info(
                     "takeover_left",
                     service=takeover.service,
@@ -224,6 +251,8 @@
         asked_at = self._clock.boottime()
         try:
             newest = await self._authority.read(takeover.service)
+            if not self._catalog.knows_all_servers():
+                return False
             intended = statuses.get(newest.server)
             # Once the promotion took effect, the new primary needs replicas that receive. Any other
             # server that is still the primary is about to be replaced.
--- a/tests/test_store_restoration.py
+++ b/tests/test_store_restoration.py
@@ -277,6 +277,57 @@
         run(scenario())
 
 
+class PromotionRecordTest(TestCase):
+    def test_promotion_that_was_lost_is_written_again(self) -> None:
+        """Guards against a second takeover that does not know of the first one's open promotion."""
+
+        async def scenario() -> None:
+            store = PreparedStore()
+            await store.start()
+            try:
+                first, second = build_authority(store, "vm-1"), build_authority(store, "vm-2")
+                older = store.make_copy()
+                await claim(first)
+                store.restore(older)
+                self.assertTrue((await first.read("rental")).is_open)
+                await first.write_again()
+                found = await second.read("rental")
+                self.assertEqual(("i-1", "vm-1", True), (found.server, found.vm, found.is_open))
+                self.assertEqual(Position(term=1, number=2), found.received)
+                # A later promotion of another proxy is not overwritten.
+                await claim(second)
+                await first.write_again()
+                self.assertEqual("vm-2", (await first.read("rental")).vm)
+            finally:
+                await store.stop()
+
+        run(scenario())
+
+    def test_no_takeover_begins_until_lost_records_are_written_again(self) -> None:
+        """Guards against a takeover that does not know all replicas and promotions."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=3) as platform:
+                catalogs = [proxy.catalog for proxy in platform.proxies.values()]
+                await wait_until(lambda: all_know_servers(catalogs), within_s=5.0)
+                older = platform.store.make_copy()
+                platform.store.put("other", "a", {})
+                platform.store.restore(older)
+                leader = platform.group.leader
+                assert leader is not None
+                await leader.stop()
+                register(platform, platform.group.servers[2])
+                await asyncio.sleep(REMOVAL_DELAY_S - 0.5)
+                self.assertEqual([], platform.store.promotions)
+                await wait_until(lambda: platform.store.promotions != [], within_s=5.0)
+
+        run(scenario())
+
+
+def all_know_servers(catalogs: list[CatalogService]) -> bool:
+    return all(catalog.knows_all_servers() for catalog in catalogs)
+
+
 class ConditionTest(TestCase):
     def test_condition_on_a_revision_from_before_a_restoration_does_not_hold(self) -> None:
         """Guards against overwriting a record whose revision happens to be a reused one."""
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -359,11 +359,14 @@
 class ResumeTest(TestCase):
     """Whether a takeover that gave up may let the replicas receive again."""
 
+    knows_all = True
+
     def build(self, store: MemoryStore, clock: SuspensibleClock) -> TakeoverService:
         unused: Any = None
         fleet: Any = SimpleNamespace(local=SimpleNamespace(vm="vm-b"))
+        catalog: Any = SimpleNamespace(store_era=1, knows_all_servers=lambda: self.knows_all)
         return TakeoverService(
-            catalog=unused,
+            catalog=catalog,
             fleet=fleet,
             gateways=unused,
             sampler=unused,
@@ -420,6 +423,16 @@
 
         asyncio.run(scenario())
 
+    def test_replicas_stay_paused_while_the_store_may_have_lost_a_promotion(self) -> None:
+        """Guards against a resumption before another proxy writes its promotion again."""
+
+        async def scenario() -> None:
+            self.knows_all = False
+            control = SimpleNamespace(read_all=_read_nothing)
+            self.assertFalse(await self.decide(MemoryStore(), control, SuspensibleClock()))
+
+        asyncio.run(scenario())
+
     def test_a_process_that_was_suspended_after_its_decision_resumes_nothing(self) -> None:
         """Guards against a resumption after a later takeover has checked the replicas."""
 
