Write the shared secret again that a restoration lost, and agree on one of two

Callers would see: a proxy that starts after the restoration rejects all calls of its peers, and they its, for as long as it runs. Cause: the store may return from a copy that is older than the peers' secret, so the proxy creates another one. Without the check the new test fails (MismatchError: the stored secret stays the later one), with it a proxy that had the later secret takes the fleet's and its calls are answered.

The loading of the secret moves from session_process.py to shared_secret.py.

--- a/lentilring/peers/authentication.py
+++ b/lentilring/peers/authentication.py
@@ -2,6 +2,7 @@
 
 import hmac
 import secrets
+from collections.abc import Callable
 
 NONCE_BYTES = 32
 MAC_BYTES = 32
@@ -12,7 +13,13 @@
 
     def __init__(self, *, deployment: str, secret: bytes) -> None:
         self.deployment = deployment
-        self._key = hmac.digest(secret, b"lentilring-deployment:" + deployment.encode(), "sha256")
+        self.on_mismatch: Callable[[], None] = _ignore_mismatch
+        self.replace_secret(secret)
+
+    def replace_secret(self, secret: bytes) -> None:
+        """Use another secret from now on; connections that are open stay so."""
+        context = b"lentilring-deployment:" + self.deployment.encode()
+        self._key = hmac.digest(secret, context, "sha256")
 
     def make_nonce(self) -> bytes:
         """Return a random nonce that the peer must include in its proof."""
@@ -35,10 +42,16 @@
         mac, payload = datagram[:MAC_BYTES], datagram[MAC_BYTES:]
         return payload if self.matches(mac, self._sign(b"datagram", payload)) else None
 
-    @staticmethod
-    def matches(given: bytes, expected: bytes) -> bool:
-        """Compare two MACs in constant time."""
-        return hmac.compare_digest(given, expected)
+    def matches(self, given: bytes, expected: bytes) -> bool:
+        """Compare two MACs in constant time; report a mismatch."""
+        if hmac.compare_digest(given, expected):
+            return True
+        self.on_mismatch()
+        return False
 
     def _sign(self, purpose: bytes, payload: bytes) -> bytes:
         return hmac.digest(self._key, purpose + b"\0" + payload, "sha256")
+
+
+def _ignore_mismatch() -> None:
+    """Do nothing; used until a process registers a callback."""
--- a/lentilring/peers/tcp.py
+++ b/lentilring/peers/tcp.py
@@ -81,6 +81,14 @@
         self._server: asyncio.Server | None = None
         self._datagram_transport: asyncio.DatagramTransport | None = None
 
+    def replace_secret(self, secret: bytes) -> None:
+        """Authenticate new connections and datagrams with another secret."""
+        self._authenticator.replace_secret(secret)
+
+    def on_other_secret(self, callback: Callable[[], None]) -> None:
+        """Call a function when a peer turns out to have another secret."""
+        self._authenticator.on_mismatch = callback
+
     def handle(
         self, request_type: type[M], handler: Callable[[Sender, M], Awaitable[object]]
     ) -> None:
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -18,28 +18,24 @@
 from .kernel import Kernel
 from .limits.regional import RegionalLimiter
 from .limits.window import LimitWindow
-from .outcomes import JsonValue
 from .peers.tcp import TcpTransport
 from .platform.objects import ObjectClient
 from .platform.promotion import PlatformPromotion
 from .platform.records import PlatformRecords, PlatformStore
 from .platform.servers import PlatformServerConnector
 from .platform.statements import LineCodec
-from .platform.store import Kind, Store, StoreUnavailable, VersionConflict
 from .session_settings import SessionProxySettings
 from .sessions.choice import ProxyLocation
 from .sessions.listener import SessionListener
 from .sessions.readiness import SessionReadiness
 from .sessions.router import StatementRouter
+from .shared_secret import PeerSecret, SharedSecret, wait_for_secret
 from .takeover.authority import PromotionAuthority
 from .takeover.service import TakeoverService
 from .telemetry.log import Log
 from .telemetry.metrics import Telemetry
 
 DEPLOYMENT = "lentilring"
-SECRET_NAME = "peers"
-SECRET_BYTES = 32
-SECRET_RETRY_S = 0.3
 DEFAULT_TRANSACTION_IDLE_S = 3.0
 # Ten times the network delay between regions, which the handshake needs twice.
 PEER_CONNECT_TIMEOUT_S = 0.5
@@ -66,8 +62,8 @@
     )
     objects = ObjectClient(address=settings.store_address, telemetry=telemetry)
     kernel = Kernel()
-    # The secret never changes, and a proxy that misses it learns of it when it tries to create one.
-    secret = await _wait_for_secret(PlatformStore(objects=objects, may_be_old=True), stopping)
+    # A proxy to which an old read does not show the secret learns of it as it tries to create one.
+    secret = await wait_for_secret(PlatformStore(objects=objects, may_be_old=True), stopping)
     if secret is not None:
         readiness = register_session_services(
             kernel,
@@ -92,7 +88,7 @@
     settings: SessionProxySettings,
     incarnation: int,
     objects: ObjectClient,
-    secret: str,
+    secret: PeerSecret,
     telemetry: Telemetry,
 ) -> SessionReadiness:
     """Register all services by name, in the order in which they start."""
@@ -102,7 +98,7 @@
         incarnation=incarnation,
         address=settings.peer_address,
         deployment=DEPLOYMENT,
-        secret=secret.encode(),
+        secret=secret.value.encode(),
         telemetry=telemetry,
         connect_timeout_s=PEER_CONNECT_TIMEOUT_S,
     )
@@ -155,6 +151,14 @@
         random=random_source,
         telemetry=telemetry,
     )
+    shared_secret = SharedSecret(
+        secret=secret,
+        store=PlatformStore(objects=objects),
+        clock=clock,
+        find_era=lambda: catalog.store_era,
+        use=lambda value: transport.replace_secret(value.encode()),
+    )
+    transport.on_other_secret(shared_secret.doubt)
     prober = PeerProber(fleet=fleet, transport=transport, clock=clock)
     dispatcher = StatementDispatcher(
         fleet=fleet, gateways=gateways, prober=prober, clock=clock, telemetry=telemetry
@@ -205,6 +209,7 @@
         "records": records,
         "catalog": catalog,
         "fleet": fleet,
+        "secret": shared_secret,
         "limits": limiter,
         "gateways": gateways,
         "prober": prober,
@@ -240,32 +245,5 @@
     )
 
 
-async def _wait_for_secret(store: Store, stopping: asyncio.Event) -> str | None:
-    """Return the secret that all proxies share; the first proxy to start creates it."""
-    while not stopping.is_set():
-        try:
-            return await _load_secret(store)
-        except StoreUnavailable as error:
-            log.info("secret_unavailable", detail=error.detail)
-            await asyncio.sleep(SECRET_RETRY_S)
-    return None
-
-
-async def _load_secret(store: Store) -> str:
-    stored = await store.get(Kind.SECRET, SECRET_NAME)
-    if stored is None:
-        value: dict[str, JsonValue] = {
-            "secret": random.SystemRandom().randbytes(SECRET_BYTES).hex()
-        }
-        try:
-            stored = await store.put(Kind.SECRET, SECRET_NAME, value, expected_version=0)
-        except VersionConflict as conflict:
-            stored = conflict.current
-    secret = ((stored.value if stored is not None else None) or {}).get("secret")
-    if not isinstance(secret, str):
-        raise StoreUnavailable(operation="secret", detail="the stored secret cannot be read")
-    return secret
-
-
 def _log_reload_request() -> None:
     log.info("settings_changed", detail="settings are read at start only")
--- a/tests/prepared.py
+++ b/tests/prepared.py
@@ -14,13 +14,14 @@
 from lentilring.session_process import register_session_services
 from lentilring.session_settings import check_settings
 from lentilring.sessions.readiness import SessionReadiness
+from lentilring.shared_secret import PeerSecret
 from lentilring.standin.prepared.servers import ServerGroup, StandinServer
 from lentilring.standin.prepared.store import PreparedStore
 from lentilring.telemetry.metrics import Telemetry
 
 ZONES = ("casa-a", "mrk-a", "fes-a")
 REGIONS = {"casa-a": "casablanca", "mrk-a": "marrakech", "fes-a": "fes"}
-SECRET = "a secret of the tests"
+SECRET = PeerSecret(created_ms=1, value="a secret of the tests")
 READY_TIMEOUT_S = 10.0
 FIRST_PORT = 10_000
 PORT_BLOCKS = 100
@@ -158,8 +159,12 @@
             if entry.id in (self.store._objects.get("servers") or {}):
                 self.register(entry)
 
-    async def add_proxy(self, vm: str, zone: str, **settings: Any) -> "Proxy":
-        proxy = Proxy(vm=vm, zone=zone, store_address=self.store.address, settings=settings)
+    async def add_proxy(
+        self, vm: str, zone: str, *, secret: PeerSecret = SECRET, **settings: Any
+    ) -> "Proxy":
+        proxy = Proxy(
+            vm=vm, zone=zone, store_address=self.store.address, settings=settings, secret=secret
+        )
         await proxy.start()
         self.proxies[vm] = proxy
         return proxy
@@ -174,7 +179,15 @@
 class Proxy:
     """Run the services of one proxy in the event loop of the test."""
 
-    def __init__(self, *, vm: str, zone: str, store_address: str, settings: dict[str, Any]) -> None:
+    def __init__(
+        self,
+        *,
+        vm: str,
+        zone: str,
+        store_address: str,
+        settings: dict[str, Any],
+        secret: PeerSecret = SECRET,
+    ) -> None:
         values: dict[str, Any] = {
             "vm": vm,
             "failure_domain": zone,
@@ -198,7 +211,7 @@
             settings=self.settings,
             incarnation=1,
             objects=self._objects,
-            secret=SECRET,
+            secret=secret,
             telemetry=self.telemetry,
         )
 
--- a/tests/test_store_restoration.py
+++ b/tests/test_store_restoration.py
@@ -8,16 +8,27 @@
 
 from lentilring.catalog.fleet import RETURN_S, FleetService
 from lentilring.catalog.service import REMOVAL_DELAY_S, CatalogService
+from lentilring.gateways.messages import Ping
+from lentilring.peers.tcp import TcpTransport
+from lentilring.peers.transport import PeerUnreachable
 from lentilring.platform.objects import ObjectClient
 from lentilring.platform.records import PlatformStore
 from lentilring.platform.store import Kind, StoreUnavailable, VersionConflict
+from lentilring.shared_secret import CHECK_INTERVAL_S, encode_secret, load_secret
 from lentilring.standin.prepared.servers import StandinServer
 from lentilring.standin.prepared.store import MAX_PAGE, PreparedStore, StoreCopy
 from lentilring.statements.model import Position
 from lentilring.takeover.authority import PromotionAuthority
 from lentilring.telemetry.metrics import Telemetry
 
-from .prepared import PreparedPlatform, build_manifest, run, run_prepared_platform, wait_until
+from .prepared import (
+    SECRET,
+    PreparedPlatform,
+    build_manifest,
+    run,
+    run_prepared_platform,
+    wait_until,
+)
 
 READERS = 3
 
@@ -255,6 +266,30 @@
     return [len(fleet.members()) for fleet in fleets]
 
 
+class SharedSecretTest(TestCase):
+    def test_proxy_that_started_with_another_secret_takes_the_one_of_the_fleet(self) -> None:
+        """Guards against a proxy whose calls all peers reject, as the store had lost the secret."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=2) as platform:
+                stored = PlatformStore(objects=build_client(platform.store))
+                older = platform.store.make_copy()
+                platform.store.put("lentilring-secret", "peers", encode_secret(SECRET))
+                platform.store.restore(older)
+                other = await load_secret(stored)
+                self.assertLess(SECRET, other)
+                late = await platform.add_proxy("vm-2", "fes-a", secret=other)
+                transport = late.kernel.find("transport", TcpTransport)
+                address = platform.proxies["vm-0"].settings.peer_address
+                with ExpectedException(PeerUnreachable):
+                    await transport.call(address, Ping(incarnation=1), timeout_s=1.0)
+                await asyncio.sleep(4 * CHECK_INTERVAL_S)
+                self.assertEqual(SECRET, await load_secret(stored))
+                await transport.call(address, Ping(incarnation=1), timeout_s=1.0)
+
+        run(scenario())
+
+
 class PromotionTokenTest(TestCase):
     def test_fencing_tokens_increase_across_a_restoration(self) -> None:
         """Guards against a token that two proxies use, or that is lower than one that was used."""
