End all evacuations that a series of restorations lost

Callers could see: refusals from servers of a failure domain for as long as a proxy runs, though its evacuation has ended. Cause: an evacuation that is missing after a restoration is held for 2.5 s until the operator repeats it; a second restoration in this time replaced the set of held ones by its own, so the first ones never ended. Found by reading; only followers of a reader are affected, a reader lists all records.

Change: the second set is added to the first. The new test (six proxies, two restorations within 2.5 s) fails without the change ('the condition does not hold within 5.0 s') and passes with it.

--- a/lentilring/catalog/service.py
+++ b/lentilring/catalog/service.py
@@ -374,7 +374,8 @@
         """End evacuations unless the operator, whose records a restoration lost, repeats them."""
         if not missing:
             return
-        self._unconfirmed_evacuations = missing
+        # An earlier restoration may have lost others, which the operator has not repeated yet.
+        self._unconfirmed_evacuations |= missing
         log.info("evacuations_missing", domains=",".join(sorted(missing)))
         if self._evacuation_timer is not None:
             self._evacuation_timer.cancel()
--- a/tests/test_store_restoration.py
+++ b/tests/test_store_restoration.py
@@ -124,6 +124,37 @@
 
         run(scenario())
 
+    def test_evacuations_lost_in_two_restorations_end(self) -> None:
+        """Guards against a domain that stays evacuated because a second restoration followed."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=6) as platform:
+                store = platform.store
+                catalogs = [proxy.catalog for proxy in platform.proxies.values()]
+                await asyncio.sleep(0.5)
+                older = store.make_copy()
+                store.put("evacuations", "fes-a", {})
+                await wait_until(lambda: all_evacuate(catalogs, frozenset({"fes-a"})), within_s=3)
+                store.restore(older)
+                store.put("config", "main", build_manifest(9))
+                await wait_until(lambda: all_noticed(catalogs, era=2), within_s=2.0)
+                older = store.make_copy()
+                store.put("evacuations", "mrk-a", {})
+                both = frozenset({"fes-a", "mrk-a"})
+                await wait_until(lambda: all_evacuate(catalogs, both), within_s=2.0)
+                store.restore(older)
+                store.put("config", "main", build_manifest(10))
+                await wait_until(lambda: all_noticed(catalogs, era=3), within_s=2.0)
+                await wait_until(
+                    lambda: all_evacuate(catalogs, frozenset()), within_s=2 * REMOVAL_DELAY_S
+                )
+
+        run(scenario())
+
+
+def all_noticed(catalogs: list[CatalogService], *, era: int) -> bool:
+    return all(catalog.store_era == era for catalog in catalogs)
+
 
 def all_evacuate(catalogs: list[CatalogService], domains: frozenset[str]) -> bool:
     return all(catalog.evacuated == domains for catalog in catalogs)
