Let the registration of an ended proxy be removed after a restoration

Callers could see: refusals below their rate, since a proxy that no longer exists keeps its share of the limits and its gateways. Cause: an entry of an earlier process that a restoration brought back is ignored, and its revision was ignored with it. A later removal was conditional on a revision of the earlier era, so it never took effect. Found by reading.

Change: the revision is noted before the entry is ignored. The new test fails without the change ('the condition does not hold within 3.0 s') and passes with it.

--- a/lentilring/catalog/fleet.py
+++ b/lentilring/catalog/fleet.py
@@ -199,6 +199,7 @@
 
     def _put(self, entry: ProxyEntry, revision: int, batch: Records) -> None:
         known = self._entries.get(entry.vm)
+        self._revisions[entry.vm] = revision
         if (
             batch.follows_restoration
             and known is not None
@@ -208,7 +209,6 @@
         timer = self._removal_timers.pop(entry.vm, None)
         if timer is not None:
             timer.cancel()
-        self._revisions[entry.vm] = revision
         self._entries[entry.vm] = entry
         if known is None or known.incarnation != entry.incarnation:
             self._suspects.discard(entry.vm)
--- a/tests/test_store_restoration.py
+++ b/tests/test_store_restoration.py
@@ -292,6 +292,36 @@
 
         run(scenario())
 
+    def test_entry_of_a_proxy_that_is_gone_can_be_removed_after_a_restoration(self) -> None:
+        """Guards against shares and gateways of a proxy that ended before it registered again."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as platform:
+                store = platform.store
+                fleet = platform.proxies["vm-0"].kernel.find("fleet", FleetService)
+                entry = {**store.read("lentilring-proxies", "vm-0"), "incarnation": 1}
+                store.put("lentilring-proxies", "vm-9", entry)
+                older = store.make_copy()
+                store.put("lentilring-proxies", "vm-9", {**entry, "incarnation": 2})
+                await wait_until(lambda: has_incarnation(fleet, "vm-9", 2), within_s=3.0)
+                store.restore(older)
+                store.put("config", "main", build_manifest(9))
+                catalog = platform.proxies["vm-0"].catalog
+                await wait_until(lambda: catalog.version == 9, within_s=3.0)
+                await asyncio.sleep(1.0)
+                gone = fleet.find("vm-9")
+                assert gone is not None
+                fleet.deregister(gone, silence_s=60.0)
+                await wait_until(lambda: fleet.find("vm-9") is None, within_s=3.0)
+                self.assertIsNone(store.read("lentilring-proxies", "vm-9"))
+
+        run(scenario())
+
+
+def has_incarnation(fleet: FleetService, vm: str, incarnation: int) -> bool:
+    entry = fleet.find(vm)
+    return entry is not None and entry.incarnation == incarnation
+
 
 def count_members(fleets: list[FleetService]) -> list[int]:
     return [len(fleet.members()) for fleet in fleets]
