Replace readers whose records are of an earlier era of the store

Callers would see: an old configuration and old servers at a proxy of this version that follows readers of an earlier version, as long as an upgrade lasts. Cause: those readers give plain revisions, which are all less than a revision with an era, so no change of theirs ever counted as new, while their confirmations did. Found by reading; no fleet of two versions was run.

Change: an answer of an earlier era is a failed reader (`earlier_era`): the follower turns to another one, at last to the store. The new test fails without the change (MismatchError: ['a'] != []) and passes with it.

--- a/lentilring/catalog/messages.py
+++ b/lentilring/catalog/messages.py
@@ -9,12 +9,13 @@
 
 @unique
 class WatchRefusal(StrEnum):
-    """Name the reasons why a reader does not answer a watch."""
+    """Name the reasons why a reader does not answer a watch, or its answer cannot be used."""
 
     NONE = ""
     NOT_A_READER = "not_a_reader"
     STORE_LOST = "store_lost"
     TOO_LARGE = "too_large"
+    EARLIER_ERA = "earlier_era"
 
 
 @message
--- a/lentilring/catalog/relay.py
+++ b/lentilring/catalog/relay.py
@@ -20,7 +20,7 @@
     Sender,
 )
 from ..platform.store import StoreUnavailable
-from ..revisions import format_revision
+from ..revisions import find_era, format_revision
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .history import RecordHistory
@@ -297,6 +297,10 @@
             raise ReaderFailed(detail="answer of another type")
         if answer.refusal is not WatchRefusal.NONE:
             raise ReaderFailed(detail=answer.refusal, refusal=answer.refusal)
+        if find_era(answer.revision) < find_era(after_revision):
+            # No change that this reader knows can be later than `after_revision`.
+            refusal = WatchRefusal.EARLIER_ERA
+            raise ReaderFailed(detail=refusal, refusal=refusal)
         # The answer was made after the request was sent, so this is the earliest possible moment.
         confirmed_at = sent_at + answer.waited_s - answer.age_s
         batch = Records(
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -16,6 +16,7 @@
 from lentilring.peers.transport import PeerAnswerLost, PeerUnreachable
 from lentilring.platform.documents import STORE_KINDS
 from lentilring.platform.store import StoreUnavailable
+from lentilring.revisions import combine_revision
 from lentilring.telemetry.metrics import Telemetry
 
 from .prepared import Proxy, build_manifest, run, run_prepared_platform, wait_until
@@ -285,6 +286,23 @@
 
         run_virtual(scenario())
 
+    def test_a_reader_in_an_earlier_era_of_the_store_is_replaced(self) -> None:
+        """Guards against changes that never come from readers of a version without eras."""
+
+        async def scenario() -> None:
+            scene = Scene()
+            after = combine_revision(1, 7)
+            for reader in scene.followed:
+                scene.answer(reader, 0.1, revision=8)
+            scene.source.batch = build_batch(
+                build_record("a", after + 1), revision=after + 1, confirmed_at=0.0
+            )
+            batch = await scene.watch(after_revision=after)
+            self.assertEqual(["a"], [entry.name for entry in batch.records])
+            self.assertEqual(after + 1, batch.revision)
+
+        run_virtual(scenario())
+
     def test_without_a_reader_the_store_is_read(self) -> None:
         async def scenario() -> None:
             scene = Scene()
