Keep the place of a registration that a restored store shows again

Callers could see: statements sent to a primary that crashed and was replaced, between the return of the store and the next registration of its successor. Cause: of several servers that register as primary, the newest registration wins, and every entry of the returned store had a revision of the later era, so the old primary's unchanged entry became the newest. The entry's denial, which holds for a revision, ended the same way. Found by reading.

Change: an entry of a later era that says the same as the known one keeps the known revision. The new test fails without the change ('i-rental-1' != 'i-rental-0') and passes with it.

--- a/lentilring/catalog/model.py
+++ b/lentilring/catalog/model.py
@@ -1,6 +1,6 @@
 """Routes, client accounts and backend servers as one immutable snapshot."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum, unique
 
 from ..configuration.accounts import ClientAccount
@@ -97,6 +97,15 @@
             self.sequence,
         ) < (known.started_ms, known.sequence)
 
+    def repeats(self, known: "ServerEntry") -> bool:
+        """Tell whether a store that returned from an older copy shows a known entry again."""
+        return find_era(self.revision) > find_era(known.revision) and known == replace(
+            self,
+            revision=known.revision,
+            sequence=known.sequence,
+            cold_remaining_s=known.cold_remaining_s,
+        )
+
 
 @dataclass(frozen=True, kw_only=True)
 class ServerTable:
--- a/lentilring/catalog/service.py
+++ b/lentilring/catalog/service.py
@@ -304,6 +304,9 @@
                 revision=format_revision(entry.revision),
             )
             return
+        if known is not None and entry.repeats(known):
+            # What the server claims is as old as before: a primary may have been replaced since.
+            entry = replace(entry, revision=known.revision)
         self._departed.pop(entry.id, None)
         if entry.is_draining:
             self._draining_since.setdefault(entry.id, self._clock.boottime())
--- a/tests/test_store_restoration.py
+++ b/tests/test_store_restoration.py
@@ -7,6 +7,7 @@
 from testtools import ExpectedException, TestCase
 
 from lentilring.catalog.fleet import RETURN_S, FleetService
+from lentilring.catalog.leadership import Leadership
 from lentilring.catalog.service import REMOVAL_DELAY_S, CatalogService
 from lentilring.gateways.messages import Ping
 from lentilring.peers.tcp import TcpTransport
@@ -226,6 +227,32 @@
 
         run(scenario())
 
+    def test_replaced_primary_that_never_registered_again_does_not_lead(self) -> None:
+        """Guards against statements to a dead primary until the new one is registered again."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as platform:
+                catalog = platform.proxies["vm-0"].catalog
+                new = platform.group.servers[1]
+                await asyncio.sleep(0.5)
+                older = platform.store.make_copy()
+                register(platform, new, sequence=5, **{"db-role": "primary"})
+                await wait_until(lambda: find_claimant(catalog) == new.id, within_s=3.0)
+                platform.store.restore(older)
+                platform.store.put("config", "main", build_manifest(9))
+                await wait_until(lambda: catalog.version == 9, within_s=3.0)
+                for _ in range(100):
+                    await asyncio.sleep(0.005)
+                    self.assertEqual(new.id, find_claimant(catalog))
+
+        run(scenario())
+
+
+def find_claimant(catalog: CatalogService) -> str:
+    """Return the primary by registrations alone, without proofs."""
+    primary = Leadership().find_primary("rental", catalog.servers)
+    return "" if primary is None else primary.id
+
 
 def register(
     platform: PreparedPlatform, server: StandinServer, *, state: str = "ready", **fields: Any
