Compare records of promotions by the store's era before their count

Callers could see: two takeovers of one service at a time. Cause: a proxy that knows a record of promotions with a higher count than the stored one takes the stored one for an older state. A proxy that never read the lost record counts on from the copy, so its open promotion had a lower count and was ignored by those that knew more; so was a record of an earlier version of the program, which does not count. Found by reading.

Change: a record holds the era in which it was written, which is compared first; a record without a count is taken as it is. Both new tests fail without the change ('vm-2' != 'vm-3', 'vm-2' != 'vm-1') and pass with it. test_takeover.py builds the authority in one function, because it has a new argument; its checks are unchanged.

--- a/lentilring/platform/objects.py
+++ b/lentilring/platform/objects.py
@@ -94,6 +94,11 @@
         self._era_ended = asyncio.Event()
         self.on_restored: Callable[[int], None] = _ignore_restoration
 
+    @property
+    def era(self) -> int:
+        """Return the newest era that the store named, 0 before its first answer."""
+        return self._era or 0
+
     async def list(self, kind: str, *, may_be_old: bool = False) -> ObjectList:
         """Return all objects of a kind; `may_be_old` allows data seconds old, at less cost."""
         objects: list[PlatformObject] = []
@@ -227,7 +232,7 @@
 
     def _find_era(self, answer: HttpAnswer) -> int:
         era = _read_era(answer)
-        return (self._era or 0) if era is None else era
+        return self.era if era is None else era
 
     def _note_era(self, era: int | None) -> None:
         """End all watches and log once when the store has returned from an older copy."""
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -173,7 +173,9 @@
         gateways=gateways,
         sampler=sampler,
         connector=PlatformServerConnector(),
-        authority=PromotionAuthority(store=PlatformStore(objects=objects), vm=settings.vm),
+        authority=PromotionAuthority(
+            store=PlatformStore(objects=objects), vm=settings.vm, find_era=lambda: objects.era
+        ),
         promotion=promotion,
         clock=clock,
         telemetry=telemetry,
--- a/lentilring/takeover/authority.py
+++ b/lentilring/takeover/authority.py
@@ -1,5 +1,6 @@
 """Authority to ask for promotions: fencing tokens from conditional writes to the store."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from enum import StrEnum, unique
 from typing import Protocol
@@ -38,8 +39,9 @@
 class PromotionIntent:
     """Hold the newest promotion that was recorded; an open one may still take effect.
 
-    `received` is the position that the server had received when it was chosen. `serial` counts the
-    writes; a smaller one in the store than was known means that the store lost some.
+    `received` is the position that the server had received when it was chosen. `era` is that of the
+    store at the write, `serial` counts the writes: if the known ones are greater than the stored
+    ones, the store lost a write.
     """
 
     version: int
@@ -47,21 +49,30 @@
     is_open: bool
     vm: str = ""
     received: Position = NO_COMMITS
+    era: int = 0
     serial: int = 0
 
+    def is_later_than(self, other: "PromotionIntent") -> bool:
+        """Tell whether this was written later; writes in a later era count as later."""
+        is_uncounted = other.version > 0 and other.serial == 0
+        if is_uncounted:
+            # Written by a version of this program that did not count.
+            return False
+        return (self.era, self.serial) > (other.era, other.serial)
+
 
 class PromotionAuthority:
     """Claim promotions with fencing tokens that increase with each claim of a service."""
 
-    def __init__(self, *, store: Store, vm: str) -> None:
-        self._store, self._vm = store, vm
+    def __init__(self, *, store: Store, vm: str, find_era: Callable[[], int]) -> None:
+        self._store, self._vm, self._find_era = store, vm, find_era
         self._known: dict[str, PromotionIntent] = {}
 
     async def read(self, service: str) -> PromotionIntent:
         """Return the newest intent, also if the store has lost it; raise StoreUnavailable."""
         stored = await self._read_stored(service)
         known = self._known.get(service)
-        if known is not None and known.serial > stored.serial:
+        if known is not None and known.is_later_than(stored):
             return replace(known, version=stored.version)
         self._known[service] = stored
         return stored
@@ -73,7 +84,7 @@
         """
         for service, known in list(self._known.items()):
             stored = await self._read_stored(service)
-            if known.vm != self._vm or known.serial <= stored.serial:
+            if known.vm != self._vm or not known.is_later_than(stored):
                 continue
             lost = replace(known, version=stored.version, serial=known.serial - 1)
             written = await self._write(
@@ -93,7 +104,8 @@
             is_open=bool(value.get("open")),
             vm=str(value.get("vm", "")),
             received=_read_position(value),
-            serial=_read_serial(value),
+            era=_read_count(value, "era"),
+            serial=_read_count(value, "serial"),
         )
 
     async def claim(
@@ -126,6 +138,7 @@
         is_open: bool,
     ) -> PromotionIntent | None:
         # The previous version makes each value differ from the last, so that its own version rises.
+        era = self._find_era()
         value: dict[str, JsonValue] = {
             "vm": self._vm,
             "server": server,
@@ -133,6 +146,7 @@
             "term": received.term,
             "number": received.number,
             "after": previous.version,
+            "era": era,
             "serial": previous.serial + 1,
         }
         try:
@@ -147,15 +161,16 @@
             is_open=is_open,
             vm=self._vm,
             received=received,
+            era=era,
             serial=previous.serial + 1,
         )
         self._known[service] = intent
         return intent
 
 
-def _read_serial(value: dict[str, JsonValue]) -> int:
-    serial = value.get("serial")
-    return serial if isinstance(serial, int) else 0
+def _read_count(value: dict[str, JsonValue], name: str) -> int:
+    count = value.get(name)
+    return count if isinstance(count, int) else 0
 
 
 def _read_position(value: dict[str, JsonValue]) -> Position:
--- a/tests/test_store_restoration.py
+++ b/tests/test_store_restoration.py
@@ -426,6 +426,44 @@
 
         run(scenario())
 
+    def test_claim_after_a_restoration_counts_more_than_a_lost_record(self) -> None:
+        """Guards against a proxy that takes another's open promotion for an older state."""
+
+        async def scenario() -> None:
+            store = PreparedStore()
+            await store.start()
+            try:
+                first, second, gone = (build_authority(store, f"vm-{name}") for name in "123")
+                older = store.make_copy()
+                await claim(gone)
+                await claim(gone)
+                await first.read("rental")
+                store.restore(older)
+                self.assertEqual("vm-3", (await first.read("rental")).vm)
+                await claim(second)
+                self.assertEqual("vm-2", (await first.read("rental")).vm)
+            finally:
+                await store.stop()
+
+        run(scenario())
+
+    def test_record_of_a_version_that_does_not_count_is_not_taken_for_an_older_state(self) -> None:
+        """Guards against a promotion of a proxy of an earlier version that is ignored."""
+
+        async def scenario() -> None:
+            store = PreparedStore()
+            await store.start()
+            try:
+                authority = build_authority(store, "vm-1")
+                await claim(authority)
+                uncounted = {"vm": "vm-2", "server": "i-2", "open": True}
+                store.put("lentilring-promotion", "rental", uncounted)
+                self.assertEqual("vm-2", (await authority.read("rental")).vm)
+            finally:
+                await store.stop()
+
+        run(scenario())
+
     def test_no_takeover_begins_until_lost_records_are_written_again(self) -> None:
         """Guards against a takeover that does not know all replicas and promotions."""
 
@@ -511,7 +549,10 @@
 
 
 def build_authority(store: PreparedStore, vm: str) -> PromotionAuthority:
-    return PromotionAuthority(store=PlatformStore(objects=build_client(store)), vm=vm)
+    objects = build_client(store)
+    return PromotionAuthority(
+        store=PlatformStore(objects=objects), vm=vm, find_era=lambda: objects.era
+    )
 
 
 async def claim(authority: PromotionAuthority) -> int:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -325,14 +325,18 @@
         return self.objects[name]
 
 
+def build_authority(store: MemoryStore, vm: str) -> PromotionAuthority:
+    return PromotionAuthority(store=store, vm=vm, find_era=lambda: 1)  # type: ignore[arg-type]
+
+
 class AuthorityTest(TestCase):
     def test_tokens_rise_and_a_concurrent_claim_fails(self) -> None:
         """Guards against two proxies that promote with the same fencing token."""
 
         async def scenario() -> None:
             store, position = MemoryStore(), Position(term=1, number=9)
-            first = PromotionAuthority(store=store, vm="vm-a")  # type: ignore[arg-type]
-            second = PromotionAuthority(store=store, vm="vm-b")  # type: ignore[arg-type]
+            first = build_authority(store, "vm-a")
+            second = build_authority(store, "vm-b")
             seen_first, seen_second = await first.read("rental"), await second.read("rental")
             claimed = await first.claim("rental", "a", received=position, previous=seen_first)
             assert claimed is not None
@@ -371,7 +375,7 @@
             gateways=unused,
             sampler=unused,
             connector=unused,
-            authority=PromotionAuthority(store=store, vm="vm-b"),  # type: ignore[arg-type]
+            authority=build_authority(store, "vm-b"),
             promotion=unused,
             clock=clock,
             telemetry=Telemetry(),
@@ -396,7 +400,7 @@
 
         async def scenario() -> None:
             store = MemoryStore()
-            other = PromotionAuthority(store=store, vm="vm-a")  # type: ignore[arg-type]
+            other = build_authority(store, "vm-a")
 
             async def read_all(servers: object) -> dict[str, ReplicationStatus]:
                 seen = await other.read("rental")
@@ -414,7 +418,7 @@
 
         async def scenario() -> None:
             store = MemoryStore()
-            other = PromotionAuthority(store=store, vm="vm-a")  # type: ignore[arg-type]
+            other = build_authority(store, "vm-a")
             seen = await other.read("rental")
             control = SimpleNamespace(read_all=_read_nothing)
             self.assertTrue(await self.decide(store, control, SuspensibleClock()))
