Write lost promotions of proxies that ended again

Callers could see: an acknowledged commit that the promoted server lacks, since a takeover does not know of an open promotion or of the position that its successor needs. Cause: after a restoration each proxy wrote only its own record of a promotion again, so that of a proxy that had ended stayed lost. Found by reading.

Change: every proxy that knows a lost record writes it again; the writes are conditional, so one of them succeeds. A record is written from an intent in one place. The new test fails without the change (('vm-3', True) != ('', False)) and passes with it.

--- a/lentilring/takeover/authority.py
+++ b/lentilring/takeover/authority.py
@@ -78,18 +78,15 @@
         return stored
 
     async def write_again(self) -> None:
-        """Write the newest intents of this proxy again that the store has lost.
+        """Write the newest intents again that the store has lost; raise StoreUnavailable.
 
-        Raise StoreUnavailable.
+        Those of other proxies too, which may have ended.
         """
         for service, known in list(self._known.items()):
             stored = await self._read_stored(service)
-            if known.vm != self._vm or not known.is_later_than(stored):
+            if not known.is_later_than(stored):
                 continue
-            lost = replace(known, version=stored.version, serial=known.serial - 1)
-            written = await self._write(
-                service, known.server, known.received, previous=lost, is_open=known.is_open
-            )
+            written = await self._write(service, replace(known, version=stored.version))
             log.warning("promotion_written_again", service=service, written=written is not None)
 
     async def _read_stored(self, service: str) -> PromotionIntent:
@@ -115,7 +112,15 @@
 
         The version of the returned intent is the fencing token. Raise StoreUnavailable.
         """
-        return await self._write(service, server, received, previous=previous, is_open=True)
+        claimed = replace(
+            previous,
+            vm=self._vm,
+            server=server,
+            received=received,
+            is_open=True,
+            serial=previous.serial + 1,
+        )
+        return await self._write(service, claimed)
 
     async def mark_completed(self, service: str, *, previous: PromotionIntent) -> bool:
         """Record that a promotion cannot take effect any more; raise StoreUnavailable.
@@ -123,49 +128,32 @@
         False if another proxy recorded one meanwhile. If True, claims by takeovers that read the
         previous intent fail.
         """
-        written = await self._write(
-            service, previous.server, previous.received, previous=previous, is_open=False
-        )
-        return written is not None
-
-    async def _write(
-        self,
-        service: str,
-        server: str,
-        received: Position,
-        *,
-        previous: PromotionIntent,
-        is_open: bool,
-    ) -> PromotionIntent | None:
-        # The previous version makes each value differ from the last, so that its own version rises.
+        completed = replace(previous, vm=self._vm, is_open=False, serial=previous.serial + 1)
+        return await self._write(service, completed) is not None
+
+    async def _write(self, service: str, intent: PromotionIntent) -> PromotionIntent | None:
+        """Write an intent in place of the version that it names; None if that is not the newest."""
         era = self._find_era()
+        # The previous version makes each value differ from the last, so that its own version rises.
         value: dict[str, JsonValue] = {
-            "vm": self._vm,
-            "server": server,
-            "open": is_open,
-            "term": received.term,
-            "number": received.number,
-            "after": previous.version,
+            "vm": intent.vm,
+            "server": intent.server,
+            "open": intent.is_open,
+            "term": intent.received.term,
+            "number": intent.received.number,
+            "after": intent.version,
             "era": era,
-            "serial": previous.serial + 1,
+            "serial": intent.serial,
         }
         try:
-            written = await self._store.put(
-                Kind.PROMOTION, service, value, expected_version=previous.version
+            stored = await self._store.put(
+                Kind.PROMOTION, service, value, expected_version=intent.version
             )
         except VersionConflict:
             return None
-        intent = PromotionIntent(
-            version=written.version,
-            server=server,
-            is_open=is_open,
-            vm=self._vm,
-            received=received,
-            era=era,
-            serial=previous.serial + 1,
-        )
-        self._known[service] = intent
-        return intent
+        written = replace(intent, version=stored.version, era=era)
+        self._known[service] = written
+        return written
 
 
 def _read_count(value: dict[str, JsonValue], name: str) -> int:
--- a/tests/test_store_restoration.py
+++ b/tests/test_store_restoration.py
@@ -426,6 +426,27 @@
 
         run(scenario())
 
+    def test_lost_promotion_of_a_proxy_that_ended_is_written_again_by_another(self) -> None:
+        """Guards against a takeover that does not know of an open promotion that may still run."""
+
+        async def scenario() -> None:
+            store = PreparedStore()
+            await store.start()
+            try:
+                first, second, gone = (build_authority(store, f"vm-{name}") for name in "123")
+                older = store.make_copy()
+                await claim(gone)
+                await first.read("rental")
+                store.restore(older)
+                await first.write_again()
+                found = await second.read("rental")
+                self.assertEqual(("vm-3", True), (found.vm, found.is_open))
+                self.assertEqual(Position(term=1, number=2), found.received)
+            finally:
+                await store.stop()
+
+        run(scenario())
+
     def test_claim_after_a_restoration_counts_more_than_a_lost_record(self) -> None:
         """Guards against a proxy that takes another's open promotion for an older state."""
 
