Debit what limit pools gained before all proxies were known

Callers could see: a client account that gets more than its limit just after many proxies started. Cause: a pool owns the part of the registered proxies that it hears, and proxies that start together know only a few of each other for the first 0.4 s, so together their pools owned more than the whole limit. After a restoration, a proxy that starts knows too few in the same way until the others have registered again.

Change: when the number of registered proxies grows in the first 6 s of a process, its pools return the part that they gained too much; they may owe it. The new test fails without the change (210 not less than or equal to 152.0) and passes with it.

--- a/lentilring/limits/pools.py
+++ b/lentilring/limits/pools.py
@@ -20,6 +20,8 @@
 HEARD_S = 1.6
 # Restarting takes longer than this, in which nothing is admitted.
 START_S = 0.5
+# Proxies that start together, or that register again after the store lost them, are known by then.
+REGISTRATION_S = 6.0
 LEND_FRACTION = 0.5
 # Two windows of demand ahead, so that a pool does not borrow for each request.
 BORROW_AHEAD_S = 0.2
@@ -28,8 +30,12 @@
 
 @dataclass(kw_only=True)
 class _Pool:
+    """Hold an account's tokens; `gained` counts those since the start, for `registered` proxies."""
+
     tokens: float
     filled_at: float
+    gained: float
+    registered: int
 
 
 class RegionalPools:
@@ -40,6 +46,7 @@
         self._count_registered = count_registered
         self._heard: dict[str, float] = {}
         self._pools: dict[str, _Pool] = {}
+        self._started_at = clock.monotonic()
 
     def hear(self, vm: str) -> None:
         """Count a proxy's part for the next moments."""
@@ -88,10 +95,25 @@
         pool = self._pools.get(account.name)
         if pool is None:
             started = min(account.burst, account.rate_per_s * START_S) * part
-            pool = self._pools[account.name] = _Pool(tokens=started, filled_at=now)
+            pool = self._pools[account.name] = _Pool(
+                tokens=started, filled_at=now, gained=started, registered=self._count_registered()
+            )
+        self._return_excess(pool)
         capacity = max(1.0, account.burst * part)
         gained = (now - pool.filled_at) * account.rate_per_s * part
         # Borrowed tokens above the capacity stay, but nothing is added to them.
-        pool.tokens = max(min(pool.tokens, account.burst), min(pool.tokens + gained, capacity))
+        tokens = max(min(pool.tokens, account.burst), min(pool.tokens + gained, capacity))
+        pool.gained += max(0.0, tokens - pool.tokens)
+        pool.tokens = tokens
         pool.filled_at = now
         return pool
+
+    def _return_excess(self, pool: _Pool) -> None:
+        """Debit what a pool gained while few of the proxies were known; it may owe some."""
+        registered = self._count_registered()
+        is_settling = self._clock.monotonic() - self._started_at < REGISTRATION_S
+        if is_settling and registered > pool.registered:
+            excess = pool.gained * (1 - pool.registered / registered)
+            pool.tokens -= excess
+            pool.gained -= excess
+        pool.registered = registered
--- a/tests/test_regional_limits.py
+++ b/tests/test_regional_limits.py
@@ -118,8 +118,38 @@
         self.assertTrue(worst <= 60 * window_s + 30 + 9 + moved, (worst, changes))
 
 
+class FleetStartTest(TestCase):
+    def test_proxies_that_start_together_stay_within_the_operators_window(self) -> None:
+        """Guards against pools that each own the whole limit until all proxies have registered."""
+        clock, started_at = ManualClock(), ManualClock().now
+        counts = dict.fromkeys("abcde", 1)
+        pools = {
+            name: RegionalPools(
+                clock=clock, local_vm=name, count_registered=lambda name=name: counts[name]
+            )
+            for name in counts
+        }
+        account = fit_account(build_account(20.0, 20.0), WINDOW)
+        taken = 0
+        while clock.now < started_at + WINDOW.length_s:
+            clock.now += 0.01
+            if clock.now > started_at + 0.4:
+                counts.update(dict.fromkeys(counts, len(counts)))
+            taken += sum(pool.take(account, 1) for pool in pools.values())
+        self.assertLessEqual(taken, WINDOW.count_allowed(20.0, 20.0))
+
+    def test_proxy_that_starts_alone_admits_at_once(self) -> None:
+        """Guards against refusing the first requests after a restart."""
+        clock = ManualClock()
+        pools = build_pools(clock, "a", 1)
+        self.assertLess(0, pools.take(build_account(20.0, 20.0), 1))
+
+
+WINDOW = LimitWindow(length_s=5.0, overage=0.1, slack=20.0)
+
+
 class WindowTest(TestCase):
-    window = LimitWindow(length_s=5.0, overage=0.1, slack=20.0)
+    window = WINDOW
 
     @given(rate=st.floats(min_value=1, max_value=500), ratio=st.floats(min_value=0.5, max_value=2))
     def test_fitted_bucket_stays_within_the_operators_window(
