Give the soak's proxies fixed ports, as each has an address of its own

Cause: the kernel named one free port twice, for the sessions and the readiness of vm-3, so that it ended at its start ("address already in use", port 42797).

Change: ports below the kernel's range for outgoing connections, the same on the address of each VM.

--- a/lentilring/soak/deployment.py
+++ b/lentilring/soak/deployment.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 import signal
-import socket
 import subprocess
 import sys
 from dataclasses import dataclass, field
@@ -32,6 +31,8 @@
 PROMOTE_S = 0.3
 RESTART_S = 0.5
 GRACE_S = 3.0
+# Each VM has an address of its own; the kernel chooses ports of outgoing connections above these.
+SESSION_PORT, READINESS_PORT, PEER_PORT = 20_001, 20_002, 20_003
 # How long proxies may use a configuration that the store does not confirm.
 MAX_UNCONFIRMED_S = 5.0
 READY_WITHIN_S = 30.0
@@ -191,7 +192,6 @@
         domain, host = DOMAINS[index % len(DOMAINS)], self._build_host(index + 1)
         store_link = Relay(host=host)
         await store_link.start(self.store.address)
-        sessions, readiness, peers = (_find_free_port(host) for _ in range(3))
         boot_file = self.folder / f"vm-{index}.json"
         write_boot_file(
             boot_file,
@@ -200,9 +200,9 @@
                 ip=host,
                 failure_domain=domain,
                 regions=REGIONS,
-                session_port=sessions,
-                readiness_port=readiness,
-                peer_port=peers,
+                session_port=SESSION_PORT,
+                readiness_port=READINESS_PORT,
+                peer_port=PEER_PORT,
                 store_address=store_link.address,
                 promotion_address=self.store.address,
                 window=WINDOW,
@@ -214,8 +214,8 @@
             vm=f"vm-{index}",
             boot_file=boot_file,
             log=(self.folder / f"vm-{index}.log").open("wb"),
-            session_address=f"{host}:{sessions}",
-            readiness_address=f"{host}:{readiness}",
+            session_address=f"{host}:{SESSION_PORT}",
+            readiness_address=f"{host}:{READINESS_PORT}",
             store_link=store_link,
         )
         proxy.start()
@@ -234,19 +234,6 @@
     return deployment
 
 
-def _find_free_port(host: str) -> int:
-    """Return a port that is free for TCP and UDP."""
-    while True:
-        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind((host, 0))
-            port = int(tcp.getsockname()[1])
-            try:
-                udp.bind((host, port))
-            except OSError:
-                continue
-            return port
-
-
 async def _is_ready(address: str) -> bool:
     try:
         answer = await exchange(
