Reserve a block of ports for each test process

Cause of the KNOWN-RED entry (EADDRINUSE, port 15803): processes of two test runs whose ids are equal modulo 100 chose the same block of ports.

Change: a process holds the first port of its block bound until it ends, and takes the next block if that is taken.

--- a/tests/prepared.py
+++ b/tests/prepared.py
@@ -1,10 +1,12 @@
 """Stand-ins of the prepared platform and several proxies on loopback, in one process."""
 
 import asyncio
+import errno
 import os
 import socket
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
+from functools import cache
 from itertools import count
 from typing import Any
 
@@ -27,21 +29,20 @@
 PORT_BLOCKS = 100
 PORTS_PER_BLOCK = 200
 _ports = count()
+_reservations: list[socket.socket] = []
 
 
 def find_free_port() -> int:
     """Return a port that is free for TCP and UDP.
 
-    The ports are below the kernel's range for outgoing connections, in a block chosen by process id
-    so that concurrent test processes use different ones. A port that the kernel had just chosen as
-    free was taken before the proxy listened on it in about one of ten runs on a loaded machine.
+    The ports are below the kernel's range for outgoing connections, in a block that this process
+    has reserved. A port that the kernel had just chosen as free was taken before the proxy listened
+    on it in about one of ten runs on a loaded machine.
     """
+    first = _find_own_block()
     while True:
-        port = (
-            FIRST_PORT
-            + os.getpid() % PORT_BLOCKS * PORTS_PER_BLOCK
-            + next(_ports) % PORTS_PER_BLOCK
-        )
+        # The first port of the block is the reservation.
+        port = first + 1 + next(_ports) % (PORTS_PER_BLOCK - 1)
         with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
             try:
                 tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -52,6 +53,26 @@
             return port
 
 
+@cache
+def _find_own_block() -> int:
+    return reserve_block(os.getpid())
+
+
+def reserve_block(pid: int) -> int:
+    """Return the first port of a block that no other test process uses, until this one ends."""
+    for offset in range(PORT_BLOCKS):
+        first = FIRST_PORT + (pid + offset) % PORT_BLOCKS * PORTS_PER_BLOCK
+        reservation = socket.socket()
+        try:
+            reservation.bind(("127.0.0.1", first))
+        except OSError:
+            reservation.close()
+            continue
+        _reservations.append(reservation)
+        return first
+    raise OSError(errno.EADDRINUSE, "all blocks of ports are reserved")
+
+
 def build_route(name: str, kind: str, *, service: str = "rental", **others: Any) -> dict[str, Any]:
     return {
         "name": f"r-{name}",
