Order fault marks of the load tool's test by their beginning

Change: the check sorts the marks by when they began, then checks the same order, names and outputs.

--- a/tests/test_load_tool.py
+++ b/tests/test_load_tool.py
@@ -140,10 +140,12 @@
         outcomes = {r.outcome for r in writes}
         self.assertEqual({RequestOutcome.OUTCOME_UNKNOWN, RequestOutcome.COMPLETED}, outcomes)
         self.assertEqual(len(writes), 2 * len({r.idempotency_key for r in writes}))
-        self.assertEqual(["note", "bad"], [mark.name for mark in found.faults])
-        self.assertEqual("exit 0: done", found.faults[0].output)
-        self.assertGreater(found.faults[0].effective, found.faults[0].began)
-        self.assertTrue(found.faults[1].output.startswith("failed"))
+        # A mark is written when its action has ended.
+        note, bad = sorted(found.faults, key=lambda mark: mark.began)
+        self.assertEqual(["note", "bad"], [note.name, bad.name])
+        self.assertEqual("exit 0: done", note.output)
+        self.assertGreater(note.effective, note.began)
+        self.assertTrue(bad.output.startswith("failed"))
         draw_report(found, self.folder / "report.png")
         self.assertTrue((self.folder / "report.png").read_bytes().startswith(b"\x89PNG"))
 
