Ask replicas that register during a takeover before the promotion

Callers would see: an acknowledged commit is lost (LOST). Cause: a takeover asks the replicas that are registered when it begins. A replica that crashed and came back receives commits, and its acknowledgement is enough, before a proxy sees its registration; the check before the promotion asked the same replicas again.

Change: the check before the promotion fails if a replica has registered that was not asked; the takeover is tried again with it. The new test fails without the change (the commit is in `rolled_back`) and passes with it.

--- a/lentilring/takeover/service.py
+++ b/lentilring/takeover/service.py
@@ -152,8 +152,7 @@
             return
         if not self._catalog.knows_all_servers():
             return
-        entries = self._catalog.servers.by_service.get(service, ())
-        replicas = tuple(entry for entry in entries if primary is None or entry.id != primary.id)
+        replicas = self._find_replicas(service, primary)
         if not replicas:
             return
         takeover = _Takeover(service=service, reason=reason, old_primary=primary, replicas=replicas)
@@ -161,6 +160,10 @@
         self._takeovers[service] = task
         task.add_done_callback(lambda done: self._finish(service, done))
 
+    def _find_replicas(self, service: str, primary: ServerEntry | None) -> tuple[ServerEntry, ...]:
+        entries = self._catalog.servers.by_service.get(service, ())
+        return tuple(entry for entry in entries if primary is None or entry.id != primary.id)
+
     def _observe(self, service: str, primary: ServerEntry | None) -> PrimaryObservation:
         newest = self._gateways.get_history(service).find_newest()
         proof_age_s = None if newest is None else self._clock.boottime() - newest.taken_at
@@ -328,8 +331,12 @@
     ) -> bool:
         """Tell whether no replica has received anything since the choice.
 
-        Another supervisor that gave up may have let the replicas receive again.
+        Another supervisor that gave up may have let the replicas receive again. A replica that has
+        registered since may have the newest acknowledged commit.
         """
+        registered = self._find_replicas(takeover.service, takeover.old_primary)
+        if {entry.id for entry in registered} - {entry.id for entry in takeover.replicas}:
+            return False
         statuses = await control.read_all(takeover.replicas)
         return len(statuses) == len(takeover.replicas) and all(
             status.paused_below_term >= term and status.received <= choice.received
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -564,6 +564,27 @@
 
         run(scenario())
 
+    def test_replica_that_registers_during_a_takeover_is_asked_before_the_promotion(self) -> None:
+        """Guards against the loss of a commit that only a returned replica has acknowledged."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as platform:
+                primary, behind, returned = platform.group.servers
+                catalog = platform.proxies["vm-0"].catalog
+                platform.store.remove("servers", returned.id)
+                await wait_until(lambda: returned.id not in catalog.servers.entries, within_s=5.0)
+                behind.faults.receives_nothing = True
+                client = await platform.proxies["vm-0"].open("booking")
+                self.assertIn("COMPLETE", (await client.query("WRITE a 1"))[-2])
+                primary.faults.silent = True
+                await wait_until(lambda: behind.paused_term > 0, within_s=5.0)
+                platform.register(returned)
+                await wait_until(lambda: platform.group.term > 1, within_s=8.0)
+                self.assertEqual([], platform.group.rolled_back)
+                self.assertEqual(returned, platform.group.leader)
+
+        run(scenario())
+
     def test_silent_replica_prevents_a_promotion_until_it_answers(self) -> None:
         """Guards against a promotion while a replica that acknowledged a commit is silent."""
 
