Ask replicas that answer though their registrations lapsed

Callers would see: an acknowledged commit is lost (LOST). Cause: a replica that is back after a crash, or cut off from the store only, receives commits and acknowledges them while it is not registered; a takeover in this time asked the registered ones only.

Change: a takeover also asks the servers that were removed in the last minute and were not leaving. The new test fails without the change (the commit is in `rolled_back`) and passes with it.

--- a/lentilring/catalog/service.py
+++ b/lentilring/catalog/service.py
@@ -19,7 +19,7 @@
 
 # Registrations that lapsed during an outage of the store are back within 2 s of its return.
 REMOVAL_DELAY_S = 2.5
-# A copy of the store, and a server's entry in it, may be this old.
+# A server that was removed may come back within this time, itself or in an older copy of the store.
 DEPARTED_MEMORY_S = 60.0
 # The age of the configuration is known to this accuracy, on which the withdrawal of keys depends.
 MAX_MANIFEST_WAIT_S = 4.0
@@ -214,6 +214,17 @@
         self.store_era, self._restored_at = era, self._clock.boottime()
         self._notify_subscribers()
 
+    def list_departed(self, service: str) -> tuple[ServerEntry, ...]:
+        """Return servers of a service that were removed lately, but were not leaving."""
+        oldest = self._clock.boottime() - DEPARTED_MEMORY_S
+        return tuple(
+            departed.entry
+            for departed in self._departed.values()
+            if departed.entry.service == service
+            and not departed.entry.is_draining
+            and departed.removed_at >= oldest
+        )
+
     def missing_servers(self) -> frozenset[str]:
         """Return the servers whose registrations are missing, but may only have lapsed."""
         return frozenset(self._removal_timers)
--- a/lentilring/takeover/service.py
+++ b/lentilring/takeover/service.py
@@ -1,7 +1,7 @@
 """The service `takeover`: supervises primaries and replaces those that cannot go on."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import islice
 
 from ..catalog.fleet import FleetService
@@ -222,6 +222,7 @@
                 )
                 done = True
             else:
+                takeover = await self._add_unregistered(takeover, control)
                 done = await self._replace_primary(takeover, control, intent)
         except StoreUnavailable as error:
             log.warning("takeover_postponed", service=takeover.service, detail=error.detail)
@@ -238,6 +239,20 @@
             if paused_primary is not None:
                 self._gateways.resume_primary_work(paused_primary.id)
 
+    async def _add_unregistered(self, takeover: _Takeover, control: ReplicaControl) -> _Takeover:
+        """Add replicas whose registrations lapsed if they answer; they may have acknowledged."""
+        departed = self._catalog.list_departed(takeover.service)
+        statuses = await control.read_all(departed)
+        answering = tuple(
+            entry
+            for entry in departed
+            if entry.id in statuses and statuses[entry.id].role is ServerRole.REPLICA
+        )
+        if answering:
+            names = ",".join(entry.id for entry in answering)
+            log.info("unregistered_replicas", service=takeover.service, replicas=names)
+        return replace(takeover, replicas=takeover.replicas + answering)
+
     def _is_promoted_elsewhere(self, service: str, intent: PromotionIntent) -> bool:
         """Tell whether another proxy is probably promoting a server."""
         is_answering = self._fleet.find(intent.vm) is not None and not self._fleet.is_suspect(
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -585,6 +585,27 @@
 
         run(scenario())
 
+    def test_replica_whose_registration_lapsed_is_asked_if_it_answers(self) -> None:
+        """Guards against the loss of a commit that only an unregistered replica has."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as platform:
+                primary, behind, unregistered = platform.group.servers
+                catalog = platform.proxies["vm-0"].catalog
+                platform.store.remove("servers", unregistered.id)
+                await wait_until(
+                    lambda: unregistered.id not in catalog.servers.entries, within_s=5.0
+                )
+                behind.faults.receives_nothing = True
+                client = await platform.proxies["vm-0"].open("booking")
+                self.assertIn("COMPLETE", (await client.query("WRITE a 1"))[-2])
+                await primary.stop()
+                await wait_until(lambda: platform.group.term > 1, within_s=8.0)
+                self.assertEqual([], platform.group.rolled_back)
+                self.assertEqual(unregistered, platform.group.leader)
+
+        run(scenario())
+
     def test_silent_replica_prevents_a_promotion_until_it_answers(self) -> None:
         """Guards against a promotion while a replica that acknowledged a commit is silent."""
 
