Keep the pool of a leaving proxy until it ends

Callers could see: a client account that gets more than its limit around a planned stop. Cause: a proxy that leaves asked the next pool of its region at once, while the others asked its own pool until they had read that it leaves; without the store that lasts until it has ended. Both pools counted the same proxies.

Change: a leaving proxy that holds its region's pool goes on using it. The others leave it as they learn; the old rule of HEARD_S bounds what is counted twice. The new test (six proxies, store down, the three holders leave) fails without the change (211 not less than or equal to 120.0) and passes with it.

--- a/lentilring/limits/regional.py
+++ b/lentilring/limits/regional.py
@@ -76,6 +76,7 @@
         self._stocks: dict[str, _Stock] = {}
         self._dry_until: dict[str, float] = {}
         self._borrowing: dict[str, asyncio.Task[None]] = {}
+        self._is_holder = False
         self._started_at = math.inf
         self._task: asyncio.Task[None] | None = None
 
@@ -189,6 +190,18 @@
 
     def _find_pool(self, region: str) -> ProxyEntry | None:
         """Return the proxy that holds a region's pools."""
+        local = self._fleet.local
+        if region != local.region:
+            return self._choose_holder(region)
+        if local.is_leaving and self._is_holder:
+            # The others ask a leaving proxy until they learn that it leaves. A second pool would
+            # count the same proxies until then.
+            return local
+        holder = self._choose_holder(region)
+        self._is_holder = holder is None or holder.vm == local.vm
+        return holder
+
+    def _choose_holder(self, region: str) -> ProxyEntry | None:
         first = None
         for entry in self._fleet.rank(f"limits-{region}"):
             if entry.region != region:
--- a/tests/test_regional_limits.py
+++ b/tests/test_regional_limits.py
@@ -7,12 +7,14 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
+from lentilring.catalog.fleet import FleetService
 from lentilring.configuration.models import ClientAccount
 from lentilring.limits.allowance import LocalAllowance
 from lentilring.limits.pools import HEARD_S, RegionalPools
+from lentilring.limits.regional import RegionalLimiter
 from lentilring.limits.window import LimitWindow, fit_account
 
-from .prepared import build_manifest, run, run_prepared_platform
+from .prepared import PreparedPlatform, build_manifest, run, run_prepared_platform
 
 
 class ManualClock:
@@ -170,6 +172,27 @@
             self.assertTrue(fitted.rate_per_s * 5 >= rate * 5 + 0.9 * rate, rate)
 
 
+def find_account(prepared: PreparedPlatform, name: str) -> ClientAccount:
+    account = prepared.proxies["vm-0"].catalog.find_account(name)
+    assert account is not None
+    return account
+
+
+async def count_admissions(
+    limiters: list[RegionalLimiter], account: ClientAccount, *, duration_s: float
+) -> int:
+    """Ask all limiters as often as they allow it."""
+    admitted, loop = 0, asyncio.get_running_loop()
+    end = loop.time() + duration_s
+    while loop.time() < end:
+        answers = await asyncio.gather(
+            *(limiter.acquire(account, timeout_s=1.0) for limiter in limiters)
+        )
+        admitted += answers.count(None)
+        await asyncio.sleep(0.01)
+    return admitted
+
+
 class LimitedFleetTest(TestCase):
     def test_account_over_its_rate_is_refused_with_a_time_and_others_are_not(self) -> None:
         """Guards against limits that count at one proxy only, and against refusing others."""
@@ -192,6 +215,28 @@
 
         run(scenario())
 
+    def test_leaving_pool_does_not_count_twice_while_the_store_is_down(self) -> None:
+        """Guards against a second pool for a proxy that leaves before the others learn of it."""
+        manifest = build_manifest()
+        manifest["tenants"][0].update({"rate-per-s": 20, "burst": 20})
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=6, manifest=manifest) as prepared:
+                proxies = [proxy.kernel for proxy in prepared.proxies.values()]
+                limiters = [kernel.find("limits", RegionalLimiter) for kernel in proxies]
+                name = str(manifest["tenants"][0]["name"])
+                account = find_account(prepared, name)
+                await count_admissions(limiters, account, duration_s=3.0)
+                prepared.store.faults.down = True
+                await asyncio.sleep(0.1)
+                for kernel in proxies[:3]:
+                    kernel.find("fleet", FleetService).leave()
+                admitted = await count_admissions(limiters, account, duration_s=WINDOW.length_s)
+                # The settings of these proxies allow no tolerance.
+                self.assertLessEqual(admitted, 20 * WINDOW.length_s + 20)
+
+        run(scenario())
+
     def test_gone_proxy_is_taken_off_the_register(self) -> None:
         """Guards against a proxy that is gone and keeps its part of all limits for ever."""
         from lentilring.limits import regional
