Go on with background tasks after an unexpected error

Callers would see: a proxy that follows no changes any more and stops being ready when its configuration is too old, or a crashed primary that its supervisor does not replace, until the process is restarted. Cause: the loops of the session proxy's services were plain tasks; an error that they do not expect ended them without a line in the log.

Change: `start_task` logs and counts the error (`task_failed`, `task_failures`) and runs the loop again after 0.5 s. The prober and the shared secret get the telemetry for it.

--- a/lentilring/catalog/fleet.py
+++ b/lentilring/catalog/fleet.py
@@ -11,6 +11,7 @@
 from ..placement import Ranking
 from ..platform.store import StoreUnavailable
 from ..revisions import find_era
+from ..tasks import start_task
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .follower import Follower
@@ -75,8 +76,8 @@
     async def start(self) -> None:
         """Register and follow the registrations of others."""
         self._tasks = [
-            asyncio.ensure_future(self._register()),
-            asyncio.ensure_future(self._follower.run()),
+            start_task("register", self._register, telemetry=self._telemetry),
+            start_task("follow_proxies", self._follower.run, telemetry=self._telemetry),
         ]
 
     async def stop(self) -> None:
--- a/lentilring/catalog/service.py
+++ b/lentilring/catalog/service.py
@@ -10,6 +10,7 @@
 from ..kernel import Service
 from ..limits.window import LimitWindow, fit_account
 from ..revisions import find_era, format_revision
+from ..tasks import start_task
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .follower import WATCH_WAIT_S, Follower
@@ -59,6 +60,7 @@
         self.servers = ServerTable()
         self.evacuated: frozenset[str] = frozenset()
         self.leadership = Leadership()
+        self._telemetry = telemetry
         self._clock, self._max_age_s = clock, max_age_s
         self._limit_window = limit_window
         self._leaving_grace_s = leaving_grace_s
@@ -108,7 +110,10 @@
     async def start(self) -> None:
         """Begin to follow the records in the store."""
         followers = (self._manifests, self._registrations, self._evacuations)
-        self._tasks = [asyncio.ensure_future(entry.run()) for entry in followers]
+        self._tasks = [
+            start_task(f"follow_{entry.kind}", entry.run, telemetry=self._telemetry)
+            for entry in followers
+        ]
 
     async def stop(self) -> None:
         """Stop following the records."""
--- a/lentilring/gateways/probing.py
+++ b/lentilring/gateways/probing.py
@@ -1,6 +1,7 @@
 """Probes of peers that failed to answer a call, or take long to answer one."""
 
 import asyncio
+from functools import partial
 
 from ..catalog.fleet import FleetService
 from ..catalog.source import ProxyEntry
@@ -13,7 +14,9 @@
     PeerUnreachable,
     Sender,
 )
+from ..tasks import start_task
 from ..telemetry.log import Log
+from ..telemetry.metrics import Telemetry
 from .messages import Ping, Pong
 
 # Ten times the latency between regions. A peer answers a ping without a slot or a server.
@@ -29,8 +32,16 @@
 class PeerProber(Service):
     """Ping peers that seem unreachable, so that no caller's statement waits to find that out."""
 
-    def __init__(self, *, fleet: FleetService, transport: PeerTransport, clock: Clock) -> None:
+    def __init__(
+        self,
+        *,
+        fleet: FleetService,
+        transport: PeerTransport,
+        clock: Clock,
+        telemetry: Telemetry,
+    ) -> None:
         self._fleet, self._transport, self._clock = fleet, transport, clock
+        self._telemetry = telemetry
         self._probes: dict[str, asyncio.Task[None]] = {}
         fleet.on_suspected = self._start_probe
 
@@ -64,7 +75,8 @@
 
     def _start_probe(self, peer: ProxyEntry) -> None:
         if peer.vm not in self._probes:
-            task = asyncio.ensure_future(self._probe_until_answer(peer))
+            probe = partial(self._probe_until_answer, peer)
+            task = start_task("probe", probe, telemetry=self._telemetry)
             self._probes[peer.vm] = task
             task.add_done_callback(lambda _: self._probes.pop(peer.vm, None))
 
--- a/lentilring/gateways/sampling.py
+++ b/lentilring/gateways/sampling.py
@@ -6,6 +6,7 @@
 from ..clock import SuspensionClock
 from ..kernel import Service
 from ..statements.model import Position
+from ..tasks import start_task
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .dispatch import StatementDispatcher
@@ -48,7 +49,7 @@
 
     async def start(self) -> None:
         """Begin to sample."""
-        self._task = asyncio.ensure_future(self._run())
+        self._task = start_task("sample", self._run, telemetry=self._telemetry)
 
     async def stop(self) -> None:
         """End sampling."""
--- a/lentilring/gateways/service.py
+++ b/lentilring/gateways/service.py
@@ -12,6 +12,7 @@
 from ..kernel import Service
 from ..peers.transport import PeerTransport, Sender
 from ..statements.model import Done, Failed, Failure, Position
+from ..tasks import start_task
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .attempt import RunResult
@@ -77,7 +78,7 @@
         self._transport.handle(EndTransaction, self._handle_end)
         self._transport.handle(AskPosition, self._handle_ask)
         self._transport.handle_datagram(LeadNotice, self._handle_lead_notice)
-        self._trim_task = asyncio.ensure_future(self._trim_pools())
+        self._trim_task = start_task("trim_pools", self._trim_pools, telemetry=self._telemetry)
 
     async def stop(self) -> None:
         """Close all connections to backend servers."""
--- a/lentilring/limits/regional.py
+++ b/lentilring/limits/regional.py
@@ -19,6 +19,7 @@
     PeerUnreachable,
     Sender,
 )
+from ..tasks import start_task
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .allowance import LocalAllowance
@@ -86,7 +87,7 @@
         self._transport.handle(LendTokens, self._handle_lend)
         self._transport.handle_datagram(ProxyPresence, self._handle_presence)
         self._started_at = self._clock.monotonic()
-        self._task = asyncio.ensure_future(self._run())
+        self._task = start_task("report_presence", self._run, telemetry=self._telemetry)
 
     async def stop(self) -> None:
         """End reporting."""
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -157,9 +157,10 @@
         clock=clock,
         find_era=lambda: catalog.store_era,
         use=lambda value: transport.replace_secret(value.encode()),
+        telemetry=telemetry,
     )
     transport.on_other_secret(shared_secret.doubt)
-    prober = PeerProber(fleet=fleet, transport=transport, clock=clock)
+    prober = PeerProber(fleet=fleet, transport=transport, clock=clock, telemetry=telemetry)
     dispatcher = StatementDispatcher(
         fleet=fleet, gateways=gateways, prober=prober, clock=clock, telemetry=telemetry
     )
--- a/lentilring/shared_secret.py
+++ b/lentilring/shared_secret.py
@@ -10,7 +10,9 @@
 from .kernel import Service
 from .outcomes import JsonValue
 from .platform.store import Kind, Store, StoredObject, StoreUnavailable, VersionConflict
+from .tasks import start_task
 from .telemetry.log import Log
+from .telemetry.metrics import Telemetry
 
 SECRET_NAME = "peers"
 SECRET_BYTES = 32
@@ -44,9 +46,10 @@
         clock: Clock,
         find_era: Callable[[], int],
         use: Callable[[str], None],
+        telemetry: Telemetry,
     ) -> None:
         self._secret, self._store, self._clock = secret, store, clock
-        self._find_era, self._use = find_era, use
+        self._find_era, self._use, self._telemetry = find_era, use, telemetry
         self._checked_era = 0
         self._is_doubted = False
         self._task: asyncio.Task[None] | None = None
@@ -54,7 +57,7 @@
     async def start(self) -> None:
         """Begin to check the secret when there is a reason."""
         self._checked_era = self._find_era()
-        self._task = asyncio.ensure_future(self._run())
+        self._task = start_task("check_secret", self._run, telemetry=self._telemetry)
 
     async def stop(self) -> None:
         """End the checks."""
--- a/lentilring/takeover/service.py
+++ b/lentilring/takeover/service.py
@@ -15,6 +15,7 @@
 from ..gateways.service import GatewayService
 from ..kernel import Service
 from ..platform.store import StoreUnavailable
+from ..tasks import start_task
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .authority import PromotionAuthority, PromotionIntent, PromotionResult, PromotionService
@@ -88,7 +89,7 @@
     async def start(self) -> None:
         """Begin to supervise."""
         self._catalog.subscribe(self._check_era)
-        self._task = asyncio.ensure_future(self._run())
+        self._task = start_task("supervise", self._run, telemetry=self._telemetry)
 
     async def stop(self) -> None:
         """End supervision; a takeover that runs is left to the next supervisor."""
