Read the store's answers also when an entry of a list is no object

Callers would see: a proxy that follows the store no more, once an answer to a watch holds an event that is not an object. Cause: the client took the entries of a list as objects without a check. Found by the new test, which gives the client answers of any content (hypothesis): AttributeError: 'NoneType' object has no attribute 'get' for {'events': [None]}.

Change: other entries are left out. The answer's class has a public name, as the test builds one.

--- a/lentilring/platform/objects.py
+++ b/lentilring/platform/objects.py
@@ -59,7 +59,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class _Answer:
+class StoreAnswer:
     """Hold an answer's status, decoded body and the store's era."""
 
     status: int
@@ -111,7 +111,7 @@
             if answer.status != HTTPStatus.OK:
                 raise StoreUnavailable(operation=f"list {kind}", detail=f"status {answer.status}")
             page = [
-                decode_object(entry, era=answer.era) for entry in _get_list(answer.body, "items")
+                decode_object(entry, era=answer.era) for entry in _get_entries(answer.body, "items")
             ]
             if objects:
                 _check_same_era(f"list {kind}", objects[0].revision, answer.read_revision())
@@ -134,7 +134,7 @@
         if answer.status != HTTPStatus.OK:
             raise StoreUnavailable(operation=f"watch {kind}", detail=f"status {answer.status}")
         changed = []
-        for event in _get_list(answer.body, "events"):
+        for event in _get_entries(answer.body, "events"):
             entry = decode_object(
                 event.get("object"), era=answer.era, is_deleted=bool(event.get("deleted"))
             )
@@ -144,7 +144,7 @@
             objects=tuple(changed), revision=max(after_revision, answer.read_revision())
         )
 
-    async def _watch_in_era(self, path: str, *, timeout_s: float) -> _Answer:
+    async def _watch_in_era(self, path: str, *, timeout_s: float) -> StoreAnswer:
         """Return the answer to a watch; raise HistoryLost once the store has a later era."""
         call = asyncio.ensure_future(self._call("GET", path, timeout_s=timeout_s))
         era_end = asyncio.ensure_future(self._era_ended.wait())
@@ -208,7 +208,7 @@
 
     async def _call(
         self, method: str, path: str, body: Any = None, *, timeout_s: float = CALL_TIMEOUT_S
-    ) -> _Answer:
+    ) -> StoreAnswer:
         self._telemetry.count("store_calls", method=method)
         data = None if body is None else msgspec.json.encode(body)
         try:
@@ -228,7 +228,9 @@
         unavailable = status >= 500 or status == HTTPStatus.TOO_MANY_REQUESTS
         self._set_reachable(not unavailable, method, path, f"status {status}")
         self._note_era(_read_era(answer))
-        return _Answer(status=status, body=_decode_body(answer.content), era=self._find_era(answer))
+        return StoreAnswer(
+            status=status, body=_decode_body(answer.content), era=self._find_era(answer)
+        )
 
     def _find_era(self, answer: HttpAnswer) -> int:
         era = _read_era(answer)
@@ -299,6 +301,7 @@
     return decoded if isinstance(decoded, dict) else {}
 
 
-def _get_list(body: dict[str, Any], name: str) -> list[Any]:
+def _get_entries(body: dict[str, Any], name: str) -> list[dict[str, Any]]:
     value = body.get(name)
-    return value if isinstance(value, list) else []
+    entries = value if isinstance(value, list) else []
+    return [entry for entry in entries if isinstance(entry, dict)]
