Answer statements that were read before a planned stop closes their connection

Callers would see: no answer to a statement that they had sent before the answer to the one before it, when a planned stop falls between the two. Cause: after the first answer the connection was closed without a look at what had been read.

Change: a connection is closed between statements only when nothing has arrived. The new test sends two statements at once and begins to stop; it fails without the change (no second answer) and passes with it.

--- a/lentilring/sessions/listener.py
+++ b/lentilring/sessions/listener.py
@@ -169,9 +169,13 @@
             self._is_reading
             and session is not None
             and session.state is TransactionState.IDLE
-            and not self._reader._buffer  # type: ignore[attr-defined]
+            and not self._has_unread_data
         )
 
+    @property
+    def _has_unread_data(self) -> bool:
+        return bool(self._reader._buffer)  # type: ignore[attr-defined]
+
     def close(self) -> None:
         """Close the connection."""
         self._writer.close()
@@ -181,7 +185,7 @@
         try:
             await self._open_session()
             while self._session is not None and not self._writer.is_closing():
-                if self.closes_after_answer and self.is_outside_transaction:
+                if self.closes_after_answer and self._is_between_statements:
                     return
                 if not await self._serve_message(self._session):
                     return
@@ -196,9 +200,13 @@
             self._writer.close()
 
     @property
-    def is_outside_transaction(self) -> bool:
-        """Tell whether the session is open and outside of a transaction."""
-        return self._session is not None and self._session.state is TransactionState.IDLE
+    def _is_between_statements(self) -> bool:
+        """Tell whether no transaction is open and no further statement has arrived."""
+        return (
+            self._session is not None
+            and self._session.state is TransactionState.IDLE
+            and not self._has_unread_data
+        )
 
     async def _open_session(self) -> None:
         async with asyncio.timeout(OPEN_TIMEOUT_S):
--- a/tests/test_prepared_sessions.py
+++ b/tests/test_prepared_sessions.py
@@ -4,6 +4,8 @@
 
 from testtools import TestCase
 
+from lentilring.sessions.listener import SessionListener
+
 from .prepared import build_manifest, run, run_prepared_platform, wait_until
 
 
@@ -222,6 +224,20 @@
 
         run(scenario())
 
+    def test_statements_that_were_read_before_a_planned_stop_are_answered(self) -> None:
+        """Guards against a stop that closes a connection with a statement in its buffer."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as prepared:
+                proxy = prepared.proxies["vm-0"]
+                client = await proxy.open("stock")
+                client.send("QUERY a1 READ tent\r\nQUERY a2 READ tent")
+                proxy.kernel.find("sessions", SessionListener).close_after_answers()
+                for _ in range(2):
+                    self.assertIn("COMPLETE", (await client.read_answer())[-2])
+
+        run(scenario())
+
     def test_bad_input_harms_only_its_own_connection(self) -> None:
         """Guards against a proxy that stops or hangs on messages that break the protocol."""
 
