Show that a planned stop under load cuts no transaction of a session proxy

It cannot happen: connections are closed between transactions only. Without that check in SessionConnection.is_idle the new test fails ('BEGIN' != 'COMMIT').

--- a/tests/test_prepared_sessions.py
+++ b/tests/test_prepared_sessions.py
@@ -6,7 +6,20 @@
 
 from lentilring.sessions.listener import SessionListener
 
-from .prepared import build_manifest, run, run_prepared_platform, wait_until
+from .prepared import SessionClient, build_manifest, run, run_prepared_platform, wait_until
+
+
+async def use_until_closed(client: SessionClient) -> str:
+    """Run transactions until the connection is closed; return the statement that got no answer."""
+    while True:
+        for text in ("BEGIN", "WRITE a 1", "COMMIT"):
+            try:
+                answer = await client.query(text)
+            except OSError:
+                return text
+            if not answer[-1]:
+                return text
+            await asyncio.sleep(0.05)
 
 
 class SessionTest(TestCase):
@@ -238,6 +251,22 @@
 
         run(scenario())
 
+    def test_planned_stop_under_load_cuts_no_transaction(self) -> None:
+        """Guards against a stop that cuts transactions on connections that callers still use."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=2) as prepared:
+                proxy = prepared.proxies["vm-0"]
+                clients = [await proxy.open("booking") for _ in range(12)]
+                loads = [asyncio.ensure_future(use_until_closed(client)) for client in clients]
+                await asyncio.sleep(0.5)
+                await proxy.readiness.drain_sessions(timeout_s=6.0)
+                for load in loads:
+                    # Nothing has run of a transaction whose first statement meets the close.
+                    self.assertEqual("BEGIN", await asyncio.wait_for(load, 1.0))
+
+        run(scenario())
+
     def test_bad_input_harms_only_its_own_connection(self) -> None:
         """Guards against a proxy that stops or hangs on messages that break the protocol."""
 
