--- a/tests/test_store_restoration.py
+++ b/tests/test_store_restoration.py
@@ -1,6 +1,8 @@
 """A store that comes back from an older copy: its revisions go back and are used again."""
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from typing import Any
 
 from aiohttp import web
@@ -383,9 +385,7 @@
         """Guards against a token that two proxies use, or that is lower than one that was used."""
 
         async def scenario() -> None:
-            store = PreparedStore()
-            await store.start()
-            try:
+            async with run_store(PreparedStore()) as store:
                 first, second = build_authority(store, "vm-1"), build_authority(store, "vm-2")
                 older = store.make_copy()
                 for _ in range(3):
@@ -394,8 +394,6 @@
                 store.restore(older)
                 after = await claim(second)
                 self.assertGreater(after, before)
-            finally:
-                await store.stop()
 
         run(scenario())
 
@@ -405,9 +403,7 @@
         """Guards against a second takeover that does not know of the first one's open promotion."""
 
         async def scenario() -> None:
-            store = PreparedStore()
-            await store.start()
-            try:
+            async with run_store(PreparedStore()) as store:
                 first, second = build_authority(store, "vm-1"), build_authority(store, "vm-2")
                 older = store.make_copy()
                 await claim(first)
@@ -421,8 +417,6 @@
                 await claim(second)
                 await first.write_again()
                 self.assertEqual("vm-2", (await first.read("rental")).vm)
-            finally:
-                await store.stop()
 
         run(scenario())
 
@@ -430,9 +424,7 @@
         """Guards against a takeover that does not know of an open promotion that may still run."""
 
         async def scenario() -> None:
-            store = PreparedStore()
-            await store.start()
-            try:
+            async with run_store(PreparedStore()) as store:
                 first, second, gone = (build_authority(store, f"vm-{name}") for name in "123")
                 older = store.make_copy()
                 await claim(gone)
@@ -442,8 +434,6 @@
                 found = await second.read("rental")
                 self.assertEqual(("vm-3", True), (found.vm, found.is_open))
                 self.assertEqual(Position(term=1, number=2), found.received)
-            finally:
-                await store.stop()
 
         run(scenario())
 
@@ -451,9 +441,7 @@
         """Guards against a proxy that takes another's open promotion for an older state."""
 
         async def scenario() -> None:
-            store = PreparedStore()
-            await store.start()
-            try:
+            async with run_store(PreparedStore()) as store:
                 first, second, gone = (build_authority(store, f"vm-{name}") for name in "123")
                 older = store.make_copy()
                 await claim(gone)
@@ -463,8 +451,6 @@
                 self.assertEqual("vm-3", (await first.read("rental")).vm)
                 await claim(second)
                 self.assertEqual("vm-2", (await first.read("rental")).vm)
-            finally:
-                await store.stop()
 
         run(scenario())
 
@@ -472,16 +458,12 @@
         """Guards against a promotion of a proxy of an earlier version that is ignored."""
 
         async def scenario() -> None:
-            store = PreparedStore()
-            await store.start()
-            try:
+            async with run_store(PreparedStore()) as store:
                 authority = build_authority(store, "vm-1")
                 await claim(authority)
                 uncounted = {"vm": "vm-2", "server": "i-2", "open": True}
                 store.put("lentilring-promotion", "rental", uncounted)
                 self.assertEqual("vm-2", (await authority.read("rental")).vm)
-            finally:
-                await store.stop()
 
         run(scenario())
 
@@ -515,9 +497,7 @@
         """Guards against overwriting a record whose revision happens to be a reused one."""
 
         async def scenario() -> None:
-            store = PreparedStore()
-            await store.start()
-            try:
+            async with run_store(PreparedStore()) as store:
                 stored = PlatformStore(objects=build_client(store))
                 older = store.make_copy()
                 first = await stored.put(Kind.PROMOTION, "a", {"by": "me"}, expected_version=0)
@@ -529,8 +509,6 @@
                         await stored.put(
                             Kind.PROMOTION, "a", {"by": "me"}, expected_version=first.version
                         )
-            finally:
-                await store.stop()
 
         run(scenario())
 
@@ -538,15 +516,11 @@
         """Guards against a list that mixes records from before and after a restoration."""
 
         async def scenario() -> None:
-            store = _RestoredBetweenPages()
-            await store.start()
-            try:
+            async with run_store(_RestoredBetweenPages()) as store:
                 client = build_client(store)
                 with ExpectedException(StoreUnavailable):
                     await client.list("other")
                 self.assertEqual(MAX_PAGE + 1, len((await client.list("other")).objects))
-            finally:
-                await store.stop()
 
         run(scenario())
 
@@ -565,6 +539,15 @@
         return await super()._read(request, kind, name)
 
 
+@asynccontextmanager
+async def run_store(store: PreparedStore) -> AsyncIterator[PreparedStore]:
+    await store.start()
+    try:
+        yield store
+    finally:
+        await store.stop()
+
+
 def build_client(store: PreparedStore) -> ObjectClient:
     return ObjectClient(address=store.address, telemetry=Telemetry())
 
