--- a/lentilring/catalog/service.py
+++ b/lentilring/catalog/service.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from random import Random
 
 from ..clock import SuspensionClock
@@ -13,6 +13,7 @@
 from ..tasks import start_task
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
+from .departures import DepartedServers
 from .follower import WATCH_WAIT_S, Follower
 from .leadership import Leadership
 from .model import DatabaseRoute, Manifest, ServerEntry, ServerTable
@@ -20,8 +21,6 @@
 
 # Registrations that lapsed during an outage of the store are back within 2 s of its return.
 REMOVAL_DELAY_S = 2.5
-# A server that was removed may come back within this time, itself or in an older copy of the store.
-DEPARTED_MEMORY_S = 60.0
 # The age of the configuration is known to this accuracy, on which the withdrawal of keys depends.
 MAX_MANIFEST_WAIT_S = 4.0
 # A proxy whose configuration was not confirmed for this fraction of its greatest age accepts no new
@@ -33,14 +32,6 @@
 log = Log(source="catalog")
 
 
-@dataclass(frozen=True, kw_only=True)
-class _DepartedServer:
-    """Hold the last entry of a server that was removed."""
-
-    entry: ServerEntry
-    removed_at: float
-
-
 class CatalogService(Service):
     """Hold what is configured and registered; the configuration's version never decreases."""
 
@@ -71,7 +62,7 @@
         self._evacuated_since: dict[str, float] = {}
         self._unconfirmed_evacuations: frozenset[str] = frozenset()
         self._evacuation_timer: asyncio.TimerHandle | None = None
-        self._departed: dict[str, _DepartedServer] = {}
+        self._departed = DepartedServers(clock=clock)
         self._removal_timers: dict[str, asyncio.TimerHandle] = {}
         self._waiters: list[asyncio.Future[None]] = []
         self._callbacks: list[Callable[[], None]] = []
@@ -219,16 +210,9 @@
         self.store_era, self._restored_at = era, self._clock.boottime()
         self._notify_subscribers()
 
-    def list_departed(self, service: str) -> tuple[ServerEntry, ...]:
+    def list_lapsed_servers(self, service: str) -> tuple[ServerEntry, ...]:
         """Return servers of a service that were removed lately, but were not leaving."""
-        oldest = self._clock.boottime() - DEPARTED_MEMORY_S
-        return tuple(
-            departed.entry
-            for departed in self._departed.values()
-            if departed.entry.service == service
-            and not departed.entry.is_draining
-            and departed.removed_at >= oldest
-        )
+        return self._departed.list_lapsed(service)
 
     def missing_servers(self) -> frozenset[str]:
         """Return the servers whose registrations are missing, but may only have lapsed."""
@@ -308,7 +292,7 @@
         timer = self._removal_timers.pop(entry.id, None)
         if timer is not None:
             timer.cancel()
-        known = self._find_known(entry.id)
+        known = self.servers.entries.get(entry.id) or self._departed.find(entry.id)
         if known is not None and entry.is_set_back_from(known):
             log.info(
                 "server_entry_ignored",
@@ -323,7 +307,7 @@
         if known is not None and entry.repeats(known):
             # What the server claims is as old as before: a primary may have been replaced since.
             entry = replace(entry, revision=known.revision)
-        self._departed.pop(entry.id, None)
+        self._departed.discard(entry.id)
         if entry.is_draining:
             self._draining_since.setdefault(entry.id, self._clock.boottime())
         else:
@@ -340,11 +324,6 @@
             revision=format_revision(entry.revision),
         )
 
-    def _find_known(self, server: str) -> ServerEntry | None:
-        """Return the newest entry of a server, also for a while after it was removed."""
-        departed = self._departed.get(server)
-        return self.servers.entries.get(server) or (None if departed is None else departed.entry)
-
     def _schedule_removal(self, server: str) -> None:
         """Remove a server; later if it was not draining, as its registration may have lapsed."""
         if self.servers.entries[server].is_draining:
@@ -358,20 +337,11 @@
         self._removal_timers.pop(server, None)
         self._draining_since.pop(server, None)
         if server in self.servers.entries:
-            self._remember_departed(self.servers.entries[server])
+            self._departed.add(self.servers.entries[server])
             self.servers = self.servers.remove(server)
             log.info("server_removed", server=server)
             self._notify_subscribers()
 
-    def _remember_departed(self, entry: ServerEntry) -> None:
-        now = self._clock.boottime()
-        self._departed = {
-            name: departed
-            for name, departed in self._departed.items()
-            if now - departed.removed_at < DEPARTED_MEMORY_S
-        }
-        self._departed[entry.id] = _DepartedServer(entry=entry, removed_at=now)
-
     def _replace_evacuations(self, batch: Records) -> None:
         listed = frozenset(entry.name for entry in batch.records if _is_evacuation(entry))
         self._unconfirmed_evacuations -= listed
--- a/lentilring/takeover/service.py
+++ b/lentilring/takeover/service.py
@@ -242,11 +242,11 @@
 
     async def _add_unregistered(self, takeover: _Takeover, control: ReplicaControl) -> _Takeover:
         """Add replicas whose registrations lapsed if they answer; they may have acknowledged."""
-        departed = self._catalog.list_departed(takeover.service)
-        statuses = await control.read_all(departed)
+        lapsed = self._catalog.list_lapsed_servers(takeover.service)
+        statuses = await control.read_all(lapsed)
         answering = tuple(
             entry
-            for entry in departed
+            for entry in lapsed
             if entry.id in statuses and statuses[entry.id].role is ServerRole.REPLICA
         )
         if answering:
