Log which readers gave an old confirmation of the configuration

From the log of the proxy that ran a statement with a withdrawn key, a proxy whose readers had lost the store looked like one that had been suspended: its lines named the version of the configuration, not its age, and no line said which readers it asked.

Change: configuration_old and configuration_confirmed (source relay) with the age, the proxies that are asked and the age that each reported; manifest_age_s in the lines of statements; gauges manifest_version and manifest_age. The threshold comes from a new setting, configuration_delay_s, which the adapter fills from the platform's bound. No decision depends on it yet.

--- a/lentilring/catalog/relay.py
+++ b/lentilring/catalog/relay.py
@@ -59,6 +59,9 @@
 # Larger answers would occupy the link of a reader; followers read these from the store.
 MAX_ANSWER_BYTES = 32 * 1024
 MAX_LOGGED_NAMES = 5
+# Part of the time for applying a change after which an unconfirmed configuration counts as old. The
+# rest is left for reading it from another source.
+OLD_AGE_FRACTION = 0.75
 
 log = Log(source="relay")
 
@@ -79,6 +82,7 @@
     watches: dict[str, asyncio.Task[Records]] = field(default_factory=dict)
     updated: asyncio.Event = field(default_factory=asyncio.Event)
     failed_until: dict[str, float] = field(default_factory=dict)
+    confirmations: dict[str, float] = field(default_factory=dict)
     is_store_lost: bool = False
     next_direct_at: float = float("-inf")
 
@@ -104,9 +108,12 @@
         clock: SuspensionClock,
         random: Random,
         telemetry: Telemetry,
+        configuration_delay_s: float,
     ) -> None:
         self._source, self._transport = source, transport
         self._clock, self._random, self._telemetry = clock, random, telemetry
+        self._old_age_s = configuration_delay_s * OLD_AGE_FRACTION
+        self._was_old = False
         self._feeds = {kind: _Feed() for kind in RecordKind}
         self._members: tuple[ProxyEntry, ...] = ()
         self._readers: tuple[ProxyEntry, ...] = ()
@@ -155,6 +162,7 @@
                 timeout=CHOICE_INTERVAL_S,
                 return_when=asyncio.FIRST_COMPLETED,
             )
+            self._log_age()
             batch = self._collect(feed, kind, after_revision)
             if batch is not None:
                 return batch
@@ -235,6 +243,28 @@
         feed.history.update(batch)
         feed.notify()
 
+    def _configuration_age_s(self) -> float:
+        return self._clock.boottime() - self._feeds[HEARTBEAT_KIND].history.confirmed_at
+
+    def _log_age(self) -> None:
+        """Log once when the configuration becomes old and once when it is confirmed again."""
+        age_s = self._configuration_age_s()
+        is_old = age_s > self._old_age_s
+        if is_old == self._was_old:
+            return
+        self._was_old = is_old
+        feed, now = self._feeds[HEARTBEAT_KIND], self._clock.boottime()
+        confirmations = ",".join(
+            f"{vm}:{now - confirmed_at:.2f}"
+            for vm, confirmed_at in sorted(feed.confirmations.items())
+        )
+        log.info(
+            "configuration_old" if is_old else "configuration_confirmed",
+            age_s=round(age_s, 2),
+            asked=",".join(sorted(feed.watches)),
+            ages_by_reader=confirmations,
+        )
+
     def _set_store_lost(self, kind: RecordKind, is_lost: bool) -> None:
         feed = self._feeds[kind]
         if feed.is_store_lost != is_lost:
@@ -310,6 +340,7 @@
             confirmed_at=confirmed_at,
         )
         self._feeds[kind].is_store_lost = False
+        self._feeds[kind].confirmations[reader.vm] = confirmed_at
         self._update(kind, batch)
         return batch
 
--- a/lentilring/catalog/service.py
+++ b/lentilring/catalog/service.py
@@ -100,6 +100,8 @@
 
     async def start(self) -> None:
         """Begin to follow the records in the store."""
+        self._telemetry.observe("manifest_version", "1", lambda: self.version)
+        self._telemetry.observe("manifest_age", "s", self.manifest_age_s)
         followers = (self._manifests, self._registrations, self._evacuations)
         self._tasks = [
             start_task(f"follow_{entry.kind}", entry.run, telemetry=self._telemetry)
--- a/lentilring/platform/boot.py
+++ b/lentilring/platform/boot.py
@@ -91,6 +91,7 @@
         "max_configuration_age_s": max(
             1.0, (bounds.config_apply_ms + bounds.outer_ms) / 1000 - CONFIGURATION_AGE_MARGIN_S
         ),
+        "configuration_delay_s": bounds.config_apply_ms / 1000,
         "limit_window_s": bounds.quota_window_s,
         "limit_overage": bounds.quota_overage,
         "limit_slack": bounds.quota_slack,
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -108,6 +108,7 @@
         clock=clock,
         random=random_source,
         telemetry=telemetry,
+        configuration_delay_s=settings.configuration_delay_s,
     )
     catalog = CatalogService(
         source=records,
--- a/lentilring/session_settings.py
+++ b/lentilring/session_settings.py
@@ -46,6 +46,12 @@
             description="age at which an unconfirmed configuration is refused, in seconds",
         ),
     ] = 15.0
+    configuration_delay_s: Annotated[
+        float,
+        Meta(
+            gt=0, le=3600, description="time until a changed configuration is in force, in seconds"
+        ),
+    ] = 5.0
     limit_window_s: Annotated[
         float, Meta(gt=0, le=3600, description="window of the accounts' rate limits, in seconds")
     ] = 5.0
--- a/lentilring/sessions/router.py
+++ b/lentilring/sessions/router.py
@@ -383,6 +383,7 @@
             detail=answer.detail or "-",
             position_age_s="-" if answer.age_s is None else round(answer.age_s, 3),
             manifest=self._catalog.version,
+            manifest_age_s=round(self._catalog.manifest_age_s(), 2),
         )
 
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -24,6 +24,7 @@
 
 KIND = RecordKind.EVACUATIONS
 WAIT_S = 8.0
+DELAY_S = 6.0
 
 
 def build_proxy(index: int, domain: str) -> ProxyEntry:
@@ -130,6 +131,7 @@
             clock=SuspensibleClock(),
             random=Random(1),
             telemetry=Telemetry(),
+            configuration_delay_s=DELAY_S,
         )
         self.relay.proxies = self.register
 
