Show that a change comes late through readers that lost the store silently

Nine catalogs on virtual time; the two readers of a follower get no answers from the store from just before a change. The follower has the change only when the readers' watches time out, up to 6 s later; it has 3 s.

--- a/tests/test_configuration_delay.py
+++ b/tests/test_configuration_delay.py
@@ -23,6 +23,30 @@
     return fleet
 
 
+class SilentStoreTest(TestCase):
+    def test_change_reaches_a_proxy_whose_two_readers_lost_the_store_silently(self) -> None:
+        """Guards against withdrawn keys that a proxy accepts until its readers time out."""
+
+        async def scenario(offset_s: float) -> None:
+            fleet = await start_fleet(offset_s)
+            follower = fleet.list_followers()[0]
+            silent = {entry.vm for entry in fleet.list_followed(follower)}
+            fleet.store.silent_vms |= silent
+            await asyncio.sleep(0.01)
+            fleet.store.put_manifest(2)
+            await asyncio.sleep(DELAY_S)
+            late = [
+                vm
+                for vm, catalog in fleet.catalogs.items()
+                if catalog.version < 2 and vm not in silent
+            ]
+            self.assertEqual([], late, f"offset {offset_s}")
+            await fleet.stop()
+
+        for offset_s in OFFSETS_S:
+            run_virtual(scenario(offset_s))
+
+
 class AgeLogTest(TestCase):
     def test_log_names_the_readers_whose_confirmations_are_old(self) -> None:
         """Guards against logs that do not tell a suspended proxy from one with silent readers."""
