Confirm the configuration in time whatever the readers of the store do

What callers saw: a withdrawn key read data 3.6 s after its withdrawal was acknowledged; 3 s are allowed.

Cause: a follower trusted the readers of the store until they failed. Two readers whose calls got no answer noticed it when their watches timed out, 4 s of wait and 2 s more, and went on answering their followers meanwhile. Nothing compared the age of the confirmation, which every answer carries, with the time in which a change has to be in force.

Evidence: in the incident's logs the two readers of the proxy had their last answers at 61.1 and 61.3 s and timed out at 67.5 and 67.7 s; the proxy has the change 1 ms after it turned to the third.

Change: the age is held below the time allowed (configuration_delay_s). A reader watches for 0.4 of it, less after a change, whose confirmation is as old as its watch, and refuses its followers, for all kinds of records, once its own confirmation is older than 0.6 of it. A proxy with such an old confirmation asks all readers at once, a reader too, and at 0.75 also the store. Why it works: whatever fails, a proxy that reaches the store has asked it before the time is over. A successful call to the store no longer holds back the next one for 5 s. The wait of a watch is rounded up, so that an answer never seems to come before its end.

Ruled out: a suspension of the proxy (it ran statements all the time), records left aside (no such line).

Followers make no calls while their readers are well; the fleet of the test makes at most 4 calls a second.

--- a/lentilring/catalog/relay.py
+++ b/lentilring/catalog/relay.py
@@ -47,6 +47,8 @@
 HEARTBEAT_S = 2.0
 # A new choice of readers replaces a suspected one within this time.
 CHOICE_INTERVAL_S = 1.0
+# Timers may fire a little before the age that they wait for.
+TIMER_MARGIN_S = 0.01
 # At start, time for reading which proxies there are, before records are read from the store.
 START_WAIT_S = 1.0
 START_POLL_S = 0.05
@@ -59,9 +61,17 @@
 # Larger answers would occupy the link of a reader; followers read these from the store.
 MAX_ANSWER_BYTES = 32 * 1024
 MAX_LOGGED_NAMES = 5
-# Part of the time for applying a change after which an unconfirmed configuration counts as old. The
-# rest is left for reading it from another source.
-OLD_AGE_FRACTION = 0.75
+# Key of a watch at the store itself among those at readers.
+STORE_KEY = ""
+# Parts of the time for applying a change, counted from the newest confirmation. After the first, a
+# reader refuses to answer, as it may have lost the store without an error, and a follower asks all
+# readers. After the second, a proxy asks the store itself; the rest is left for the answer.
+OLD_AGE_FRACTION = 0.6
+DIRECT_AGE_FRACTION = 0.75
+# Part of that time in which the store answers; readers end their watches this long before the
+# confirmation is old.
+ANSWER_FRACTION = 0.15
+MIN_WAIT_S = 0.05
 
 log = Log(source="relay")
 
@@ -84,7 +94,7 @@
     failed_until: dict[str, float] = field(default_factory=dict)
     confirmations: dict[str, float] = field(default_factory=dict)
     is_store_lost: bool = False
-    next_direct_at: float = float("-inf")
+    direct_retry_at: float = float("-inf")
 
     def notify(self) -> None:
         """Wake all that wait for an update."""
@@ -113,6 +123,8 @@
         self._source, self._transport = source, transport
         self._clock, self._random, self._telemetry = clock, random, telemetry
         self._old_age_s = configuration_delay_s * OLD_AGE_FRACTION
+        self._direct_age_s = configuration_delay_s * DIRECT_AGE_FRACTION
+        self._answer_reserve_s = configuration_delay_s * ANSWER_FRACTION
         self._was_old = False
         self._feeds = {kind: _Feed() for kind in RecordKind}
         self._members: tuple[ProxyEntry, ...] = ()
@@ -150,16 +162,10 @@
         feed = self._feeds[kind]
         await self._wait_for_register()
         while True:
-            for reader in self._choose_usable(kind):
-                if reader.vm not in feed.watches:
-                    feed.watches[reader.vm] = asyncio.ensure_future(
-                        self._ask(reader, kind, after_revision=after_revision, wait_s=wait_s)
-                    )
-            if not feed.watches:
-                return await self._watch_directly(kind, after_revision, wait_s)
+            self._ask_sources(kind, after_revision, wait_s)
             await asyncio.wait(
                 feed.watches.values(),
-                timeout=CHOICE_INTERVAL_S,
+                timeout=self._find_choice_delay(kind),
                 return_when=asyncio.FIRST_COMPLETED,
             )
             self._log_age()
@@ -181,6 +187,42 @@
         while not self.proxies.is_synchronized and self._clock.boottime() < deadline:
             await self._clock.sleep(START_POLL_S)
 
+    def _ask_sources(self, kind: RecordKind, after_revision: int, wait_s: float) -> None:
+        """Begin the watches that are needed and not under way; at least one is then."""
+        feed = self._feeds[kind]
+        reader_wait_s = 0.0 if self._is_old(kind, self._old_age_s) else wait_s
+        for reader in self._choose_usable(kind):
+            if reader.vm not in feed.watches:
+                feed.watches[reader.vm] = asyncio.ensure_future(
+                    self._ask(reader, kind, after_revision=after_revision, wait_s=reader_wait_s)
+                )
+        if STORE_KEY not in feed.watches and self._needs_store(kind):
+            feed.watches[STORE_KEY] = asyncio.ensure_future(
+                self._watch_directly(kind, after_revision, wait_s)
+            )
+
+    def _needs_store(self, kind: RecordKind) -> bool:
+        """Tell whether to ask the store: as a reader, without one, or for want of confirmations."""
+        feed = self._feeds[kind]
+        if self.is_reader() or not feed.watches:
+            return True
+        return self._is_old(kind, self._direct_age_s) and (
+            not feed.is_store_lost or self._clock.boottime() >= feed.direct_retry_at
+        )
+
+    def _find_choice_delay(self, kind: RecordKind) -> float:
+        """Return the time until other sources may have to be asked."""
+        if kind is not HEARTBEAT_KIND:
+            return CHOICE_INTERVAL_S
+        age_s = self._configuration_age_s()
+        remaining = [
+            limit_s - age_s for limit_s in (self._old_age_s, self._direct_age_s) if limit_s > age_s
+        ]
+        return min([CHOICE_INTERVAL_S, *remaining]) + TIMER_MARGIN_S
+
+    def _is_old(self, kind: RecordKind, limit_s: float) -> bool:
+        return kind is HEARTBEAT_KIND and self._configuration_age_s() >= limit_s
+
     def _collect(self, feed: _Feed, kind: RecordKind, after_revision: int) -> Records | None:
         """Return the first answer of the watches that ended; None if all of those failed."""
         for vm, task in list(feed.watches.items()):
@@ -202,16 +244,23 @@
     ) -> Records:
         """Watch the store, but seldom while readers report that it is lost."""
         feed, now = self._feeds[kind], self._clock.boottime()
-        if not self.is_reader() and feed.is_store_lost and now < feed.next_direct_at:
+        if not self.is_reader() and feed.is_store_lost and now < feed.direct_retry_at:
             raise StoreUnavailable(operation=f"relay {kind}", detail="readers have lost the store")
-        jitter = self._random.uniform(1 - DIRECT_RETRY_JITTER, 1 + DIRECT_RETRY_JITTER)
-        feed.next_direct_at = now + DIRECT_RETRY_S * jitter
         # Without readers, the wait is short, so that a reader is followed as soon as there is one.
         direct_wait_s = wait_s if self.is_reader() else min(wait_s, READER_RETRY_S)
         if feed.is_store_lost:
             direct_wait_s = min(direct_wait_s, REGAIN_WAIT_S)
+        if kind is HEARTBEAT_KIND:
+            # After a change, the confirmation is as old as the watch that brought it.
+            fresh_s = self._old_age_s - self._answer_reserve_s - self._configuration_age_s()
+            direct_wait_s = max(MIN_WAIT_S, min(direct_wait_s, fresh_s))
         watch = self._source.watch(kind, after_revision=after_revision, wait_s=direct_wait_s)
-        batch = await self._read_store(kind, watch)
+        try:
+            batch = await self._read_store(kind, watch)
+        except StoreUnavailable:
+            jitter = self._random.uniform(1 - DIRECT_RETRY_JITTER, 1 + DIRECT_RETRY_JITTER)
+            feed.direct_retry_at = self._clock.boottime() + DIRECT_RETRY_S * jitter
+            raise
         waited_in_full = self._clock.boottime() - now >= direct_wait_s
         certain_wait_s = direct_wait_s * CERTAIN_WAIT_FRACTION if waited_in_full else 0.0
         batch = replace(batch, confirmed_at=now + certain_wait_s)
@@ -249,7 +298,7 @@
     def _log_age(self) -> None:
         """Log once when the configuration becomes old and once when it is confirmed again."""
         age_s = self._configuration_age_s()
-        is_old = age_s > self._old_age_s
+        is_old = age_s >= self._direct_age_s
         if is_old == self._was_old:
             return
         self._was_old = is_old
@@ -261,7 +310,7 @@
         log.info(
             "configuration_old" if is_old else "configuration_confirmed",
             age_s=round(age_s, 2),
-            asked=",".join(sorted(feed.watches)),
+            asked=",".join(sorted(key or "store" for key in feed.watches)),
             ages_by_reader=confirmations,
         )
 
@@ -280,16 +329,20 @@
         return self._readers
 
     def _choose_usable(self, kind: RecordKind) -> tuple[ProxyEntry, ...]:
-        """Return the readers to follow; none if this process is one or none answers."""
-        if self.is_reader():
+        """Return the readers to ask; none if this process reads the store or no reader answers."""
+        is_old = self._is_old(kind, self._old_age_s)
+        if self.is_reader() and not is_old:
             return ()
         now, failed_until = self._clock.boottime(), self._feeds[kind].failed_until
+        local = self.proxies.local
         usable = [
             entry
-            for entry in order_readers(self._find_readers(), self.proxies.local)
-            if failed_until.get(entry.vm, 0.0) <= now and not self.proxies.is_suspect(entry.vm)
+            for entry in order_readers(self._find_readers(), local)
+            if entry.vm != local.vm
+            and failed_until.get(entry.vm, 0.0) <= now
+            and not self.proxies.is_suspect(entry.vm)
         ]
-        return tuple(usable[:FOLLOWED_READERS])
+        return tuple(usable if is_old else usable[:FOLLOWED_READERS])
 
     def _note_failure(self, vm: str, kind: RecordKind, error: ReaderFailed) -> None:
         """Follow other readers for a while, for all kinds if there was no answer."""
@@ -364,20 +417,25 @@
             now = self._clock.boottime()
             updated = feed.updated
             remaining_s = arrived_at + request.wait_s - now
+            old_in_s = self._old_age_s - self._configuration_age_s()
             batch = feed.history.read_after(request.after_revision)
             is_confirmed = batch.confirmed_at > arrived_at
             if batch.records or batch.is_complete or is_confirmed or remaining_s <= 0:
                 return _build_answer(batch, now, arrived_at)
             try:
-                async with asyncio.timeout(remaining_s):
+                async with asyncio.timeout(min(remaining_s, old_in_s + TIMER_MARGIN_S)):
                     await updated.wait()
             except TimeoutError:
                 continue
 
     def _find_refusal(self, feed: _Feed) -> WatchRefusal:
-        if self._is_stopping or not self.is_reader() or not feed.history.is_synchronized:
+        configuration = self._feeds[HEARTBEAT_KIND].history
+        is_complete = feed.history.is_synchronized and configuration.is_synchronized
+        if self._is_stopping or not self.is_reader() or not is_complete:
             return WatchRefusal.NOT_A_READER
-        return WatchRefusal.STORE_LOST if feed.is_store_lost else WatchRefusal.NONE
+        if feed.is_store_lost or self._configuration_age_s() >= self._old_age_s:
+            return WatchRefusal.STORE_LOST
+        return WatchRefusal.NONE
 
 
 def _build_answer(batch: Records, now: float, arrived_at: float) -> RelayedRecords:
--- a/lentilring/catalog/service.py
+++ b/lentilring/catalog/service.py
@@ -23,6 +23,8 @@
 REMOVAL_DELAY_S = 2.5
 # The age of the configuration is known to this accuracy, on which the withdrawal of keys depends.
 MAX_MANIFEST_WAIT_S = 4.0
+# Part of the time for applying a change in which readers of the store confirm the configuration.
+MANIFEST_WAIT_FRACTION = 0.4
 # A proxy whose configuration was not confirmed for this fraction of its greatest age accepts no new
 # callers, so that they go to proxies with a newer configuration.
 READY_AGE_FRACTION = 0.5
@@ -43,6 +45,7 @@
         random: Random,
         telemetry: Telemetry,
         max_age_s: float,
+        configuration_delay_s: float,
         leaving_grace_s: float,
         evacuation_grace_s: float,
         limit_window: LimitWindow | None = None,
@@ -89,7 +92,11 @@
             RecordKind.MANIFEST,
             self._apply_manifests,
             self._apply_manifests,
-            min(MAX_MANIFEST_WAIT_S, max_age_s * READY_AGE_FRACTION / MAX_LATE_WATCHES),
+            min(
+                MAX_MANIFEST_WAIT_S,
+                configuration_delay_s * MANIFEST_WAIT_FRACTION,
+                max_age_s * READY_AGE_FRACTION / MAX_LATE_WATCHES,
+            ),
         )
         self._registrations = follow(
             RecordKind.SERVERS, self._replace_servers, self._apply_server_changes
--- a/lentilring/platform/objects.py
+++ b/lentilring/platform/objects.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from math import ceil
 from typing import Any
 from urllib.parse import quote
 
@@ -125,7 +126,7 @@
         era = find_era(after_revision)
         if self._era is not None and era != self._era:
             raise HistoryLost
-        path = f"{kind}?watch={find_number(after_revision)}&wait-ms={int(wait_s * 1000)}"
+        path = f"{kind}?watch={find_number(after_revision)}&wait-ms={ceil(wait_s * 1000)}"
         answer = await self._watch_in_era(path, timeout_s=wait_s + CALL_TIMEOUT_S)
         # In another era the number stands for another state, even if the store has it.
         is_other_era = answer.status == HTTPStatus.OK and answer.era != era
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -116,6 +116,7 @@
         random=random_source,
         telemetry=telemetry,
         max_age_s=settings.max_configuration_age_s,
+        configuration_delay_s=settings.configuration_delay_s,
         leaving_grace_s=settings.leaving_grace_s,
         evacuation_grace_s=settings.evacuation_grace_s,
         limit_window=LimitWindow(
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections import Counter
 from random import Random
-from typing import Any
 
 from lentilring.catalog.model import Manifest
 from lentilring.catalog.readers import order_readers
@@ -99,12 +98,13 @@
 
     async def watch(self, kind: RecordKind, *, after_revision: int, wait_s: float) -> Records:
         store, loop = self._store, asyncio.get_running_loop()
-        sent_at = loop.time()
         await self._begin_call(wait_s)
-        while not store.list_after(kind, after_revision) and loop.time() < sent_at + wait_s:
-            await store.wait_for_change(timeout_s=sent_at + wait_s - loop.time())
+        arrived_at = loop.time()
+        while not store.list_after(kind, after_revision) and loop.time() < arrived_at + wait_s:
+            await store.wait_for_change(timeout_s=arrived_at + wait_s - loop.time())
         if self._vm in store.silent_vms:
-            await self._wait_in_vain(sent_at + wait_s + CALL_TIMEOUT_S - loop.time())
+            await self._wait_in_vain(arrived_at + wait_s + CALL_TIMEOUT_S - loop.time())
+        await asyncio.sleep(STORE_DELAY_S)
         return Records(records=store.list_after(kind, after_revision), revision=store.revision)
 
     async def register(self, entry: ProxyEntry, *, revision: int | None) -> int:
@@ -154,7 +154,7 @@
 class RelayFleet:
     """Run a relay and a catalog for each proxy of a fleet."""
 
-    def __init__(self, *, domains: tuple[str, ...], delay_s: float, **catalog: Any) -> None:
+    def __init__(self, *, domains: tuple[str, ...], delay_s: float) -> None:
         self.store, self.network = FakeStore(), FakeNetwork(delay_s=0.012)
         self.entries = tuple(build_entry(index, domain) for index, domain in enumerate(domains))
         self.relays: dict[str, RecordRelay] = {}
@@ -181,6 +181,7 @@
             random=Random(seed),
             telemetry=Telemetry(),
             max_age_s=16.0,
+            configuration_delay_s=delay_s,
             leaving_grace_s=5.0,
             evacuation_grace_s=3.0,
         )
@@ -208,6 +209,14 @@
         readers = self.list_readers()
         return [entry for entry in self.entries if entry not in readers]
 
+    def list_late(self, version: int, *, apart_from: set[str]) -> list[str]:
+        """Return the VMs with an older configuration."""
+        return [
+            vm
+            for vm, catalog in self.catalogs.items()
+            if catalog.version < version and vm not in apart_from
+        ]
+
     def pause(self, entry: ProxyEntry) -> None:
         """Let a proxy receive calls of peers without answering them."""
         self.transports[entry.vm].paused = asyncio.Event()
--- a/tests/test_configuration_delay.py
+++ b/tests/test_configuration_delay.py
@@ -11,6 +11,8 @@
 DOMAINS = ("casa-a", "mrk-a", "fes-a") * 3
 DELAY_S = 3.0
 SETTLE_S = 20.0
+# Calls of a whole fleet to the store, however large it is, while nothing changes.
+MAX_CALLS_PER_S = 4.0
 # Readers' watches begin at different times; the fault begins at each part of them.
 OFFSETS_S = tuple(0.37 * index for index in range(12))
 
@@ -35,10 +37,76 @@
             await asyncio.sleep(0.01)
             fleet.store.put_manifest(2)
             await asyncio.sleep(DELAY_S)
+            late = fleet.list_late(2, apart_from=silent)
+            self.assertEqual([], late, f"offset {offset_s}")
+            await fleet.stop()
+
+        for offset_s in OFFSETS_S:
+            run_virtual(scenario(offset_s))
+
+    def test_change_reaches_all_others_when_all_readers_lost_the_store_silently(self) -> None:
+        """Guards against a fleet that waits for its readers although each proxy has the store."""
+
+        async def scenario(offset_s: float) -> None:
+            fleet = await start_fleet(offset_s)
+            silent = {entry.vm for entry in fleet.list_readers()}
+            fleet.store.silent_vms |= silent
+            for version in range(2, 8):
+                fleet.store.put_manifest(version)
+                await asyncio.sleep(DELAY_S)
+                late = fleet.list_late(version, apart_from=silent)
+                self.assertEqual([], late, f"offset {offset_s}, version {version}")
+            await fleet.stop()
+
+        for offset_s in OFFSETS_S:
+            run_virtual(scenario(offset_s))
+
+    def test_change_reaches_a_proxy_whose_two_readers_are_suspended(self) -> None:
+        """Guards against waiting for answers of readers that stopped without closing."""
+
+        async def scenario(offset_s: float) -> None:
+            fleet = await start_fleet(offset_s)
+            follower = fleet.list_followers()[0]
+            suspended = fleet.list_followed(follower)
+            for entry in suspended:
+                fleet.pause(entry)
+                fleet.store.silent_vms.add(entry.vm)
+            fleet.store.put_manifest(2)
+            await asyncio.sleep(DELAY_S)
+            late = fleet.list_late(2, apart_from={entry.vm for entry in suspended})
+            self.assertEqual([], late, f"offset {offset_s}")
+            await fleet.stop()
+
+        for offset_s in OFFSETS_S:
+            run_virtual(scenario(offset_s))
+
+    def test_reader_without_the_store_takes_changes_from_other_readers(self) -> None:
+        """Guards against withdrawn keys at a proxy that could ask its peers."""
+
+        async def scenario() -> None:
+            fleet = await start_fleet()
+            silent = fleet.list_readers()[0]
+            fleet.store.silent_vms.add(silent.vm)
+            fleet.store.put_manifest(2)
+            await asyncio.sleep(DELAY_S)
+            self.assertEqual(2, fleet.catalogs[silent.vm].version)
+            await fleet.stop()
+
+        run_virtual(scenario())
+
+    def test_evacuation_is_known_in_time_though_the_readers_lost_the_store_silently(self) -> None:
+        """Guards against watches of other records, which wait longer than the configuration's."""
+
+        async def scenario(offset_s: float) -> None:
+            fleet = await start_fleet(offset_s)
+            silent = {entry.vm for entry in fleet.list_readers()}
+            fleet.store.silent_vms |= silent
+            fleet.store.put_evacuation("fes-a")
+            await asyncio.sleep(DELAY_S)
             late = [
                 vm
                 for vm, catalog in fleet.catalogs.items()
-                if catalog.version < 2 and vm not in silent
+                if vm not in silent and "fes-a" not in catalog.evacuated
             ]
             self.assertEqual([], late, f"offset {offset_s}")
             await fleet.stop()
@@ -47,6 +115,45 @@
             run_virtual(scenario(offset_s))
 
 
+class StoreCallsTest(TestCase):
+    def test_calls_do_not_grow_with_the_fleet(self) -> None:
+        """Guards against followers that ask the store while their readers are well."""
+
+        async def scenario(domains: tuple[str, ...], change_interval_s: float) -> float:
+            fleet = RelayFleet(domains=domains, delay_s=DELAY_S)
+            fleet.store.put_manifest(1)
+            await fleet.start()
+            await asyncio.sleep(SETTLE_S)
+            fleet.store.calls.clear()
+            for version in range(2, 12):
+                await asyncio.sleep(change_interval_s)
+                fleet.store.put_manifest(version)
+            readers = {entry.vm for entry in fleet.list_readers()}
+            self.assertEqual(set(), set(fleet.store.calls) - readers)
+            calls = fleet.store.calls.total()
+            await fleet.stop()
+            return calls / (10 * change_interval_s)
+
+        few = run_virtual(scenario(DOMAINS, 30.0))
+        many = run_virtual(scenario(DOMAINS * 6, 30.0))
+        self.assertAlmostEqual(few, many, delta=0.1)
+        self.assertLessEqual(many, MAX_CALLS_PER_S)
+        run_virtual(scenario(DOMAINS, 1.7))
+
+    def test_silent_store_gets_few_calls(self) -> None:
+        """Guards against proxies that call a store without answers again and again."""
+
+        async def scenario() -> None:
+            fleet = await start_fleet()
+            fleet.store.silent_vms |= {entry.vm for entry in fleet.entries}
+            fleet.store.calls.clear()
+            await asyncio.sleep(30.0)
+            self.assertLessEqual(max(fleet.store.calls.values()), 2 * 30)
+            await fleet.stop()
+
+        run_virtual(scenario())
+
+
 class AgeLogTest(TestCase):
     def test_log_names_the_readers_whose_confirmations_are_old(self) -> None:
         """Guards against logs that do not tell a suspended proxy from one with silent readers."""
@@ -57,7 +164,7 @@
             followed = fleet.list_followed(follower)
             handler = logbook.TestHandler()
             with handler.applicationbound():
-                fleet.store.silent_vms |= {entry.vm for entry in fleet.list_readers()}
+                fleet.store.silent_vms |= {entry.vm for entry in fleet.entries}
                 await asyncio.sleep(10.0)
                 lines = [
                     record.message
