Read the other entries of the store when one of them cannot be read

What callers would see: proxies never learn again of servers that join, leave or lead; restarted ones are never ready.

Cause: an answer of the store was decoded as a whole. Nesting of 1,000 levels raised RecursionError, which ended the task that follows the servers, every half second; a number like 1e999, NaN, bytes that are no text or half a pair of characters failed each list. What was read was encoded again for the followers of a reader, which fails for integers beyond 64 bits.

Change: each entry is decoded by itself and passed on as the store sent it. An answer that no decoder gets past is repaired first: values that nest deeper than 64 levels or are not JSON become null. An unreadable entry replaces what was known by its name.

--- a/lentilring/platform/objects.py
+++ b/lentilring/platform/objects.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import cached_property
 from http import HTTPStatus
 from math import ceil
 from typing import Any
@@ -14,6 +15,7 @@
 from ..revisions import combine_revision, find_era, find_number
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
+from .repair import repair_json
 from .store import StoreUnavailable
 
 # 25 times the usual response time, so that a store slowed down 100 times still answers in time.
@@ -25,16 +27,26 @@
 # Rises by one each time the store returns from an older copy of its data.
 ERA_HEADER = "store-era"
 
+NOTHING = msgspec.Raw(b"null")
+EMPTY = b"{}"
+# Levels of nesting by which later steps may exceed the decoder's limit where an answer does not.
+DEPTH_MARGIN = 30
+OPENING, CLOSING = b"[" * DEPTH_MARGIN, b"]" * DEPTH_MARGIN
+
 log = Log(source="store")
 
 
 @dataclass(frozen=True, kw_only=True)
 class PlatformObject:
-    """Hold one object of the store; `revision` is that of its last change, with the era."""
+    """Hold one object of the store; `revision` is that of its last change, with the era.
+
+    `spec` is None if its JSON text, `content`, cannot be read.
+    """
 
     name: str
     revision: int
     spec: Any
+    content: bytes = b"null"
     is_deleted: bool = False
     finalizers: tuple[str, ...] = ()
 
@@ -61,21 +73,39 @@
 
 @dataclass(frozen=True, kw_only=True)
 class StoreAnswer:
-    """Hold an answer's status, decoded body and the store's era."""
+    """Hold an answer's status, body and the store's era."""
 
     status: int
-    body: dict[str, Any]
+    body: bytes
     era: int
 
     def read_revision(self) -> int:
         """Return the revision of the store up to which a list or watch is complete."""
-        number = self.body.get("as-of")
+        number = decode_json(self._fields.get("as-of", NOTHING))
         return combine_revision(self.era, number if isinstance(number, int) else 0)
 
+    def has_more(self) -> bool:
+        """Tell whether a list continues after its last object."""
+        return decode_json(self._fields.get("more", NOTHING)) is True
+
+    def list_entries(self, name: str) -> list[msgspec.Raw]:
+        """Return the JSON texts of a field's entries, of which one may be unreadable."""
+        try:
+            return msgspec.json.decode(self._fields.get(name, NOTHING), type=list[msgspec.Raw])
+        except msgspec.DecodeError:
+            return []
+
     def decode_object(self) -> PlatformObject | None:
         """Return the object in the body, or None if it is not an object."""
         return decode_object(self.body, era=self.era)
 
+    @cached_property
+    def _fields(self) -> dict[str, msgspec.Raw]:
+        try:
+            return msgspec.json.decode(self.body, type=dict[str, msgspec.Raw])
+        except msgspec.DecodeError as error:
+            raise StoreUnavailable(operation="decode", detail=str(error)) from error
+
 
 @dataclass(frozen=True, kw_only=True)
 class _Meta:
@@ -85,6 +115,16 @@
     deleting: bool = False
 
 
+class _Object(msgspec.Struct):
+    meta: _Meta
+    spec: msgspec.Raw = NOTHING
+
+
+class _Event(msgspec.Struct):
+    object: msgspec.Raw
+    deleted: Any = False
+
+
 class ObjectClient:
     """Call the store; every method may raise StoreUnavailable."""
 
@@ -111,13 +151,11 @@
             answer = await self._call("GET", path)
             if answer.status != HTTPStatus.OK:
                 raise StoreUnavailable(operation=f"list {kind}", detail=f"status {answer.status}")
-            page = [
-                decode_object(entry, era=answer.era) for entry in _get_entries(answer.body, "items")
-            ]
+            page = [decode_object(entry, era=answer.era) for entry in answer.list_entries("items")]
             if objects:
                 _check_same_era(f"list {kind}", objects[0].revision, answer.read_revision())
             objects += [entry for entry in page if entry is not None]
-            if not answer.body.get("more") or not objects:
+            if not answer.has_more() or not objects:
                 return ObjectList(objects=tuple(objects), revision=answer.read_revision())
             after = objects[-1].name
 
@@ -134,15 +172,10 @@
             raise HistoryLost
         if answer.status != HTTPStatus.OK:
             raise StoreUnavailable(operation=f"watch {kind}", detail=f"status {answer.status}")
-        changed = []
-        for event in _get_entries(answer.body, "events"):
-            entry = decode_object(
-                event.get("object"), era=answer.era, is_deleted=bool(event.get("deleted"))
-            )
-            if entry is not None:
-                changed.append(entry)
+        changed = [decode_event(entry, era=answer.era) for entry in answer.list_entries("events")]
         return ObjectList(
-            objects=tuple(changed), revision=max(after_revision, answer.read_revision())
+            objects=tuple(entry for entry in changed if entry is not None),
+            revision=max(after_revision, answer.read_revision()),
         )
 
     async def _watch_in_era(self, path: str, *, timeout_s: float) -> StoreAnswer:
@@ -230,7 +263,7 @@
         self._set_reachable(not unavailable, method, path, f"status {status}")
         self._note_era(_read_era(answer))
         return StoreAnswer(
-            status=status, body=_decode_body(answer.content), era=self._find_era(answer)
+            status=status, body=_repair(answer.content or EMPTY), era=self._find_era(answer)
         )
 
     def _find_era(self, answer: HttpAnswer) -> int:
@@ -277,32 +310,48 @@
     return int(value) if value.isdecimal() else None
 
 
-def decode_object(body: Any, *, era: int, is_deleted: bool = False) -> PlatformObject | None:
-    """Return the object in a response body, or None if the body is not an object."""
-    if not isinstance(body, dict):
-        return None
+def decode_object(
+    body: bytes | msgspec.Raw, *, era: int, is_deleted: bool = False
+) -> PlatformObject | None:
+    """Return the object in a JSON text, or None if the text is not an object."""
     try:
-        meta = msgspec.convert(body.get("meta"), _Meta, strict=False)
-    except msgspec.ValidationError:
+        entry = msgspec.json.decode(body, type=_Object, strict=False)
+    except msgspec.DecodeError as error:
+        log.warning("object_ignored", detail=error)
         return None
     return PlatformObject(
-        name=meta.name,
-        revision=combine_revision(era, meta.revision),
-        spec=body.get("spec"),
-        is_deleted=is_deleted or meta.deleting,
-        finalizers=tuple(meta.finalizers),
+        name=entry.meta.name,
+        revision=combine_revision(era, entry.meta.revision),
+        spec=decode_json(entry.spec),
+        content=bytes(entry.spec),
+        is_deleted=is_deleted or entry.meta.deleting,
+        finalizers=tuple(entry.meta.finalizers),
     )
 
 
-def _decode_body(content: bytes) -> dict[str, Any]:
+def decode_event(body: msgspec.Raw, *, era: int) -> PlatformObject | None:
+    """Return the changed or deleted object in an event of a watch, or None without one."""
     try:
-        decoded = msgspec.json.decode(content) if content else {}
+        event = msgspec.json.decode(body, type=_Event)
     except msgspec.DecodeError as error:
-        raise StoreUnavailable(operation="decode", detail=str(error)) from error
-    return decoded if isinstance(decoded, dict) else {}
+        log.warning("object_ignored", detail=error)
+        return None
+    return decode_object(event.object, era=era, is_deleted=bool(event.deleted))
 
 
-def _get_entries(body: dict[str, Any], name: str) -> list[dict[str, Any]]:
-    value = body.get(name)
-    entries = value if isinstance(value, list) else []
-    return [entry for entry in entries if isinstance(entry, dict)]
+def decode_json(text: bytes | msgspec.Raw) -> Any:
+    """Return the value of a JSON text, None if it cannot be read."""
+    try:
+        return msgspec.json.decode(text)
+    except (msgspec.DecodeError, RecursionError):
+        return None
+
+
+def _repair(content: bytes) -> bytes:
+    """Return an answer's JSON text, changed where one value keeps all others from being read."""
+    try:
+        msgspec.json.decode(b"%b%b%b" % (OPENING, content, CLOSING), type=msgspec.Raw)
+    except (RecursionError, msgspec.DecodeError) as error:
+        log.warning("answer_repaired", detail=error)
+        return repair_json(content)
+    return content
--- a/lentilring/platform/records.py
+++ b/lentilring/platform/records.py
@@ -4,8 +4,6 @@
 from collections.abc import Sequence
 from dataclasses import replace
 
-import msgspec
-
 from ..catalog.source import (
     HistoryExpired,
     ProxyEntry,
@@ -27,7 +25,14 @@
     decode_server,
     encode_proxy,
 )
-from .objects import HistoryLost, ObjectClient, ObjectConflict, ObjectList, PlatformObject
+from .objects import (
+    HistoryLost,
+    ObjectClient,
+    ObjectConflict,
+    ObjectList,
+    PlatformObject,
+    decode_json,
+)
 from .store import Snapshot, StoredObject, VersionConflict, VmEntry
 
 OWN_KIND_PREFIX = "lentilring-"
@@ -83,11 +88,13 @@
     def decode(self, kind: RecordKind, record: Record) -> Record:
         """Return a record with the value that its content encodes."""
         try:
-            spec = msgspec.json.decode(zlib.decompress(record.content))
-        except (msgspec.DecodeError, zlib.error) as error:
+            content = zlib.decompress(record.content)
+        except zlib.error as error:
             log.warning("content_unreadable", kind=kind, name=record.name, detail=error)
             return record
-        entry = PlatformObject(name=record.name, revision=record.revision, spec=spec)
+        entry = PlatformObject(
+            name=record.name, revision=record.revision, spec=decode_json(content)
+        )
         return replace(record, value=_decode_value(kind, entry))
 
 
@@ -156,7 +163,7 @@
             revision=entry.revision,
             value=None if entry.is_deleted else _decode_value(kind, entry),
             is_deleted=entry.is_deleted,
-            content=b"" if entry.is_deleted else zlib.compress(msgspec.json.encode(entry.spec)),
+            content=b"" if entry.is_deleted else zlib.compress(entry.content),
         )
         for entry in listed.objects
         if kind is not RecordKind.MANIFEST or entry.name == MANIFEST_NAME
--- a/tests/test_store_answers.py
+++ b/tests/test_store_answers.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 from typing import Any
 
+import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from testtools import TestCase
@@ -62,7 +63,7 @@
         self._status, self._body = status, body
 
     async def _call(self, *values: Any, **named: Any) -> Any:
-        return StoreAnswer(status=self._status, body=self._body, era=1)
+        return StoreAnswer(status=self._status, body=msgspec.json.encode(self._body), era=1)
 
 
 class AnswerTest(TestCase):
