Use no server whose registration has an impossible address or number

What callers would see: connections closed in the middle of a statement.

Cause: an address passed if something stood before a colon and digits after it. Connecting to port 99999 raises OverflowError, which neither the sampler of positions nor the gateway expects: the caller's session ended without an answer. Numbers had no bounds: integers beyond 64 bits do not fit into messages of peers. A name may hold a line break, which would end the line that names it to a server.

Change: addresses are IPv4 with a port from 1 to 65,535, numbers have bounds, names are single words; other entries are left out, of servers and of proxies. A connector reports every error of connecting as an unreachable server.

--- a/lentilring/platform/documents.py
+++ b/lentilring/platform/documents.py
@@ -3,10 +3,13 @@
 Only this module uses the documents' field names. Comments explain the names that mislead.
 """
 
+import re
+import socket
 from dataclasses import dataclass
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
+from msgspec import Meta
 
 from ..catalog.model import (
     Consistency,
@@ -43,6 +46,17 @@
 LOWEST_PRIORITY = 9
 
 
+# Names are words of the statement protocol, which blanks and line breaks would end.
+_Word = Annotated[str, Meta(pattern=r"\A[^\s\x00-\x1f]+\Z")]
+# The messages of peers carry integers of 64 bits.
+_Count = Annotated[int, Meta(ge=0, le=2**63 - 1)]
+MAX_CAPACITY = 100_000
+MAX_COLD_MS = 24 * 3600 * 1000
+MAX_WEIGHT = 1024
+MAX_PORT = 65_535
+PORT = re.compile(r"[0-9]{1,5}")
+
+
 class PlatformDocument(msgspec.Struct, rename="kebab", kw_only=True):
     """Ignore unknown fields, which later versions of a document may have."""
 
@@ -89,24 +103,25 @@
 
 
 class _Server(PlatformDocument):
-    service: str
+    service: _Word
     address: str
-    zone: str
+    zone: _Word
     state: str
     db_role: str
     version: str = ""
-    capacity: int = 1  # statements that the server runs at a time
-    cold_remaining_ms: float = 0.0
-    born: int = 0
-    sequence: int = 0
+    # Statements that the server runs at a time.
+    capacity: Annotated[int, Meta(ge=0, le=MAX_CAPACITY)] = 1
+    cold_remaining_ms: Annotated[float, Meta(ge=0, le=MAX_COLD_MS)] = 0.0
+    born: _Count = 0
+    sequence: _Count = 0
 
 
 class _Proxy(PlatformDocument):
     address: str
-    failure_domain: str
-    region: str
-    incarnation: int
-    weight: float
+    failure_domain: _Word
+    region: _Word
+    incarnation: _Count
+    weight: Annotated[float, Meta(gt=0, le=MAX_WEIGHT)]
     leaving: bool
 
 
@@ -149,8 +164,7 @@
         return UnreadableDocument(detail=str(error))
     if body.state not in IS_DRAINING_BY_STATE or body.db_role not in ROLES:
         return UnreadableDocument(detail=f"state {body.state!r}, role {body.db_role!r}")
-    host, _, port = body.address.rpartition(":")
-    if not host or not port.isdecimal():
+    if not _is_address(body.address):
         return UnreadableDocument(detail=f"address {body.address!r}")
     return ServerEntry(
         id=name,
@@ -174,6 +188,8 @@
         body = msgspec.convert(spec, _Proxy)
     except msgspec.ValidationError as error:
         return UnreadableDocument(detail=str(error))
+    if not _is_address(body.address):
+        return UnreadableDocument(detail=f"address {body.address!r}")
     return ProxyEntry(
         vm=name,
         address=body.address,
@@ -202,6 +218,16 @@
     return Evacuation(failure_domain=name)
 
 
+def _is_address(text: str) -> bool:
+    """Tell whether a text is an IPv4 address and port that a connection can be opened to."""
+    host, _, port = text.rpartition(":")
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError):
+        return False
+    return PORT.fullmatch(port) is not None and 0 < int(port) <= MAX_PORT
+
+
 def _convert_entry(raw: Any, entry_type: type[Any]) -> Any:
     try:
         return msgspec.convert(raw, entry_type)
--- a/lentilring/platform/servers.py
+++ b/lentilring/platform/servers.py
@@ -67,7 +67,9 @@
         except BaseException as error:
             if writer is not None:
                 writer.transport.abort()
-            if isinstance(error, (OSError, TimeoutError, EOFError, ServerLost)):
+            if isinstance(
+                error, (OSError, TimeoutError, EOFError, ValueError, OverflowError, ServerLost)
+            ):
                 raise ServerUnreachable(
                     server=server.id,
                     detail=repr(error),
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -19,7 +19,7 @@
 from lentilring.standin.prepared.servers import ServerGroup
 from lentilring.telemetry.metrics import Telemetry
 
-from .prepared import ZONES
+from .prepared import ZONES, run, run_prepared_platform
 
 GROUP = ServerGroup(service="rental", zones=ZONES)
 GOOD = msgspec.json.encode(
@@ -46,6 +46,21 @@
 }
 
 
+IMPOSSIBLE = {
+    "port beyond 65535": write_registration(address=b'"127.0.0.1:99999"'),
+    "port 0": write_registration(address=b'"127.0.0.1:0"'),
+    "port with 20 digits": write_registration(address=b'"127.0.0.1:%s"' % (b"9" * 20)),
+    "port in other digits": write_registration(address='"127.0.0.1:٣٣"'.encode()),
+    "address of no host": write_registration(address=b'"300.0.0.1:8000"'),
+    "address with a blank": write_registration(address=b'"127.0.0.1 x:8000"'),
+    "capacity beyond all servers": write_registration(capacity=b"1000000000000000000"),
+    "capacity beyond 64 bits": write_registration(capacity=b"9" * 30),
+    "negative capacity": write_registration(capacity=b"-5"),
+    "endless cold start": write_registration(cold_remaining_ms=b"1e300"),
+    "sequence beyond 64 bits": write_registration(sequence=b"9" * 30),
+    "start beyond 64 bits": write_registration(born=b"9" * 30),
+    "service with a line break": write_registration(service=b'"rental\\r\\nQUERY"'),
+}
 # A decoder that reads the whole answer may reach its limit where one that reads an entry does not.
 UNREADABLE |= {f"{depth} levels": b"[" * depth + b"]" * depth for depth in range(900, 1010, 3)}
 
@@ -113,3 +128,41 @@
                 [entry.value for entry in passed_on],
                 name,
             )
+
+
+class OddServerTest(TestCase):
+    def test_server_with_an_impossible_value_is_not_used(self) -> None:
+        """Guards against errors, in place of connections, that nobody handles."""
+        for name, spec in IMPOSSIBLE.items():
+            batch = read_list(write_object("i-1", GOOD), write_object("i-2", spec))
+            self.assertEqual(["i-1"], list_servers(batch), name)
+
+    def test_statements_run_beside_servers_with_impossible_values(self) -> None:
+        """Guards against background tasks that end again and again."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=3) as platform:
+                server = platform.group.servers[1]
+                for index, spec in enumerate(IMPOSSIBLE.values()):
+                    registration = {
+                        **platform.group.build_registration(server),
+                        **decode_changed_values(spec),
+                    }
+                    platform.store.put("servers", f"odd-{index}", registration)
+                await asyncio.sleep(0.5)
+                for proxy in platform.proxies.values():
+                    client = await proxy.open("stock")
+                    for _ in range(10):
+                        self.assertIn("COMPLETE", (await client.query("READ a"))[-2])
+                        await asyncio.sleep(0.05)
+                    client.close()
+                    failures = [key for key in proxy.telemetry.counts if key[0] == "task_failures"]
+                    self.assertEqual([], failures)
+
+        run(scenario())
+
+
+def decode_changed_values(spec: bytes) -> dict[str, Any]:
+    """Return the values in which a registration differs from REGISTRATION."""
+    decoded = msgspec.json.decode(spec)
+    return {name: value for name, value in decoded.items() if value != REGISTRATION[name]}
