--- a/lentilring/catalog/relay.py
+++ b/lentilring/catalog/relay.py
@@ -190,11 +190,10 @@
     def _ask_sources(self, kind: RecordKind, after_revision: int, wait_s: float) -> None:
         """Begin the watches that are needed and not under way; at least one is then."""
         feed = self._feeds[kind]
-        reader_wait_s = 0.0 if self._is_old(kind, self._old_age_s) else wait_s
         for reader in self._choose_usable(kind):
             if reader.vm not in feed.watches:
                 feed.watches[reader.vm] = asyncio.ensure_future(
-                    self._ask(reader, kind, after_revision=after_revision, wait_s=reader_wait_s)
+                    self._ask(reader, kind, after_revision=after_revision, wait_s=wait_s)
                 )
         if STORE_KEY not in feed.watches and self._needs_store(kind):
             feed.watches[STORE_KEY] = asyncio.ensure_future(
--- a/tests/test_configuration_delay.py
+++ b/tests/test_configuration_delay.py
@@ -81,6 +81,23 @@
         for offset_s in OFFSETS_S:
             run_virtual(scenario(offset_s))
 
+    def test_change_reaches_all_others_when_all_readers_are_suspended(self) -> None:
+        """Guards against asking one silent reader after the other before the store."""
+
+        async def scenario(offset_s: float) -> None:
+            fleet = await start_fleet(offset_s)
+            suspended = fleet.list_readers()
+            for entry in suspended:
+                fleet.pause(entry)
+            fleet.store.put_manifest(2)
+            await asyncio.sleep(DELAY_S)
+            late = fleet.list_late(2, apart_from={entry.vm for entry in suspended})
+            self.assertEqual([], late, f"offset {offset_s}")
+            await fleet.stop()
+
+        for offset_s in OFFSETS_S:
+            run_virtual(scenario(offset_s))
+
     def test_reader_without_the_store_takes_changes_from_other_readers(self) -> None:
         """Guards against withdrawn keys at a proxy that could ask its peers."""
 
