Show that a commit may be acknowledged and then rolled back by a promotion

The test plays that: both replicas are held for the next term, a commit waits at the old primary, one replica restarts and receives it after the takeover's last check, and the other one is promoted. The gateway passes the success on, and the commit is rolled back.

The stand-in now acknowledges a waiting commit once a replica receives it; before, it never answered.

--- a/lentilring/standin/prepared/servers.py
+++ b/lentilring/standin/prepared/servers.py
@@ -5,6 +5,8 @@
 
 Position = tuple[int, int]
 LOG_START: Position = (1, 0)
+# A commit that no replica received is acknowledged when one does.
+REPLICA_POLL_S = 0.01
 
 
 @dataclass(kw_only=True)
@@ -189,6 +191,20 @@
                 loop.call_later(self.lag_s, self._apply, entry.id, position)
         return position if receiving else None
 
+    async def wait_until_received(self, position: Position, *, term: int) -> bool:
+        """Wait until a replica has a commit; tell whether it has, in the same term."""
+        while self.term == term:
+            if any(self._receives(entry) and entry.received >= position for entry in self.servers):
+                return True
+            await asyncio.sleep(REPLICA_POLL_S)
+        return False
+
+    def restart_replica(self, server: str) -> None:
+        """Let a replica forget that it is paused, as a restart does, and receive again."""
+        replica = self.find(server)
+        replica.paused_term = 0
+        self.catch_up(replica)
+
     def catch_up(self, server: StandinServer) -> None:
         """Bring a server that receives again up to the primary's position."""
         if self.leader is not None and self._receives(server):
@@ -223,6 +239,7 @@
         self._lead_term = 0
         self._account = ""
         self._writes: list[str] = []
+        self._unreceived: Position | None = None
         self._group.connections += 1
         self._number = self._group.connections
         self._values: dict[str, str] = {}
@@ -247,6 +264,10 @@
 
     async def _query(self, request_id: str, text: str) -> None:
         error = self._run(request_id, text)
+        if self._unreceived is not None:
+            position, self._unreceived = self._unreceived, None
+            if await self._group.wait_until_received(position, term=self._group.term):
+                error = ""
         if self._server.faults.lose_answers > 0 and request_id != "-":
             self._server.faults.lose_answers -= 1
             return
@@ -322,6 +343,7 @@
         if self._state == "I" and self._writes:
             written, self._writes = tuple(self._writes), []
             if self._group.commit(written) is None:
+                self._unreceived = self._server.received
                 return None
         if reads:
             self._writer.write(f"DATAROW {self._group.items.get(rest, 'empty')}\r\n".encode())
