--- a/tests/test_promotion_window.py
+++ b/tests/test_promotion_window.py
@@ -30,6 +30,7 @@
                 await asyncio.sleep(PROMOTION_S)
                 group.promote(group.servers[1].id)
                 answer = await commit
+                client.close()
                 self.assertEqual(1, len(group.rolled_back))
                 self.assertNotIn("COMPLETE", " ".join(answer))
 
