--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -26,7 +26,7 @@
 STORE_DELAY_S = 0.004
 
 
-def build_entry(index: int, domain: str) -> ProxyEntry:
+def build_proxy(index: int, domain: str) -> ProxyEntry:
     return ProxyEntry(
         vm=f"vm-{index}",
         address=f"10.0.0.{index}:1",
@@ -147,12 +147,13 @@
         raise StoreUnavailable(operation="call", detail="timed out")
 
 
-class _Register:
-    """Implement ProxyRegister with a fixed set of proxies that nobody suspects."""
+class Register:
+    """Implement ProxyRegister with a fixed set of proxies."""
 
     def __init__(self, local: ProxyEntry, entries: tuple[ProxyEntry, ...]) -> None:
         self.local, self._entries = local, entries
         self.is_synchronized = True
+        self.suspects: set[str] = set()
 
     def members(self) -> tuple[ProxyEntry, ...]:
         return self._entries
@@ -161,7 +162,7 @@
         return next((entry for entry in self._entries if entry.vm == vm), None)
 
     def is_suspect(self, vm: str) -> bool:
-        return False
+        return vm in self.suspects
 
 
 class RelayFleet:
@@ -169,7 +170,7 @@
 
     def __init__(self, *, domains: tuple[str, ...], delay_s: float) -> None:
         self.store, self.network = FakeStore(), FakeNetwork(delay_s=0.012)
-        self.entries = tuple(build_entry(index, domain) for index, domain in enumerate(domains))
+        self.entries = tuple(build_proxy(index, domain) for index, domain in enumerate(domains))
         self.relays: dict[str, RecordRelay] = {}
         self.catalogs: dict[str, CatalogService] = {}
         self.transports: dict[str, FakeTransport] = {}
@@ -186,7 +187,7 @@
             telemetry=Telemetry(),
             configuration_delay_s=delay_s,
         )
-        relay.proxies = _Register(entry, self.entries)
+        relay.proxies = Register(entry, self.entries)
         self.transports[entry.vm], self.relays[entry.vm] = transport, relay
         self.catalogs[entry.vm] = CatalogService(
             source=relay,
@@ -230,6 +231,14 @@
             if catalog.version < version and vm not in apart_from
         ]
 
+    def list_unaware(self, domain: str, *, apart_from: set[str]) -> list[str]:
+        """Return the VMs that do not know of an evacuation."""
+        return [
+            vm
+            for vm, catalog in self.catalogs.items()
+            if domain not in catalog.evacuated and vm not in apart_from
+        ]
+
     def pause(self, entry: ProxyEntry) -> None:
         """Let a proxy receive calls of peers without answering them."""
         self.transports[entry.vm].paused = asyncio.Event()
--- a/tests/test_configuration_delay.py
+++ b/tests/test_configuration_delay.py
@@ -1,10 +1,14 @@
 """Changes are in force in time on every proxy that reaches the store, whatever its readers do."""
 
 import asyncio
+from collections.abc import AsyncIterator, Callable, Iterable
+from contextlib import asynccontextmanager
 
 import logbook
 from testtools import TestCase
 
+from lentilring.catalog.source import ProxyEntry
+
 from .relay_fleet import RelayFleet
 from .virtual_time import run_virtual
 
@@ -18,97 +22,84 @@
 OFFSETS_S = tuple(0.37 * index for index in range(12))
 
 
-async def start_fleet(offset_s: float = 0.0) -> RelayFleet:
-    fleet = RelayFleet(domains=DOMAINS, delay_s=DELAY_S)
+@asynccontextmanager
+async def run_fleet(
+    offset_s: float = 0.0, *, domains: tuple[str, ...] = DOMAINS
+) -> AsyncIterator[RelayFleet]:
+    fleet = RelayFleet(domains=domains, delay_s=DELAY_S)
     fleet.store.put_manifest(1)
     await fleet.start()
     await asyncio.sleep(SETTLE_S + offset_s)
-    return fleet
+    yield fleet
+    await fleet.stop()
+
+
+def list_vms(entries: Iterable[ProxyEntry]) -> set[str]:
+    return {entry.vm for entry in entries}
+
+
+def choose_followed(fleet: RelayFleet) -> list[ProxyEntry]:
+    """Return the two readers that one proxy follows."""
+    return fleet.list_followed(fleet.list_followers()[0])
+
+
+def silence_store(fleet: RelayFleet, readers: list[ProxyEntry]) -> None:
+    fleet.store.silence(list_vms(readers))
+
+
+def suspend(fleet: RelayFleet, readers: list[ProxyEntry]) -> None:
+    for entry in readers:
+        fleet.pause(entry)
+    silence_store(fleet, readers)
 
 
 class SilentStoreTest(TestCase):
-    def test_change_reaches_a_proxy_whose_two_readers_lost_the_store_silently(self) -> None:
-        """Guards against withdrawn keys that a proxy accepts until its readers time out."""
+    def check_change(
+        self,
+        choose_readers: Callable[[RelayFleet], list[ProxyEntry]],
+        disturb: Callable[[RelayFleet, list[ProxyEntry]], None],
+    ) -> None:
+        """Check that the others have each change in time while some readers are disturbed."""
 
         async def scenario(offset_s: float) -> None:
-            fleet = await start_fleet(offset_s)
-            follower = fleet.list_followers()[0]
-            silent = {entry.vm for entry in fleet.list_followed(follower)}
-            fleet.store.silence(silent)
-            await asyncio.sleep(0.01)
-            fleet.store.put_manifest(2)
-            await asyncio.sleep(DELAY_S)
-            late = fleet.list_late(2, apart_from=silent)
-            self.assertEqual([], late, f"offset {offset_s}")
-            await fleet.stop()
+            async with run_fleet(offset_s) as fleet:
+                readers = choose_readers(fleet)
+                disturb(fleet, readers)
+                for version in range(2, 8):
+                    fleet.store.put_manifest(version)
+                    await asyncio.sleep(DELAY_S)
+                    late = fleet.list_late(version, apart_from=list_vms(readers))
+                    self.assertEqual([], late, f"offset {offset_s}, version {version}")
 
         for offset_s in OFFSETS_S:
             run_virtual(scenario(offset_s))
 
+    def test_change_reaches_a_proxy_whose_two_readers_lost_the_store_silently(self) -> None:
+        """Guards against withdrawn keys that a proxy accepts until its readers time out."""
+        self.check_change(choose_followed, silence_store)
+
     def test_change_reaches_all_others_when_all_readers_lost_the_store_silently(self) -> None:
         """Guards against a fleet that waits for its readers although each proxy has the store."""
-
-        async def scenario(offset_s: float) -> None:
-            fleet = await start_fleet(offset_s)
-            silent = {entry.vm for entry in fleet.list_readers()}
-            fleet.store.silence(silent)
-            for version in range(2, 8):
-                fleet.store.put_manifest(version)
-                await asyncio.sleep(DELAY_S)
-                late = fleet.list_late(version, apart_from=silent)
-                self.assertEqual([], late, f"offset {offset_s}, version {version}")
-            await fleet.stop()
-
-        for offset_s in OFFSETS_S:
-            run_virtual(scenario(offset_s))
+        self.check_change(RelayFleet.list_readers, silence_store)
 
     def test_change_reaches_a_proxy_whose_two_readers_are_suspended(self) -> None:
         """Guards against waiting for answers of readers that stopped without closing."""
-
-        async def scenario(offset_s: float) -> None:
-            fleet = await start_fleet(offset_s)
-            follower = fleet.list_followers()[0]
-            suspended = fleet.list_followed(follower)
-            for entry in suspended:
-                fleet.pause(entry)
-                fleet.store.silence({entry.vm})
-            fleet.store.put_manifest(2)
-            await asyncio.sleep(DELAY_S)
-            late = fleet.list_late(2, apart_from={entry.vm for entry in suspended})
-            self.assertEqual([], late, f"offset {offset_s}")
-            await fleet.stop()
-
-        for offset_s in OFFSETS_S:
-            run_virtual(scenario(offset_s))
+        self.check_change(choose_followed, suspend)
 
     def test_change_reaches_all_others_when_all_readers_are_suspended(self) -> None:
         """Guards against asking one silent reader after the other before the store."""
-
-        async def scenario(offset_s: float) -> None:
-            fleet = await start_fleet(offset_s)
-            suspended = fleet.list_readers()
-            for entry in suspended:
-                fleet.pause(entry)
-            fleet.store.put_manifest(2)
-            await asyncio.sleep(DELAY_S)
-            late = fleet.list_late(2, apart_from={entry.vm for entry in suspended})
-            self.assertEqual([], late, f"offset {offset_s}")
-            await fleet.stop()
-
-        for offset_s in OFFSETS_S:
-            run_virtual(scenario(offset_s))
+        self.check_change(RelayFleet.list_readers, suspend)
 
     def test_reader_without_the_store_takes_changes_from_other_readers(self) -> None:
         """Guards against withdrawn keys at a proxy that could ask its peers."""
 
         async def scenario() -> None:
-            fleet = await start_fleet()
-            silent = fleet.list_readers()[0]
-            fleet.store.silence({silent.vm})
-            fleet.store.put_manifest(2)
-            await asyncio.sleep(DELAY_S)
-            self.assertEqual(2, fleet.catalogs[silent.vm].version)
-            await fleet.stop()
+            async with run_fleet() as fleet:
+                silent = fleet.list_readers()[0]
+                fleet.store.silence({silent.vm})
+                fleet.store.put_manifest(2)
+                await asyncio.sleep(DELAY_S)
+                self.assertEqual(2, fleet.catalogs[silent.vm].version)
 
         run_virtual(scenario())
 
@@ -116,18 +107,13 @@
         """Guards against watches of other records, which wait longer than the configuration's."""
 
         async def scenario(offset_s: float) -> None:
-            fleet = await start_fleet(offset_s)
-            silent = {entry.vm for entry in fleet.list_readers()}
-            fleet.store.silence(silent)
-            fleet.store.put_evacuation("fes-a")
-            await asyncio.sleep(DELAY_S)
-            late = [
-                vm
-                for vm, catalog in fleet.catalogs.items()
-                if vm not in silent and "fes-a" not in catalog.evacuated
-            ]
-            self.assertEqual([], late, f"offset {offset_s}")
-            await fleet.stop()
+            async with run_fleet(offset_s) as fleet:
+                silent = list_vms(fleet.list_readers())
+                fleet.store.silence(silent)
+                fleet.store.put_evacuation("fes-a")
+                await asyncio.sleep(DELAY_S)
+                unaware = fleet.list_unaware("fes-a", apart_from=silent)
+                self.assertEqual([], unaware, f"offset {offset_s}")
 
         for offset_s in OFFSETS_S:
             run_virtual(scenario(offset_s))
@@ -136,18 +122,15 @@
         """Guards against watches that lost their answer and wait on although the store answers."""
 
         async def scenario(offset_s: float) -> None:
-            fleet = await start_fleet(offset_s)
-            fleet.store.silence({entry.vm for entry in fleet.entries})
-            await asyncio.sleep(1.5)
-            fleet.store.end_silences()
-            await asyncio.sleep(2.0)
-            fleet.store.put_evacuation("fes-a")
-            await asyncio.sleep(EVACUATION_S)
-            late = [
-                vm for vm, catalog in fleet.catalogs.items() if "fes-a" not in catalog.evacuated
-            ]
-            self.assertEqual([], late, f"offset {offset_s}")
-            await fleet.stop()
+            async with run_fleet(offset_s) as fleet:
+                fleet.store.silence(list_vms(fleet.entries))
+                await asyncio.sleep(1.5)
+                fleet.store.end_silences()
+                await asyncio.sleep(2.0)
+                fleet.store.put_evacuation("fes-a")
+                await asyncio.sleep(EVACUATION_S)
+                unaware = fleet.list_unaware("fes-a", apart_from=set())
+                self.assertEqual([], unaware, f"offset {offset_s}")
 
         for offset_s in OFFSETS_S:
             run_virtual(scenario(offset_s))
@@ -158,19 +141,14 @@
         """Guards against followers that ask the store while their readers are well."""
 
         async def scenario(domains: tuple[str, ...], change_interval_s: float) -> float:
-            fleet = RelayFleet(domains=domains, delay_s=DELAY_S)
-            fleet.store.put_manifest(1)
-            await fleet.start()
-            await asyncio.sleep(SETTLE_S)
-            fleet.store.calls.clear()
-            for version in range(2, 12):
-                await asyncio.sleep(change_interval_s)
-                fleet.store.put_manifest(version)
-            readers = {entry.vm for entry in fleet.list_readers()}
-            self.assertEqual(set(), set(fleet.store.calls) - readers)
-            calls = fleet.store.calls.total()
-            await fleet.stop()
-            return calls / (10 * change_interval_s)
+            async with run_fleet(domains=domains) as fleet:
+                fleet.store.calls.clear()
+                for version in range(2, 12):
+                    await asyncio.sleep(change_interval_s)
+                    fleet.store.put_manifest(version)
+                readers = list_vms(fleet.list_readers())
+                self.assertEqual(set(), set(fleet.store.calls) - readers)
+                return fleet.store.calls.total() / (10 * change_interval_s)
 
         few = run_virtual(scenario(DOMAINS, 30.0))
         many = run_virtual(scenario(DOMAINS * 6, 30.0))
@@ -182,12 +160,11 @@
         """Guards against proxies that call a store without answers again and again."""
 
         async def scenario() -> None:
-            fleet = await start_fleet()
-            fleet.store.silence({entry.vm for entry in fleet.entries})
-            fleet.store.calls.clear()
-            await asyncio.sleep(30.0)
-            self.assertLessEqual(max(fleet.store.calls.values()), 2 * 30)
-            await fleet.stop()
+            async with run_fleet() as fleet:
+                fleet.store.silence(list_vms(fleet.entries))
+                fleet.store.calls.clear()
+                await asyncio.sleep(30.0)
+                self.assertLessEqual(max(fleet.store.calls.values()), 2 * 30)
 
         run_virtual(scenario())
 
@@ -197,21 +174,19 @@
         """Guards against logs that do not tell a suspended proxy from one with silent readers."""
 
         async def scenario() -> None:
-            fleet = await start_fleet()
-            follower = fleet.list_followers()[0]
-            followed = fleet.list_followed(follower)
-            handler = logbook.TestHandler()
-            with handler.applicationbound():
-                fleet.store.silence({entry.vm for entry in fleet.entries})
-                await asyncio.sleep(10.0)
+            async with run_fleet() as fleet:
+                followed = choose_followed(fleet)
+                handler = logbook.TestHandler()
+                with handler.applicationbound():
+                    fleet.store.silence(list_vms(fleet.entries))
+                    await asyncio.sleep(10.0)
                 lines = [
                     record.message
                     for record in handler.records
                     if "event=configuration_old" in record.message
                 ]
-            self.assertTrue(
-                any(all(f"{entry.vm}:" in line for entry in followed) for line in lines), lines
-            )
-            await fleet.stop()
+                self.assertTrue(
+                    any(all(f"{entry.vm}:" in line for entry in followed) for line in lines), lines
+                )
 
         run_virtual(scenario())
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -20,6 +20,7 @@
 from lentilring.telemetry.metrics import Telemetry
 
 from .prepared import Proxy, build_manifest, run, run_prepared_platform, wait_until
+from .relay_fleet import Register, build_proxy
 from .virtual_time import SuspensibleClock, run_virtual
 
 KIND = RecordKind.EVACUATIONS
@@ -27,17 +28,6 @@
 DELAY_S = 6.0
 
 
-def build_proxy(index: int, domain: str) -> ProxyEntry:
-    return ProxyEntry(
-        vm=f"vm-{index}",
-        address=f"10.0.0.{index}:1",
-        failure_domain=domain,
-        region=domain.partition("-")[0],
-        incarnation=1,
-        weight=1.0,
-    )
-
-
 def build_record(name: str, revision: int, *, is_deleted: bool = False) -> Record:
     return Record(name=name, revision=revision, value=None, is_deleted=is_deleted, content=b"x")
 
@@ -46,24 +36,6 @@
     return Records(records=records, **values)
 
 
-class Register:
-    """Implement ProxyRegister with a fixed set of proxies."""
-
-    def __init__(self, local: ProxyEntry, entries: tuple[ProxyEntry, ...]) -> None:
-        self.local, self._entries = local, entries
-        self.is_synchronized = True
-        self.suspects: set[str] = set()
-
-    def members(self) -> tuple[ProxyEntry, ...]:
-        return self._entries
-
-    def find(self, vm: str) -> ProxyEntry | None:
-        return next((entry for entry in self._entries if entry.vm == vm), None)
-
-    def is_suspect(self, vm: str) -> bool:
-        return vm in self.suspects
-
-
 class ScriptedTransport:
     """Answer calls by a coroutine for each address; others are unreachable."""
 
