--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -381,9 +381,18 @@
 def play(folder: Path, scenario: Callable[[Record], Coroutine[Any, Any, bool]]) -> None:
     """Run a scenario that tells whether the rule held, and exit with the code for it."""
     record = Record(folder)
+    record.add(f"TROUBLE={'1' if is_troubled() else '0'}")
     code = 2
+
+    async def play_within_limit() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        # A script that is stopped ends its processes first.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await asyncio.wait_for(scenario(record), 110)
+
     try:
-        held = asyncio.run(asyncio.wait_for(scenario(record), 110))
+        held = asyncio.run(play_within_limit())
         code = 0 if held else 1
         record.add("the rule held" if held else "the rule was broken")
     except BaseException as error:
