Wait for copies that may hold acknowledged commits before promoting

Cause: a takeover asked the registered replicas, and lapsed ones only if they answered. Six seconds after a replica was lost for good, the one that had missed commits was all that was left, and it was promoted while the primary, which comes back with its log, was down.

The record of promotions now names the primary and the copies of the term with their start times. A takeover must hear from all of them but the primary. The supervisor adds copies as they register and drops those that are gone once the primary has proved a position after that and another replica has received it. The record outlasts restarts of all proxies, and a replica that started again without its log does not stand for its earlier life.

--- a/lentilring/catalog/service.py
+++ b/lentilring/catalog/service.py
@@ -223,6 +223,10 @@
         """Return servers of a service that were removed lately, but were not leaving."""
         return self._departed.list_lapsed(service)
 
+    def find_departed_server(self, server: str) -> ServerEntry | None:
+        """Return the last entry of a server that was removed lately."""
+        return self._departed.find(server)
+
     def missing_servers(self) -> frozenset[str]:
         """Return the servers whose registrations are missing, but may only have lapsed."""
         return frozenset(self._removal_timers)
--- a/lentilring/standin/prepared/servers.py
+++ b/lentilring/standin/prepared/servers.py
@@ -58,6 +58,7 @@
     paused_term: int = 0
     cut_off_term: int = 0
     address: str = ""
+    started_ms: int = 1
     opened: int = 0
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
@@ -154,7 +155,7 @@
             "cold-remaining-ms": 0,
             "db-role": "primary" if server.leads else "replica",
             "sequence": 1,
-            "born": 1,
+            "born": server.started_ms,
         }
 
     def find(self, server: str) -> StandinServer:
@@ -205,6 +206,13 @@
         replica.paused_term = 0
         self.catch_up(replica)
 
+    def restart_empty(self, server: StandinServer) -> None:
+        """Let a replica start again without its log; it receives what it can."""
+        server.started_ms += 1
+        server.received, server.paused_term = LOG_START, 0
+        self._applied.pop(server.id, None)
+        self.catch_up(server)
+
     def catch_up(self, server: StandinServer) -> None:
         """Bring a server that receives again up to the primary's position."""
         if self.leader is not None and self._receives(server):
--- a/lentilring/takeover/authority.py
+++ b/lentilring/takeover/authority.py
@@ -1,7 +1,7 @@
 """Authority to ask for promotions: fencing tokens from conditional writes to the store."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from enum import StrEnum, unique
 from typing import Protocol
 
@@ -9,6 +9,7 @@
 from ..platform.store import Kind, Store, VersionConflict
 from ..statements.model import Position
 from ..telemetry.log import Log
+from .copies import RecordedCopies, read_copies
 
 log = Log(source="takeover")
 
@@ -41,7 +42,8 @@
 
     `received` is the position that the server had received when it was chosen. `era` is that of the
     store at the write, `serial` counts the writes: if the known ones are greater than the stored
-    ones, the store lost a write.
+    ones, the store lost a write. `copies` are those that may hold acknowledged commits, none in a
+    record without them.
     """
 
     version: int
@@ -51,6 +53,7 @@
     received: Position = NO_COMMITS
     era: int = 0
     serial: int = 0
+    copies: RecordedCopies = field(default_factory=RecordedCopies)
 
     def is_later_than(self, other: "PromotionIntent") -> bool:
         """Tell whether this was written later; writes in a later era count as later."""
@@ -77,6 +80,10 @@
         self._known[service] = stored
         return stored
 
+    def find_known(self, service: str) -> PromotionIntent | None:
+        """Return the newest intent that this proxy has read or written."""
+        return self._known.get(service)
+
     async def write_again(self) -> None:
         """Write the newest intents again that the store has lost; raise StoreUnavailable.
 
@@ -103,6 +110,7 @@
             received=_read_position(value),
             era=_read_count(value, "era"),
             serial=_read_count(value, "serial"),
+            copies=read_copies(value),
         )
 
     async def claim(
@@ -122,14 +130,28 @@
         )
         return await self._write(service, claimed)
 
-    async def mark_completed(self, service: str, *, previous: PromotionIntent) -> bool:
+    async def mark_completed(
+        self, service: str, *, previous: PromotionIntent, leader: str = ""
+    ) -> bool:
         """Record that a promotion cannot take effect any more; raise StoreUnavailable.
 
-        False if another proxy recorded one meanwhile. If True, claims by takeovers that read the
-        previous intent fail.
+        `leader` is the server that it made the primary, if any. False if another proxy recorded one
+        meanwhile. If True, claims by takeovers that read the previous intent fail.
         """
-        completed = replace(previous, vm=self._vm, is_open=False, serial=previous.serial + 1)
-        return await self._write(service, completed) is not None
+        copies = replace(previous.copies, leader=leader) if leader else previous.copies
+        return await self.record_copies(service, copies, previous=previous)
+
+    async def record_copies(
+        self, service: str, copies: RecordedCopies, *, previous: PromotionIntent
+    ) -> bool:
+        """Record the copies of a service without an open promotion; raise StoreUnavailable.
+
+        False if another proxy recorded something meanwhile.
+        """
+        intent = replace(
+            previous, vm=self._vm, is_open=False, serial=previous.serial + 1, copies=copies
+        )
+        return await self._write(service, intent) is not None
 
     async def _write(self, service: str, intent: PromotionIntent) -> PromotionIntent | None:
         """Write an intent in place of the version that it names; None if that is not the newest."""
@@ -144,6 +166,8 @@
             "after": intent.version,
             "era": era,
             "serial": intent.serial,
+            "leader": intent.copies.leader,
+            "copies": dict(intent.copies.started_ms),
         }
         try:
             stored = await self._store.put(
--- a/lentilring/takeover/service.py
+++ b/lentilring/takeover/service.py
@@ -1,6 +1,7 @@
 """The service `takeover`: supervises primaries and replaces those that cannot go on."""
 
 import asyncio
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from itertools import islice
 
@@ -21,6 +22,7 @@
 from .authority import PromotionAuthority, PromotionIntent, PromotionResult, PromotionService
 from .reasons import (
     PLANNED,
+    RANK_DELAY_S,
     PrimaryObservation,
     PromotionWatch,
     ReplacementReason,
@@ -29,6 +31,7 @@
 )
 from .replicas import ReplicaControl
 from .succession import Candidate, NoSafeSuccessor, Successor, choose_pause_term, choose_successor
+from .upkeep import CopyUpkeep
 
 CHECK_INTERVAL_S = 0.25
 # The first one acts; the second and third step in when it does not.
@@ -78,6 +81,13 @@
         self._sampler, self._connector = sampler, connector
         self._authority, self._promotion = authority, promotion
         self._clock, self._telemetry = clock, telemetry
+        self._upkeep = CopyUpkeep(
+            catalog=catalog,
+            gateways=gateways,
+            connector=connector,
+            authority=authority,
+            clock=clock,
+        )
         self._watches: dict[str, ReplacementWatch] = {}
         self._promotions = PromotionWatch(local_vm=fleet.local.vm)
         self._takeovers: dict[str, asyncio.Task[None]] = {}
@@ -94,6 +104,7 @@
     async def stop(self) -> None:
         """End supervision; a takeover that runs is left to the next supervisor."""
         own = [task for task in (self._task, self._rewriting) if task is not None]
+        self._upkeep.stop()
         for task in [*self._takeovers.values(), *own]:
             task.cancel()
 
@@ -146,6 +157,9 @@
         primary = self._catalog.find_primary(service)
         reason = find_replacement_reason(self._observe(service, primary))
         watch.update(reason, now)
+        is_serving = reason is None or reason in PLANNED
+        if primary is not None and is_serving and service not in self._takeovers:
+            self._upkeep.check(primary, delay_s=rank * RANK_DELAY_S)
         if reason is None or service in self._takeovers or now < self._retry_at.get(service, 0.0):
             return
         was_proved = self._gateways.get_history(service).find_newest() is not None
@@ -280,7 +294,10 @@
             if newest.is_open and not has_effect and not is_own:
                 return False
             # A takeover that checked the replicas before they receive again must not claim after.
-            if not await self._authority.mark_completed(takeover.service, previous=newest):
+            leader = newest.server if has_effect else ""
+            if not await self._authority.mark_completed(
+                takeover.service, previous=newest, leader=leader
+            ):
                 return False
         except StoreUnavailable:
             return False
@@ -289,11 +306,15 @@
     async def _replace_primary(
         self, takeover: _Takeover, control: ReplicaControl, intent: PromotionIntent
     ) -> bool:
-        """Promote the replica that received most; tell whether a promotion may take effect."""
+        """Promote the replica that received most; tell whether to leave the replicas as they are.
+
+        They stay paused if a promotion may take effect.
+        """
         if takeover.reason not in PLANNED and self._is_proved_again(takeover.service):
             log.info("takeover_not_needed", service=takeover.service, leading="the old primary")
             return False
         statuses = await control.read_all(takeover.replicas)
+        unheard = self._find_unheard(takeover, statuses, intent)
         leading = [server for server, status in statuses.items() if _is_primary(status)]
         if leading:
             log.info("takeover_not_needed", service=takeover.service, leading=leading[0])
@@ -302,6 +323,10 @@
                 takeover.service, leading[0], statuses[leading[0]].term
             )
             return True
+        if unheard:
+            # Nothing is paused: the primary may serve, though this proxy does not reach it.
+            self._log_undecided(takeover, f"waiting for {','.join(unheard)}", intent)
+            return not any(status.paused_below_term for status in statuses.values())
         leader = self._catalog.leadership.find_known_leader(takeover.service)
         known_term = max(intent.received.term, 0 if leader is None else leader.term)
         term = choose_pause_term(statuses.values(), known_term=known_term)
@@ -319,9 +344,10 @@
             ),
             min_position=intent.received,
             intended=intent.server if intent.is_open else "",
+            unheard=self._find_unheard(takeover, paused, intent),
         )
         if isinstance(choice, NoSafeSuccessor):
-            log.warning("takeover_undecided", service=takeover.service, reason=choice.reason)
+            self._log_undecided(takeover, choice.reason, intent)
             return False
         claimed = await self._authority.claim(
             takeover.service, choice.server.id, received=choice.received, previous=intent
@@ -342,6 +368,33 @@
             return False
         return await self._promote(takeover, choice, claimed)
 
+    def _find_unheard(
+        self,
+        takeover: _Takeover,
+        heard: Mapping[str, ReplicationStatus],
+        intent: PromotionIntent,
+    ) -> tuple[str, ...]:
+        """Return the recorded copies that have not answered, as they were recorded."""
+        current = self._catalog.servers.entries
+        started_ms = {
+            entry.id: current.get(entry.id, entry).started_ms
+            for entry in takeover.replicas
+            if entry.id in heard
+        }
+        return intent.copies.find_unheard(
+            started_ms, intended=intent.server if intent.is_open else ""
+        )
+
+    def _log_undecided(self, takeover: _Takeover, reason: str, intent: PromotionIntent) -> None:
+        log.warning(
+            "takeover_undecided",
+            service=takeover.service,
+            reason=reason,
+            leader=intent.copies.leader,
+            copies=",".join(sorted(intent.copies.started_ms)),
+            record=intent.version,
+        )
+
     async def _is_still_paused(
         self, takeover: _Takeover, control: ReplicaControl, choice: Successor, term: int
     ) -> bool:
@@ -393,7 +446,9 @@
             return False
         if await self._wait_for_leadership(choice.server):
             self._gateways.announce_leader(takeover.service)
-            await self._authority.mark_completed(takeover.service, previous=claimed)
+            await self._authority.mark_completed(
+                takeover.service, previous=claimed, leader=choice.server.id
+            )
             # Announced again, because datagrams may be lost.
             self._gateways.announce_leader(takeover.service)
         return True
@@ -402,7 +457,7 @@
         self, service: str, intent: PromotionIntent, leading: str
     ) -> None:
         if intent.is_open and intent.server == leading:
-            await self._authority.mark_completed(service, previous=intent)
+            await self._authority.mark_completed(service, previous=intent, leader=leading)
 
     async def _wait_for_leadership(self, server: ServerEntry) -> bool:
         """Wait until a promoted server proves that it is the primary."""
--- a/lentilring/takeover/succession.py
+++ b/lentilring/takeover/succession.py
@@ -50,6 +50,7 @@
     old_failure_domain: str,
     min_position: Position,
     intended: str = "",
+    unheard: Collection[str] = (),
 ) -> Successor | NoSafeSuccessor:
     """Return the eligible candidate that has everything that any replica received.
 
@@ -58,9 +59,10 @@
     `min_position`, with which the old primary began: commits up to there may be on the old primary
     alone, because replicas need not have followed it since.
     An earlier promotion that got no answer may still run, so its server, `intended`, is preferred.
+    `unheard` are other copies that may hold acknowledged commits.
     """
     answered = {candidate.server.id for candidate in candidates}
-    missing = sorted(set(replicas) - answered)
+    missing = sorted((set(replicas) - answered).union(unheard))
     if missing:
         return NoSafeSuccessor(reason=f"no answer from {','.join(missing)}")
     if not candidates:
