End lines of the statement protocol at CR LF only

Cause: the listener read up to LF and stripped all CR and LF from the end, where the protocol ends a line with CR LF. The reader of servers' answers did the same, so a row with a line feed could pass for the end of an answer. The stand-ins and the tests' client shared the fault.

All of them now read up to CR LF and take off these two bytes. A line can hold no CR LF then, so what is forwarded is one line too.

--- a/lentilring/platform/servers.py
+++ b/lentilring/platform/servers.py
@@ -24,6 +24,7 @@
 )
 from .documents import ROLES
 from .statements import (
+    LINE_END,
     MAX_LINE_BYTES,
     NO_VALUE,
     READ_WORD,
@@ -208,8 +209,8 @@
         return build_failure(code, detail, self.position)
 
     async def _read_message(self) -> tuple[str, str]:
-        line = await self._reader.readuntil(b"\n")
-        word, _, rest = line.decode().rstrip("\r\n").partition(" ")
+        line = await self._reader.readuntil(LINE_END)
+        word, _, rest = line.removesuffix(LINE_END).decode().partition(" ")
         return word, rest
 
     def _apply_ready(self, rest: str) -> TransactionState:
--- a/lentilring/platform/statements.py
+++ b/lentilring/platform/statements.py
@@ -58,6 +58,7 @@
     """Decode the lines that callers send and encode the lines that answer them."""
 
     max_line_bytes = MAX_LINE_BYTES
+    line_end = LINE_END
 
     def decode(self, line: bytes) -> ClientMessage:
         """Return the message in a line, which is passed without its line end."""
--- a/lentilring/sessions/listener.py
+++ b/lentilring/sessions/listener.py
@@ -43,6 +43,7 @@
     """Translate between bytes and messages."""
 
     max_line_bytes: int
+    line_end: bytes
 
     def decode(self, line: bytes) -> ClientMessage:
         """Return the message in a line, which is passed without its line end."""
@@ -259,7 +260,7 @@
     async def _read_message(self) -> ClientMessage | None:
         self._is_reading = True
         try:
-            line = await self._reader.readuntil(b"\n")
+            line = await self._reader.readuntil(self._codec.line_end)
         except asyncio.LimitOverrunError:
             return UnreadableMessage(
                 request_id="", failure=Failure.TOO_LARGE, detail="line too long"
@@ -268,7 +269,7 @@
             return None
         finally:
             self._is_reading = False
-        return self._codec.decode(line.rstrip(b"\r\n"))
+        return self._codec.decode(line.removesuffix(self._codec.line_end))
 
     async def _write(self, data: bytes) -> None:
         self._writer.write(data)
--- a/lentilring/standin/prepared/caller.py
+++ b/lentilring/standin/prepared/caller.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from ...errors import LentilringError
-from ...platform.statements import FAILURES, MAX_LINE_BYTES
+from ...platform.statements import FAILURES, LINE_END, MAX_LINE_BYTES
 from ...statements.model import Failure
 
 
@@ -44,7 +44,7 @@
                     host, int(port), limit=2 * MAX_LINE_BYTES
                 )
                 writer.write(f"START {database} {key}\r\n".encode())
-                greeting = (await reader.readuntil(b"\n")).decode().split()
+                greeting = (await reader.readuntil(LINE_END)).decode().split()
         except (OSError, EOFError, TimeoutError) as error:
             if writer is not None:
                 writer.transport.abort()
@@ -61,8 +61,8 @@
             async with asyncio.timeout(timeout_s):
                 self._writer.write(f"QUERY {request_id} {text}\r\n".encode())
                 while True:
-                    line = (await self._reader.readuntil(b"\n")).decode().rstrip("\r\n")
-                    word, _, rest = line.partition(" ")
+                    line = await self._reader.readuntil(LINE_END)
+                    word, _, rest = line.removesuffix(LINE_END).decode().partition(" ")
                     if word == "DATAROW":
                         rows.append(rest)
                     elif word == "COMPLETE":
--- a/lentilring/standin/prepared/servers.py
+++ b/lentilring/standin/prepared/servers.py
@@ -3,6 +3,8 @@
 import asyncio
 from dataclasses import dataclass, field
 
+from ...platform.statements import LINE_END
+
 Position = tuple[int, int]
 LOG_START: Position = (1, 0)
 # A commit that no replica received is acknowledged when one does.
@@ -254,14 +256,14 @@
         self._prepared: dict[str, tuple[str, str]] = {}
 
     async def serve(self) -> None:
-        start = (await self._reader.readuntil(b"\n")).decode().split()
+        start = (await self._reader.readuntil(LINE_END)).decode().split()
         if len(start) < 4 or start[1] != self._group.service or start[3] != self._server.id:
             self._writer.write(b"ERROR MISROUTED other server\r\n")
             return
         self._account = start[2]
         self._send_ready()
         while True:
-            line = (await self._reader.readuntil(b"\n")).decode().rstrip("\r\n")
+            line = (await self._reader.readuntil(LINE_END)).removesuffix(LINE_END).decode()
             if self._server.faults.silent:
                 continue
             word, _, rest = line.partition(" ")
--- a/tests/prepared.py
+++ b/tests/prepared.py
@@ -13,6 +13,7 @@
 from lentilring.catalog.service import CatalogService
 from lentilring.kernel import Kernel
 from lentilring.platform.objects import ObjectClient
+from lentilring.platform.statements import LINE_END
 from lentilring.session_process import register_session_services
 from lentilring.session_settings import check_settings
 from lentilring.sessions.readiness import SessionReadiness
@@ -130,7 +131,12 @@
         self._writer.write(line.encode() + b"\r\n")
 
     async def read_line(self) -> str:
-        return (await asyncio.wait_for(self._reader.readline(), 5)).decode().rstrip("\r\n")
+        """Return the next line without its end, an empty one if the connection was closed."""
+        try:
+            line = await asyncio.wait_for(self._reader.readuntil(LINE_END), 5)
+        except asyncio.IncompleteReadError as error:
+            line = error.partial
+        return line.removesuffix(LINE_END).decode()
 
     async def query(self, text: str, request_id: str = "") -> list[str]:
         """Run a statement; return all lines of its answer."""
