--- a/lentilring/platform/documents.py
+++ b/lentilring/platform/documents.py
@@ -47,7 +47,8 @@
 
 
 # Names are words of the statement protocol, which blanks and line breaks would end.
-_Word = Annotated[str, Meta(pattern=r"\A[^\s\x00-\x1f]+\Z")]
+WORD = re.compile(r"\A[^\s\x00-\x1f]+\Z")
+_Word = Annotated[str, Meta(pattern=WORD.pattern)]
 # The messages of peers carry integers of 64 bits.
 _Count = Annotated[int, Meta(ge=0, le=2**63 - 1)]
 MAX_CAPACITY = 100_000
@@ -166,6 +167,8 @@
         return UnreadableDocument(detail=f"state {body.state!r}, role {body.db_role!r}")
     if not _is_address(body.address):
         return UnreadableDocument(detail=f"address {body.address!r}")
+    if not WORD.fullmatch(name):
+        return UnreadableDocument(detail=f"name {name!r}")
     return ServerEntry(
         id=name,
         service=body.service,
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -137,6 +137,12 @@
             batch = read_list(write_object("i-1", GOOD), write_object("i-2", spec))
             self.assertEqual(["i-1"], list_servers(batch), name)
 
+    def test_server_whose_name_would_end_a_line_of_the_protocol_is_not_used(self) -> None:
+        """Guards against messages to servers that another writer's entry breaks in two."""
+        for name in ("i-2\\r\\nQUERY", "i-2 x", "i-2\\n"):
+            batch = read_list(write_object("i-1", GOOD), write_object(name, GOOD))
+            self.assertEqual(["i-1"], list_servers(batch), name)
+
     def test_statements_run_beside_servers_with_impossible_values(self) -> None:
         """Guards against background tasks that end again and again."""
 
