Answer every statement that a stopping proxy has read

Cause: draining took statements of open transactions until its deadline, and the listener then cancelled the tasks of all connections, also those that waited for a server.

A stopping proxy now runs everything for half of the grace period, then only what can be answered before the end by its timeout (a commit a little later), and tells the rest at once that it has not run. At the end the listener gives up what still runs and answers it: INDOUBT for a commit or a single write, ABORTED for what is rolled back.

--- a/lentilring/platform/boot.py
+++ b/lentilring/platform/boot.py
@@ -98,5 +98,6 @@
         "leaving_grace_s": max(0.0, bounds.drain_ms / 1000 - WITHDRAWAL_MARGIN_S),
         "evacuation_grace_s": max(0.0, bounds.evacuate_ms / 1000 - WITHDRAWAL_MARGIN_S),
         "drain_timeout_s": max(0.5, bounds.grace_s - DRAIN_MARGIN_S),
+        "transaction_end_time_s": bounds.grace_s / 2,
     }
     return check_settings(values | extra_settings)
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -77,7 +77,10 @@
         log.info("proxy_started", vm=settings.vm, incarnation=incarnation)
         await stopping.wait()
         log.info("proxy_stopping", vm=settings.vm)
-        await readiness.drain_sessions(timeout_s=settings.drain_timeout_s)
+        await readiness.drain_sessions(
+            timeout_s=settings.drain_timeout_s,
+            transaction_time_s=settings.transaction_end_time_s,
+        )
         await kernel.stop()
     log.info("proxy_stopped", vm=settings.vm)
 
@@ -201,7 +204,12 @@
         transaction_idle_s=lambda: _read_transaction_idle_s(catalog),
     )
     readiness = SessionReadiness(
-        catalog=catalog, fleet=fleet, listener=listener, gateways=gateways, clock=clock
+        catalog=catalog,
+        fleet=fleet,
+        listener=listener,
+        router=router,
+        gateways=gateways,
+        clock=clock,
     )
     probe = ProbeServer(
         readiness_address=settings.readiness_address,
--- a/lentilring/session_settings.py
+++ b/lentilring/session_settings.py
@@ -76,6 +76,10 @@
         float,
         Meta(ge=0, le=300, description="time from SIGTERM to the end of draining, in seconds"),
     ] = 6.0
+    transaction_end_time_s: Annotated[
+        float,
+        Meta(ge=0, le=300, description="time from SIGTERM for open transactions, in seconds"),
+    ] = 3.0
     log_level: Annotated[LogLevel, Meta(description="lowest level of logged events")] = (
         LogLevel.INFO
     )
--- a/lentilring/sessions/listener.py
+++ b/lentilring/sessions/listener.py
@@ -35,6 +35,8 @@
 KEEPALIVE_INTERVAL_S = 2
 KEEPALIVE_PROBES = 3
 BACKLOG = 1024
+# Statements that still run at the end of a stop are given up and answered in this time.
+LAST_ANSWERS_TIMEOUT_S = 0.3
 
 log = Log(source="sessions")
 
@@ -81,6 +83,7 @@
         self._server: asyncio.Server | None = None
         self._connections: set[SessionConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._closes_after_answers = False
 
     @property
     def session_count(self) -> int:
@@ -97,9 +100,13 @@
         log.info("listening", address=self._address)
 
     async def stop(self) -> None:
-        """Close the listener and all connections."""
+        """Close the listener, answer every statement that was read, and close all connections."""
         if self._server is not None:
             self._server.close()
+        for connection in list(self._connections):
+            connection.end()
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=LAST_ANSWERS_TIMEOUT_S)
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -112,7 +119,11 @@
         return len(idle)
 
     def close_after_answers(self) -> None:
-        """Close each connection when its next answer leaves it outside of a transaction."""
+        """Close each connection when its next answer leaves it outside of a transaction.
+
+        This holds for later connections too.
+        """
+        self._closes_after_answers = True
         for connection in self._connections:
             connection.closes_after_answer = True
 
@@ -135,6 +146,7 @@
             router=self._router,
             transaction_idle_s=self._transaction_idle_s(),
         )
+        connection.closes_after_answer = self._closes_after_answers
         self._connections.add(connection)
         self._tasks.add(task)
         try:
@@ -160,6 +172,8 @@
         self._router, self._transaction_idle_s = router, transaction_idle_s
         self._session: Session | None = None
         self._is_reading = False
+        self._is_ending = False
+        self._running: asyncio.Task[None] | None = None
         self.closes_after_answer = False
 
     @property
@@ -181,15 +195,23 @@
         """Close the connection."""
         self._writer.close()
 
+    def end(self) -> None:
+        """Read nothing more, give the running statement up, and close after the last answer."""
+        self._is_ending = True
+        self._writer.transport.pause_reading()  # type: ignore[attr-defined]
+        self._reader.feed_eof()
+        if self._running is not None:
+            self._running.cancel()
+
     async def serve(self) -> None:
         """Serve until either end closes the connection."""
         try:
             await self._open_session()
             while self._session is not None and not self._writer.is_closing():
-                if self.closes_after_answer and self._is_between_statements:
-                    return
                 if not await self._serve_message(self._session):
                     return
+                if self.closes_after_answer and self._is_between_statements:
+                    return
         except (OSError, EOFError, TimeoutError) as error:
             log.debug("session_lost", detail=repr(error))
         except asyncio.CancelledError:
@@ -244,7 +266,7 @@
         if message is None or isinstance(message, CloseSession):
             return False
         if isinstance(message, Query):
-            outcome = await session.handle(message)
+            outcome = await self._run_query(session, message)
             await self._write(self._codec.encode_outcome(outcome, session.state))
             return True
         failure = message.failure if isinstance(message, UnreadableMessage) else Failure.MALFORMED
@@ -257,6 +279,19 @@
         await self._write(self._codec.encode_failure(failed))
         return False
 
+    async def _run_query(self, session: Session, query: Query) -> StatementOutcome:
+        task = self._running = asyncio.current_task()
+        assert task is not None
+        try:
+            return await session.handle(query)
+        except asyncio.CancelledError:
+            if not self._is_ending:
+                raise
+            task.uncancel()
+            return session.fail_unfinished(query.statement)
+        finally:
+            self._running = None
+
     async def _read_message(self) -> ClientMessage | None:
         self._is_reading = True
         try:
--- a/lentilring/sessions/readiness.py
+++ b/lentilring/sessions/readiness.py
@@ -7,6 +7,8 @@
 from ..kernel import Service
 from ..telemetry.log import Log
 from .listener import SessionListener
+from .router import StatementRouter
+from .stopping import StopSchedule
 
 # The load balancer removes a proxy after two failed probes, one per second; until then new callers
 # still arrive.
@@ -27,11 +29,12 @@
         catalog: CatalogService,
         fleet: FleetService,
         listener: SessionListener,
+        router: StatementRouter,
         gateways: GatewayService,
         clock: Clock,
     ) -> None:
         self._catalog, self._fleet, self._listener = catalog, fleet, listener
-        self._gateways, self._clock = gateways, clock
+        self._router, self._gateways, self._clock = router, gateways, clock
         self._is_stopping = False
         self._was_ready = False
 
@@ -54,13 +57,20 @@
             )
         return ready
 
-    async def drain_sessions(self, *, timeout_s: float) -> None:
+    async def drain_sessions(self, *, timeout_s: float, transaction_time_s: float) -> None:
         """Keep serving while new callers still arrive, then close sessions as they become idle.
 
-        The kernel closes what is left after `timeout_s` when it stops the listener.
+        Open transactions may go on for `transaction_time_s`, later only while their statements end
+        in time. The kernel closes what is left after `timeout_s` when it stops the listener.
         """
         self._is_stopping = True
-        deadline = self._clock.monotonic() + timeout_s
+        now = self._clock.monotonic()
+        deadline = now + timeout_s
+        self._router.begin_stop(
+            StopSchedule(
+                transactions_until=now + min(transaction_time_s, timeout_s), ends_at=deadline
+            )
+        )
         self._fleet.leave()
         await self._clock.sleep(min(BALANCER_REMOVAL_S, timeout_s / 2))
         self._listener.close_after_answers()
--- a/lentilring/sessions/router.py
+++ b/lentilring/sessions/router.py
@@ -21,6 +21,7 @@
 from .calls import AccountRateLimiter, StatementCall, build_outcome, may_try_another_server
 from .choice import ProxyLocation, WaitEstimates, rank_read_servers
 from .context import ANONYMOUS_ACCOUNT, Admission, SessionContext, SessionTransaction
+from .stopping import StopSchedule
 
 # Waiting longer for a rate-limit token would cost the caller more time than asking again.
 TOKEN_TIMEOUT_S = 0.15
@@ -33,6 +34,7 @@
 PRIMARY_POLL_INTERVAL_S = 0.1
 NO_SERVER_RETRY_S = 0.3
 STALE_CONFIGURATION_RETRY_S = 1.0
+STOPPING_DETAIL = "the proxy is stopping"
 
 log = Log(source="statements")
 
@@ -56,6 +58,18 @@
         self._clock, self._telemetry = clock, telemetry
         self._slot_waits = WaitEstimates(now=clock.monotonic)
         self._failure_penalties = WaitEstimates(now=clock.monotonic, half_life_s=1.0)
+        self._stop_schedule: StopSchedule | None = None
+
+    def begin_stop(self, schedule: StopSchedule) -> None:
+        """Refuse from now on what could not be answered before the process ends."""
+        self._stop_schedule = schedule
+
+    def is_too_late(self, admission: Admission, work: StatementKind) -> bool:
+        """Tell whether this proxy is stopping and has too little time left for a statement."""
+        schedule = self._stop_schedule
+        return schedule is not None and not schedule.accepts(
+            work, timeout_s=admission.route.statement_timeout_s, now=self._clock.monotonic()
+        )
 
     def check_session(self, context: SessionContext) -> Failed | Admission:
         """Return the route and account that a session may use now, or why it may not run."""
@@ -81,6 +95,10 @@
         if isinstance(admission, Failed):
             self._log_refusal(context, request_id, admission)
             return admission
+        if self.is_too_late(admission, StatementKind.READ):
+            stopping = Failed(failure=Failure.OVERLOADED, detail=STOPPING_DETAIL)
+            self._log_refusal(context, request_id, stopping)
+            return stopping
         account = self._catalog.find_account(admission.account)
         if account is None:
             return admission
--- a/lentilring/sessions/session.py
+++ b/lentilring/sessions/session.py
@@ -29,8 +29,8 @@
 )
 from ..telemetry.log import Log
 from .calls import StatementCall
-from .context import Admission, SessionContext, SessionTransaction
-from .router import StatementRouter
+from .context import SessionContext, SessionTransaction
+from .router import STOPPING_DETAIL, StatementRouter
 
 MAX_SESSION_VALUES = 64
 MAX_PREPARED_STATEMENTS = 256
@@ -82,6 +82,24 @@
             if self.state is TransactionState.OPEN:
                 self._start_idle_timer()
 
+    def fail_unfinished(self, statement: Statement) -> Failed:
+        """Return the outcome of a statement that was cancelled as the proxy stops."""
+        transaction = self.context.transaction
+        is_uncertain = isinstance(statement, Commit) or (
+            transaction is None and self._writes(statement)
+        )
+        if transaction is not None:
+            self._fail_transaction(transaction)
+        failure = Failure.UNCERTAIN if is_uncertain else Failure.ABORTED
+        log.warning("statement_unfinished", work=type(statement).__name__, failure=failure)
+        return Failed(failure=failure, detail=STOPPING_DETAIL)
+
+    def _writes(self, statement: Statement) -> bool:
+        if isinstance(statement, Execute):
+            prepared = self.context.prepared.get(statement.name)
+            return prepared is not None and prepared.writes
+        return isinstance(statement, Write)
+
     def abandon(self) -> None:
         """Roll the open transaction back because its caller is gone."""
         self._stop_idle_timer()
@@ -115,7 +133,7 @@
         if transaction.has_failed:
             self.context.transaction = None
             return Failed(failure=Failure.ABORTED, detail="the transaction was rolled back")
-        refused = self._check_transaction(transaction)
+        refused = self._check_transaction(transaction, StatementKind.COMMIT)
         if refused is not None:
             self.context.transaction = None
             return refused
@@ -190,7 +208,7 @@
         call = StatementCall(request_id=query.request_id, text=text, work=work, prepared=prepared)
         transaction = self.context.transaction
         if transaction is not None:
-            refused = self._check_transaction(transaction)
+            refused = self._check_transaction(transaction, work)
             if refused is not None:
                 return refused
             return await self._router.run_in_transaction(self.context, transaction, call)
@@ -199,13 +217,23 @@
             return admission
         return await self._router.run_single(self.context, admission, call)
 
-    def _check_transaction(self, transaction: SessionTransaction) -> Failed | None:
-        """Return a refusal and fail the transaction if its key was withdrawn since it began."""
+    def _check_transaction(
+        self, transaction: SessionTransaction, work: StatementKind
+    ) -> Failed | None:
+        """Return a refusal and fail the transaction if it may not go on.
+
+        Its key may have been withdrawn since it began, or this proxy may be about to stop.
+        """
+        refused = None
         admission = self._router.check_session(self.context)
-        if isinstance(admission, Admission) or admission.failure is not Failure.UNAUTHORIZED:
-            return None
-        self._fail_transaction(transaction)
-        return admission
+        if isinstance(admission, Failed) and admission.failure is Failure.UNAUTHORIZED:
+            refused = admission
+        elif self._router.is_too_late(transaction.admission, work):
+            refused = Failed(failure=Failure.ABORTED, detail=STOPPING_DETAIL)
+            log.info("transaction_stopped", transaction=transaction.id, work=work)
+        if refused is not None:
+            self._fail_transaction(transaction)
+        return refused
 
     def _fail_transaction(self, transaction: SessionTransaction) -> None:
         transaction.has_failed = True
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,169 @@
+"""Planned stops: every statement that the proxy has read is answered before the process ends."""
+
+import asyncio
+
+from testtools import TestCase
+
+from lentilring.gateways.messages import StatementKind
+from lentilring.sessions.listener import SessionListener
+from lentilring.sessions.stopping import COMMIT_RESERVE_S, StopSchedule
+
+from .prepared import PreparedPlatform, Proxy, run, run_prepared_platform
+
+TRANSACTION_TIME_S = 0.5
+# The statements' timeout of the routes is 1.5 s.
+DRAIN_TIMEOUT_S = 1.5
+
+
+class StopScheduleTest(TestCase):
+    schedule = StopSchedule(transactions_until=3.0, ends_at=6.0)
+
+    def test_statement_starts_only_with_time_for_its_answer(self) -> None:
+        """Guards against a statement that runs when the process ends."""
+        accepts = self.schedule.accepts
+        self.assertTrue(accepts(StatementKind.READ, timeout_s=1.0, now=4.9))
+        self.assertFalse(accepts(StatementKind.READ, timeout_s=1.0, now=5.1))
+
+    def test_transactions_have_their_time_whatever_the_timeout(self) -> None:
+        """Guards against a long timeout that ends transactions as soon as the stop begins."""
+        self.assertTrue(self.schedule.accepts(StatementKind.WRITE, timeout_s=30.0, now=2.9))
+        self.assertFalse(self.schedule.accepts(StatementKind.WRITE, timeout_s=30.0, now=3.0))
+
+    def test_commit_may_start_later(self) -> None:
+        """Guards against undoing a whole transaction that could be committed in time."""
+        last = 6.0 - COMMIT_RESERVE_S
+        self.assertTrue(self.schedule.accepts(StatementKind.COMMIT, timeout_s=2.0, now=last - 0.1))
+        self.assertFalse(self.schedule.accepts(StatementKind.COMMIT, timeout_s=2.0, now=last + 0.1))
+
+
+class PlannedStopTest(TestCase):
+    def test_open_transaction_ends_with_an_answer(self) -> None:
+        """Guards against a stop that cuts statements of transactions (review/5)."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as platform:
+                proxy = platform.proxies["vm-0"]
+                client = await proxy.open("booking")
+                await client.query("BEGIN")
+                self.assertIn("COMPLETE", (await client.query("WRITE a 1"))[0])
+                stop = asyncio.ensure_future(stop_as_planned(proxy))
+                await asyncio.sleep(TRANSACTION_TIME_S / 2)
+                self.assertIn("COMPLETE", (await client.query("WRITE a 2"))[0])
+                await asyncio.sleep(TRANSACTION_TIME_S)
+                answer = await client.query("WRITE a 3", "late")
+                self.assertIn("ERROR ABORTED", answer[0])
+                self.assertEqual("READY E -", answer[-1])
+                client.close()
+                await stop
+                self.assertNotIn("late", list_ids(platform))
+                self.assertEqual([], platform.group.log)
+
+        run(scenario())
+
+    def test_transaction_is_committed_while_there_is_time(self) -> None:
+        """Guards against a stop that undoes a transaction whose last statement is its commit."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as platform:
+                proxy = platform.proxies["vm-0"]
+                client = await proxy.open("booking")
+                await client.query("BEGIN")
+                await client.query("WRITE a 1")
+                stop = asyncio.ensure_future(stop_as_planned(proxy))
+                await asyncio.sleep(TRANSACTION_TIME_S + 0.2)
+                self.assertIn("COMPLETE", (await client.query("COMMIT"))[0])
+                await stop
+                self.assertEqual(1, len(platform.group.log))
+
+        run(scenario())
+
+    def test_late_operations_are_refused_unrun(self) -> None:
+        """Guards against work that is taken when no answer can be promised."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as platform:
+                proxy = platform.proxies["vm-0"]
+                busy, late = await proxy.open("booking"), await proxy.open("booking")
+                for client in (busy, late):
+                    await client.query("BEGIN")
+                    await client.query("READ a")
+                stop = asyncio.ensure_future(stop_as_planned(proxy))
+                await asyncio.sleep(TRANSACTION_TIME_S + 0.2)
+                late.send("QUERY r1 ROLLBACK\r\nQUERY w1 WRITE a 1")
+                self.assertIn("COMPLETE", (await late.read_answer())[0])
+                self.assertIn("ERROR BUSY", (await late.read_answer())[0])
+                busy.close()
+                await stop
+                self.assertNotIn("w1", list_ids(platform))
+
+        run(scenario())
+
+    def test_statements_that_run_at_the_end_are_answered(self) -> None:
+        """Guards against slow statements that are cut, and a write that is called not run."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as platform:
+                proxy = platform.proxies["vm-0"]
+                clients = [await proxy.open("booking") for _ in range(4)]
+                for client in clients[2:]:
+                    await client.query("BEGIN")
+                    await client.query("WRITE a 1")
+                platform.group.servers[0].faults.silent = True
+                texts = ["READ a", "WRITE a 1", "WRITE a 2", "COMMIT"]
+                for client, text in zip(clients, texts, strict=True):
+                    client.send(f"QUERY q {text}")
+                await asyncio.sleep(0.1)
+                await proxy.stop()
+                answers = [await client.read_answer() for client in clients]
+                codes = [answer[0].split(" ")[:2] for answer in answers]
+                expected = ["ABORTED", "INDOUBT", "ABORTED", "INDOUBT"]
+                self.assertEqual([["ERROR", code] for code in expected], codes)
+                self.assertTrue(all(answer[-1].startswith("READY") for answer in answers))
+
+        run(scenario())
+
+    def test_statement_that_was_read_as_the_process_stops_is_answered(self) -> None:
+        """Guards against a statement that was read, but not begun, when its connection closes."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as platform:
+                proxy = platform.proxies["vm-0"]
+                client = await proxy.open("stock")
+                listener = proxy.kernel.find("sessions", SessionListener)
+                (connection,) = listener._connections
+                connection._reader.feed_data(b"QUERY q1 READ a\r\nQUERY q2 READ a\r\n")
+                await proxy.stop()
+                for _ in range(2):
+                    self.assertIn("READY", (await client.read_answer())[-1])
+                client.close()
+
+        run(scenario())
+
+    def test_statement_at_a_stopping_gateway_is_answered_by_its_own_proxy(self) -> None:
+        """Guards against a caller without an answer because another proxy stops."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=2) as platform:
+                client = await platform.proxies["vm-1"].open("booking")
+                await client.query("BEGIN")
+                self.assertIn("COMPLETE", (await client.query("WRITE a 1"))[0])
+                platform.group.servers[0].faults.silent = True
+                client.send("QUERY q COMMIT")
+                await asyncio.sleep(0.1)
+                await platform.proxies["vm-0"].stop()
+                self.assertIn("ERROR INDOUBT", (await client.read_answer())[0])
+                client.close()
+
+        run(scenario())
+
+
+async def stop_as_planned(proxy: Proxy) -> None:
+    """Stop a proxy as its process does after SIGTERM."""
+    await proxy.readiness.drain_sessions(
+        timeout_s=DRAIN_TIMEOUT_S, transaction_time_s=TRANSACTION_TIME_S
+    )
+    await proxy.stop()
+
+
+def list_ids(platform: PreparedPlatform) -> list[str]:
+    return [entry.request_id for entry in platform.group.runs]
--- a/tests/test_prepared_sessions.py
+++ b/tests/test_prepared_sessions.py
@@ -260,7 +260,7 @@
                 clients = [await proxy.open("booking") for _ in range(12)]
                 loads = [asyncio.ensure_future(use_until_closed(client)) for client in clients]
                 await asyncio.sleep(0.5)
-                await proxy.readiness.drain_sessions(timeout_s=6.0)
+                await proxy.readiness.drain_sessions(timeout_s=6.0, transaction_time_s=3.0)
                 for load in loads:
                     # Nothing has run of a transaction whose first statement meets the close.
                     self.assertEqual("BEGIN", await asyncio.wait_for(load, 1.0))
