Resume replicas when a claim fails for a change of the copies only

Since the record of promotions names the copies too, the claim of a takeover can fail because another proxy recorded a copy. The takeover took that for a promotion elsewhere and left the replicas paused until the next one began, so writes waited.

It now reads what was recorded and leaves the replicas alone only if a promotion is open. The new test failed before (two replicas paused).

--- a/lentilring/takeover/service.py
+++ b/lentilring/takeover/service.py
@@ -353,12 +353,11 @@
             takeover.service, choice.server.id, received=choice.received, previous=intent
         )
         if claimed is None:
-            log.info(
-                "takeover_left",
-                service=takeover.service,
-                detail="another proxy is promoting a server",
-            )
-            return True
+            # The record may have changed for the copies in it only; then nothing is promoted.
+            newest = await self._authority.read(takeover.service)
+            detail = "is promoting a server" if newest.is_open else "changed the record"
+            log.info("takeover_left", service=takeover.service, detail=f"{newest.vm} {detail}")
+            return newest.is_open
         if not await self._depose(takeover.old_primary, control, term):
             # Gateways that do not learn of the takeover use the old primary until their leases end.
             wait_s = paused_at + LEASE_S - self._clock.monotonic()
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -644,6 +644,33 @@
 
         run(scenario())
 
+    def test_takeover_leaves_no_replica_paused_when_only_the_copies_changed(self) -> None:
+        """Guards against replicas that stay paused though nobody promotes a server."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as prepared:
+                proxy = prepared.proxies["vm-0"]
+                takeover = proxy.kernel.find("takeover", TakeoverService)
+                authority = takeover._authority
+                claim = authority.claim
+
+                async def claim_late(service: str, *values: Any, **named: Any) -> Any:
+                    """Claim after another proxy has recorded the copies."""
+                    authority.claim = claim  # type: ignore[method-assign]
+                    seen = await authority.read(service)
+                    await authority.record_copies(service, seen.copies, previous=seen)
+                    return await claim(service, *values, **named)
+
+                await wait_until(lambda: authority.find_known("rental") is not None, within_s=8)
+                authority.claim = claim_late  # type: ignore[method-assign]
+                retried = takeover._retry_at
+                prepared.register(prepared.group.servers[0], state="draining")
+                await wait_until(lambda: "rental" in retried, within_s=8)
+                self.assertEqual([0, 0, 0], [e.paused_term for e in prepared.group.servers])
+                await wait_until(lambda: prepared.group.term == 2, within_s=8)
+
+        run(scenario())
+
     def test_store_outage_postpones_the_promotion(self) -> None:
         """Guards against promotions without a fencing token."""
 
