--- a/lentilring/sessions/listener.py
+++ b/lentilring/sessions/listener.py
@@ -288,7 +288,7 @@
             if not self._is_ending:
                 raise
             task.uncancel()
-            return session.fail_unfinished(query.statement)
+            return session.fail_unfinished(query)
         finally:
             self._running = None
 
--- a/lentilring/sessions/session.py
+++ b/lentilring/sessions/session.py
@@ -82,16 +82,16 @@
             if self.state is TransactionState.OPEN:
                 self._start_idle_timer()
 
-    def fail_unfinished(self, statement: Statement) -> Failed:
+    def fail_unfinished(self, query: Query) -> Failed:
         """Return the outcome of a statement that was cancelled as the proxy stops."""
         transaction = self.context.transaction
-        is_uncertain = isinstance(statement, Commit) or (
-            transaction is None and self._writes(statement)
+        is_uncertain = isinstance(query.statement, Commit) or (
+            transaction is None and self._writes(query.statement)
         )
         if transaction is not None:
             self._fail_transaction(transaction)
         failure = Failure.UNCERTAIN if is_uncertain else Failure.ABORTED
-        log.warning("statement_unfinished", work=type(statement).__name__, failure=failure)
+        log.warning("statement_unfinished", request=query.request_id, failure=failure)
         return Failed(failure=failure, detail=STOPPING_DETAIL)
 
     def _writes(self, statement: Statement) -> bool:
@@ -133,7 +133,7 @@
         if transaction.has_failed:
             self.context.transaction = None
             return Failed(failure=Failure.ABORTED, detail="the transaction was rolled back")
-        refused = self._check_transaction(transaction, StatementKind.COMMIT)
+        refused = self._check_transaction(transaction, query, StatementKind.COMMIT)
         if refused is not None:
             self.context.transaction = None
             return refused
@@ -208,7 +208,7 @@
         call = StatementCall(request_id=query.request_id, text=text, work=work, prepared=prepared)
         transaction = self.context.transaction
         if transaction is not None:
-            refused = self._check_transaction(transaction, work)
+            refused = self._check_transaction(transaction, query, work)
             if refused is not None:
                 return refused
             return await self._router.run_in_transaction(self.context, transaction, call)
@@ -218,7 +218,7 @@
         return await self._router.run_single(self.context, admission, call)
 
     def _check_transaction(
-        self, transaction: SessionTransaction, work: StatementKind
+        self, transaction: SessionTransaction, query: Query, work: StatementKind
     ) -> Failed | None:
         """Return a refusal and fail the transaction if it may not go on.
 
@@ -230,7 +230,12 @@
             refused = admission
         elif self._router.is_too_late(transaction.admission, work):
             refused = Failed(failure=Failure.ABORTED, detail=STOPPING_DETAIL)
-            log.info("transaction_stopped", transaction=transaction.id, work=work)
+            log.info(
+                "transaction_stopped",
+                request=query.request_id,
+                transaction=transaction.id,
+                work=work,
+            )
         if refused is not None:
             self._fail_transaction(transaction)
         return refused
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -87,15 +87,8 @@
             async with run_prepared_platform() as platform:
                 primary, lost, behind = platform.group.servers
                 await self._write_past(platform, behind)
-                await lost.stop()
-                await primary.stop()
-                for server in (lost, primary):
-                    platform.store.remove("servers", server.id)
-                await asyncio.sleep(REMOVAL_AND_TAKEOVER_S)
-                self.assertEqual([], platform.store.promotions)
-                await self._return(platform, primary, behind)
-                await self._check_writes(platform)
-                self.assertEqual([], platform.group.rolled_back)
+                await self._take_away(platform, lost, primary)
+                await self._check_waiting(platform, primary, behind)
 
         run(scenario(), within_s=60.0)
 
@@ -106,17 +99,10 @@
             async with run_prepared_platform(proxies=1) as platform:
                 primary, lost, behind = platform.group.servers
                 await self._write_past(platform, behind)
-                await lost.stop()
-                await primary.stop()
-                for server in (lost, primary):
-                    platform.store.remove("servers", server.id)
+                await self._take_away(platform, lost, primary)
                 await platform.proxies["vm-0"].stop()
                 await platform.add_proxy("vm-1", "mrk-a")
-                await asyncio.sleep(REMOVAL_AND_TAKEOVER_S)
-                self.assertEqual([], platform.store.promotions)
-                await self._return(platform, primary, behind)
-                await self._check_writes(platform)
-                self.assertEqual([], platform.group.rolled_back)
+                await self._check_waiting(platform, primary, behind)
 
         run(scenario(), within_s=60.0)
 
@@ -142,10 +128,7 @@
             async with run_prepared_platform() as platform:
                 primary, lost, staying = platform.group.servers
                 await self._write_past(platform, staying)
-                await lost.stop()
-                await primary.stop()
-                for server in (lost, primary):
-                    platform.store.remove("servers", server.id)
+                await self._take_away(platform, lost, primary)
                 await asyncio.sleep(REMOVAL_AND_TAKEOVER_S)
                 record = platform.store.read(PROMOTIONS, "rental")
                 del record["copies"][lost.id]
@@ -210,6 +193,13 @@
         self.assertIn("COMPLETE", (await client.query("WRITE a 1"))[-2])
         client.close()
 
+    async def _take_away(self, platform: PreparedPlatform, *servers: StandinServer) -> None:
+        """Crash servers, so that their registrations lapse."""
+        for server in servers:
+            await server.stop()
+        for server in servers:
+            platform.store.remove("servers", server.id)
+
     async def _return(
         self, platform: PreparedPlatform, primary: StandinServer, behind: StandinServer
     ) -> None:
@@ -219,6 +209,16 @@
         platform.register(primary)
         behind.faults.receives_nothing = False
 
+    async def _check_waiting(
+        self, platform: PreparedPlatform, primary: StandinServer, behind: StandinServer
+    ) -> None:
+        """Check that nothing is promoted, and that the service goes on once the primary is back."""
+        await asyncio.sleep(REMOVAL_AND_TAKEOVER_S)
+        self.assertEqual([], platform.store.promotions)
+        await self._return(platform, primary, behind)
+        await self._check_writes(platform)
+        self.assertEqual([], platform.group.rolled_back)
+
     async def _check_writes(self, platform: PreparedPlatform) -> None:
         proxy = list(platform.proxies.values())[-1]
         end = asyncio.get_running_loop().time() + 8.0
