Count the store's calls after the supervisors have read the record

Cause: supervisors of the second and third rank read the record of promotions once, 2.5 and 5 s after they may act, since copies are recorded there; the test counted from about that moment. Three supervisors a service read it, whatever the size of the fleet, so the promise of the test holds.

The test now waits until exactly three proxies have read it, and then expects no call at all, as before.

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -17,9 +17,18 @@
 from lentilring.platform.documents import STORE_KINDS
 from lentilring.platform.store import StoreUnavailable
 from lentilring.revisions import combine_revision
+from lentilring.takeover.reasons import RANK_DELAY_S
+from lentilring.takeover.service import SUPERVISORS_PER_SERVICE, TakeoverService
 from lentilring.telemetry.metrics import Telemetry
 
-from .prepared import Proxy, build_manifest, run, run_prepared_platform, wait_until
+from .prepared import (
+    PreparedPlatform,
+    Proxy,
+    build_manifest,
+    run,
+    run_prepared_platform,
+    wait_until,
+)
 from .relay_fleet import Register, build_proxy
 from .virtual_time import SuspensibleClock, run_virtual
 
@@ -309,6 +318,14 @@
         run_virtual(scenario())
 
 
+def count_readers_of_promotions(platform: PreparedPlatform) -> int:
+    """Return how many proxies have read the record of promotions of the service."""
+    takeovers = [
+        proxy.kernel.find("takeover", TakeoverService) for proxy in platform.proxies.values()
+    ]
+    return sum(entry._authority.find_known("rental") is not None for entry in takeovers)
+
+
 class FleetTest(TestCase):
     def test_followers_do_not_call_the_store(self) -> None:
         """Guards against calls to the store that grow with the fleet; each one is billed."""
@@ -325,6 +342,11 @@
 
                 await wait_until(lambda: len(list_followers()) == 6, within_s=3.0)
                 followers = list_followers()
+                # Each supervisor of the service reads the record of promotions once.
+                await wait_until(
+                    lambda: count_readers_of_promotions(platform) == SUPERVISORS_PER_SERVICE,
+                    within_s=3 * RANK_DELAY_S,
+                )
                 await asyncio.sleep(2.5)
                 counts = [proxy.telemetry.read("store_calls", method="GET") for proxy in followers]
                 platform.store.put("config", "main", build_manifest(7))
