Name the request whose connection ends without an answer

The users' record shows no line that names a request that was cut: the end of a connection was logged at DEBUG without an id, and only the end of a gateway's call told the gateway and the server.

The session's proxy now logs statement_unanswered and gateway_call_cancelled with the request's id, and counts the former. transaction_stopped shows "-" where no transaction is open on a server yet. tests/test_planned_stop.py checks the lines; without them the assertion on the lines fails, as there are none.

--- a/lentilring/gateways/dispatch.py
+++ b/lentilring/gateways/dispatch.py
@@ -1,5 +1,6 @@
 """Routes statements from a caller's proxy to the gateways of backend servers."""
 
+import asyncio
 from dataclasses import dataclass, replace
 
 from ..catalog.fleet import FleetService
@@ -98,6 +99,19 @@
 
     async def run_at(self, gateway: ProxyEntry, request: RunStatement) -> DispatchResult:
         """Run a statement at one gateway; a failed call becomes the failure that it can mean."""
+        try:
+            return await self._run_at(gateway, request)
+        except asyncio.CancelledError:
+            log.warning(
+                "gateway_call_cancelled",
+                request=request.request_id,
+                gateway=gateway.vm,
+                server=request.server,
+                transaction=request.transaction or "-",
+            )
+            raise
+
+    async def _run_at(self, gateway: ProxyEntry, request: RunStatement) -> DispatchResult:
         if gateway.vm == self._fleet.local.vm:
             local_answer = await self._gateways.run(request)
             return DispatchResult(answer=local_answer, gateway=gateway, server=request.server)
--- a/lentilring/sessions/listener.py
+++ b/lentilring/sessions/listener.py
@@ -144,6 +144,7 @@
             writer=writer,
             codec=self._codec,
             router=self._router,
+            telemetry=self._telemetry,
             transaction_idle_s=self._transaction_idle_s(),
         )
         connection.closes_after_answer = self._closes_after_answers
@@ -166,14 +167,18 @@
         writer: asyncio.StreamWriter,
         codec: SessionCodec,
         router: StatementRouter,
+        telemetry: Telemetry,
         transaction_idle_s: float,
     ) -> None:
         self._reader, self._writer, self._codec = reader, writer, codec
+        self._telemetry = telemetry
         self._router, self._transaction_idle_s = router, transaction_idle_s
         self._session: Session | None = None
         self._is_reading = False
         self._is_ending = False
         self._running: asyncio.Task[None] | None = None
+        # The newest statement until its answer has been passed to the operating system.
+        self._unanswered: Query | None = None
         self.closes_after_answer = False
 
     @property
@@ -205,6 +210,7 @@
 
     async def serve(self) -> None:
         """Serve until either end closes the connection."""
+        reason = "closed"
         try:
             await self._open_session()
             while self._session is not None and not self._writer.is_closing():
@@ -213,15 +219,37 @@
                 if self.closes_after_answer and self._is_between_statements:
                     return
         except (OSError, EOFError, TimeoutError) as error:
-            log.debug("session_lost", detail=repr(error))
+            reason = repr(error)
+            log.debug("session_lost", detail=reason)
         except asyncio.CancelledError:
             # The listener is stopping; asyncio would log a cancelled callback as an error.
+            reason = "cancelled"
             log.debug("session_cancelled")
         finally:
+            self._report_unanswered(reason)
             if self._session is not None:
                 self._session.abandon()
             self._writer.close()
 
+    def _report_unanswered(self, reason: str) -> None:
+        """Log a statement that was read and whose answer the caller does not get in full."""
+        query, session = self._unanswered, self._session
+        if query is None or session is None:
+            return
+        self._telemetry.count(
+            "statements_unanswered", stopping=str(self.closes_after_answer).lower()
+        )
+        log.warning(
+            "statement_unanswered",
+            request=query.request_id,
+            database=session.context.database,
+            transaction=session.transaction_id or "-",
+            running=self._running is not None,
+            unsent_bytes=self._writer.transport.get_write_buffer_size(),
+            stopping=self.closes_after_answer,
+            detail=reason,
+        )
+
     @property
     def _is_between_statements(self) -> bool:
         """Tell whether no transaction is open and no further statement has arrived."""
@@ -266,8 +294,10 @@
         if message is None or isinstance(message, CloseSession):
             return False
         if isinstance(message, Query):
+            self._unanswered = message
             outcome = await self._run_query(session, message)
             await self._write(self._codec.encode_outcome(outcome, session.state))
+            self._unanswered = None
             return True
         failure = message.failure if isinstance(message, UnreadableMessage) else Failure.MALFORMED
         detail = message.detail if isinstance(message, UnreadableMessage) else "the session is open"
--- a/lentilring/sessions/session.py
+++ b/lentilring/sessions/session.py
@@ -71,6 +71,11 @@
             return TransactionState.IDLE
         return TransactionState.FAILED if transaction.has_failed else TransactionState.OPEN
 
+    @property
+    def transaction_id(self) -> str:
+        """Return the id of the transaction that is open on a server, empty without one."""
+        return "" if self.context.transaction is None else self.context.transaction.id
+
     async def handle(self, query: Query) -> StatementOutcome:
         """Run one statement and return its outcome."""
         self._stop_idle_timer()
@@ -233,7 +238,7 @@
             log.info(
                 "transaction_stopped",
                 request=query.request_id,
-                transaction=transaction.id,
+                transaction=transaction.id or "-",
                 work=work,
             )
         if refused is not None:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import logbook
 from testtools import TestCase
 
 from lentilring.gateways.messages import StatementKind
@@ -157,6 +158,34 @@
         run(scenario())
 
 
+class UnansweredLogTest(TestCase):
+    def test_log_names_the_statement_gateway_and_server_of_a_cut_connection(self) -> None:
+        """Guards against a connection that ends without a line that tells where its request was."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as platform:
+                proxy = platform.proxies["vm-0"]
+                client = await proxy.open("booking")
+                platform.group.servers[0].faults.silent = True
+                client.send("QUERY q1 WRITE a 1")
+                await asyncio.sleep(0.1)
+                handler = logbook.TestHandler()
+                with handler.applicationbound():
+                    for task in proxy.kernel.find("sessions", SessionListener)._tasks:
+                        task.cancel()
+                    self.assertEqual("", (await client.read_answer())[-1])
+                lines = [
+                    entry.message for entry in handler.records if "request=q1" in entry.message
+                ]
+                (cut,) = [line for line in lines if "event=statement_unanswered" in line]
+                self.assertIn("database=booking", cut)
+                (call,) = [line for line in lines if "event=gateway_call_cancelled" in line]
+                self.assertIn(f"gateway=vm-0 server={platform.group.servers[0].id}", call)
+                client.close()
+
+        run(scenario())
+
+
 async def stop_as_planned(proxy: Proxy) -> None:
     """Stop a proxy as its process does after SIGTERM."""
     await proxy.readiness.drain_sessions(
