Play planned stops in series against the program of any checkout

The tool stops proxies in overlapping series, with signals in between, under callers that use and reopen connections until the process is gone, and applies the users' rule to each statement without an answer. Servers have slots and work of different length.

--- a/lentilring/soak/deployment.py
+++ b/lentilring/soak/deployment.py
@@ -52,13 +52,16 @@
     session_address: str
     readiness_address: str
     store_link: Relay
+    program_folder: Path | None = None
     process: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
         """Start or restart the process."""
         self.process = subprocess.Popen(
             [sys.executable, "-m", "lentilring.cli.sessions"],
-            env={**os.environ, BOOT_VARIABLE: str(self.boot_file)},
+            # Python looks for the program in the working directory first.
+            cwd=self.program_folder,
+            env={**os.environ, BOOT_VARIABLE: str(self.boot_file.absolute())},
             stdout=self.log,
             stderr=subprocess.STDOUT,
         )
@@ -96,6 +99,9 @@
     host_prefix: str
     group: ServerGroup
     store: PreparedStore
+    grace_s: float = GRACE_S
+    # The checkout whose program runs; None for this one.
+    program_folder: Path | None = None
     server_links: dict[str, Relay] = field(default_factory=dict)
     proxies: list[ProxyProcess] = field(default_factory=list)
     version: int = 0
@@ -211,7 +217,7 @@
                 store_address=store_link.address,
                 promotion_address=self.store.address,
                 window=WINDOW,
-                grace_s=GRACE_S,
+                grace_s=self.grace_s,
                 max_unconfirmed_s=MAX_UNCONFIRMED_S,
             ),
         )
@@ -222,6 +228,7 @@
             session_address=f"{host}:{SESSION_PORT}",
             readiness_address=f"{host}:{READINESS_PORT}",
             store_link=store_link,
+            program_folder=self.program_folder,
         )
         proxy.start()
         self.proxies.append(proxy)
--- /dev/null
+++ b/lentilring/soak/stops.py
@@ -0,0 +1,343 @@
+"""Planned stops in series that overlap, and the check that they cut no statement."""
+
+import asyncio
+import itertools
+import signal
+import sys
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+from ..standin.prepared.caller import CallerLost, StatementClient
+from .deployment import ProxyProcess, SoakDeployment, build_deployment
+
+DATABASES = ("booking", "stock", "delivery")
+CALLERS_PER_PROXY = 16
+SLOTS = 2
+# Work of a statement at a server, in seconds; a few take much longer.
+MEDIAN_WORK_S = 0.025
+WORK_SPREAD = 0.8
+SLOW_SHARE = 0.03
+SLOW_WORK_S = 0.6
+# A caller's pause between two statements, in seconds, and its share of single operations.
+MAX_PAUSE_S = 0.4
+SINGLE_SHARE = 0.4
+MAX_STATEMENTS = 12
+OPEN_TIMEOUT_S = 2.0
+ANSWER_TIMEOUT_S = 10.0
+# Times of the operator, in seconds.
+MAX_OVERLAP_S = 1.0
+MAX_STOP_PAUSE_S = 3.0
+CHANGE_INTERVAL_S = 0.7
+# A request that was read, but not passed on, has to be answered within this time.
+LOSS_SLACK_S = 0.2
+# A stop counts until this long after the grace period.
+AFTER_GRACE_S = 1.0
+# The part of the grace period in which a server may still work on an older statement.
+LAST_PART = 1 / 6
+EXCUSED_SENT_S = 3.0
+
+
+@dataclass(kw_only=True)
+class SentStatement:
+    """Hold one statement of a caller; times are on the event loop's clock."""
+
+    id: str
+    text: str
+    vm: str
+    in_transaction: bool
+    sent_at: float
+    ended_at: float = 0.0
+    is_answered: bool = False
+
+
+@dataclass(kw_only=True)
+class PlannedStop:
+    """Hold one stop of a proxy's process; `was_killed` if it outlived the grace period."""
+
+    vm: str
+    began_at: float
+    ended_at: float = 0.0
+    was_killed: bool = False
+    exit_code: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class CutStatement:
+    """Describe a statement that a planned stop left without an answer."""
+
+    statement: SentStatement
+    stop: PlannedStop
+    ran: bool
+
+    def describe(self) -> str:
+        """Return one line with the times since the stop began."""
+        statement, began_at = self.statement, self.stop.began_at
+        kind = "transaction" if statement.in_transaction else "single"
+        passed_on = "passed on" if self.ran else "not passed on"
+        end = "killed" if self.stop.was_killed else "ended"
+        return (
+            f"{statement.id} {statement.text.split(' ')[0]} ({kind}) at {statement.vm}, "
+            f"{passed_on}; after SIGTERM: sent {statement.sent_at - began_at:.3f} s, "
+            f"closed {statement.ended_at - began_at:.3f} s, "
+            f"process {end} {self.stop.ended_at - began_at:.3f} s"
+        )
+
+
+@dataclass(kw_only=True)
+class StopResult:
+    """Hold the counts of one run and the statements that stops cut."""
+
+    seed: int
+    stops: list[PlannedStop]
+    sent: int
+    answered: int
+    refused: Counter[str]
+    cut: list[CutStatement]
+
+    @property
+    def longest_s(self) -> float:
+        """Return the longest time from SIGTERM to the end of a process."""
+        return max((stop.ended_at - stop.began_at for stop in self.stops), default=0.0)
+
+    @property
+    def killed(self) -> int:
+        """Return the number of processes that outlived their grace period."""
+        return sum(stop.was_killed for stop in self.stops)
+
+
+@dataclass(kw_only=True)
+class StopSeries:
+    """Play stops on a deployment while its callers run."""
+
+    deployment: SoakDeployment
+    random: Random
+    changes_settings: bool
+    sent: list[SentStatement] = field(default_factory=list)
+    stops: list[PlannedStop] = field(default_factory=list)
+    refused: Counter[str] = field(default_factory=Counter)
+    is_over: bool = False
+
+    async def play(self, *, duration_s: float) -> None:
+        """Run callers and stops for `duration_s` seconds, and let all callers end."""
+        callers = [
+            asyncio.ensure_future(self._run_caller(number))
+            for number in range(CALLERS_PER_PROXY * len(self.deployment.proxies))
+        ]
+        changes = asyncio.ensure_future(self._change_settings())
+        await asyncio.sleep(1.0)
+        ends_at = asyncio.get_running_loop().time() + duration_s
+        while asyncio.get_running_loop().time() < ends_at:
+            await self._stop_some()
+            await asyncio.sleep(self.random.uniform(0.0, MAX_STOP_PAUSE_S))
+        self.is_over = True
+        changes.cancel()
+        await asyncio.gather(*callers)
+
+    async def _stop_some(self) -> None:
+        """Stop some proxies, not all, up to MAX_OVERLAP_S apart; start each again at its end."""
+        proxies = self.random.sample(
+            self.deployment.proxies, self.random.randint(1, len(self.deployment.proxies) - 1)
+        )
+        stopping = []
+        for proxy in proxies:
+            stopping.append(asyncio.ensure_future(self._stop(proxy)))
+            await asyncio.sleep(self.random.uniform(0.0, MAX_OVERLAP_S))
+        await asyncio.gather(*stopping)
+
+    async def _stop(self, proxy: ProxyProcess) -> None:
+        loop = asyncio.get_running_loop()
+        stop = PlannedStop(vm=proxy.vm, began_at=loop.time())
+        self.stops.append(stop)
+        proxy.send(signal.SIGTERM)
+        if self.random.random() < 0.3:
+            await asyncio.sleep(self.random.uniform(0.0, 1.0))
+            proxy.send(self.random.choice([signal.SIGTERM, signal.SIGHUP, signal.SIGINT]))
+        kill_at = stop.began_at + self.deployment.grace_s
+        while proxy.is_running and loop.time() < kill_at:
+            await asyncio.sleep(0.01)
+        stop.was_killed = proxy.is_running
+        proxy.kill()
+        stop.ended_at = loop.time()
+        assert proxy.process is not None
+        stop.exit_code = proxy.process.returncode
+        await asyncio.sleep(self.random.uniform(0.0, 0.5))
+        proxy.start()
+
+    async def _change_settings(self) -> None:
+        while self.changes_settings:
+            await asyncio.sleep(CHANGE_INTERVAL_S)
+            self.deployment.put_configuration()
+            self.random.choice(self.deployment.proxies).send(signal.SIGHUP)
+
+    async def _run_caller(self, number: int) -> None:
+        """Open sessions one after the other, and use each until it closes."""
+        random = Random(self.random.getrandbits(64))
+        ids = (f"c{number}s{step}" for step in itertools.count())
+        while not self.is_over:
+            proxy = random.choice(self.deployment.proxies)
+            try:
+                client = await StatementClient.open(
+                    proxy.session_address,
+                    random.choice(DATABASES),
+                    "planner-key-1",
+                    timeout_s=OPEN_TIMEOUT_S,
+                )
+            except CallerLost:
+                await asyncio.sleep(0.05)
+                continue
+            try:
+                while not self.is_over:
+                    for text, in_transaction in _choose_operation(random):
+                        if not await self._send(client, next(ids), text, proxy.vm, in_transaction):
+                            break
+                        await asyncio.sleep(random.uniform(0.0, MAX_PAUSE_S))
+            except CallerLost:
+                continue
+            finally:
+                client.close()
+
+    async def _send(
+        self, client: StatementClient, request: str, text: str, vm: str, in_transaction: bool
+    ) -> bool:
+        """Send one statement; return False if the operation can't go on. Raise CallerLost."""
+        loop = asyncio.get_running_loop()
+        statement = SentStatement(
+            id=request, text=text, vm=vm, in_transaction=in_transaction, sent_at=loop.time()
+        )
+        self.sent.append(statement)
+        try:
+            answer = await client.query(request, text, timeout_s=ANSWER_TIMEOUT_S)
+            statement.is_answered = True
+        finally:
+            statement.ended_at = loop.time()
+        if answer.failure is None:
+            return True
+        self.refused[answer.failure] += 1
+        if answer.state == "E":
+            await self._send(client, f"{request}r", "ROLLBACK", vm, True)
+        return False
+
+
+def _choose_operation(random: Random) -> list[tuple[str, bool]]:
+    item = f"i{random.randrange(20)}"
+    work = [random.choice([f"READ {item}", f"WRITE {item} d"]) for _ in range(MAX_STATEMENTS - 2)]
+    if random.random() < SINGLE_SHARE:
+        return [(work[0], False)]
+    count = random.randint(1, len(work))
+    return [(text, True) for text in ["BEGIN", *work[:count], "COMMIT"]]
+
+
+def find_cut_statements(
+    sent: Iterable[SentStatement],
+    stops: Iterable[PlannedStop],
+    arrivals: dict[str, tuple[float, float]],
+    *,
+    grace_s: float,
+) -> list[CutStatement]:
+    """Return the statements that stops of their caller's own proxy left without an answer.
+
+    `arrivals` holds when each statement reached a server and when the server had finished.
+    """
+    by_vm: dict[str, list[PlannedStop]] = {}
+    for stop in stops:
+        by_vm.setdefault(stop.vm, []).append(stop)
+    cut = []
+    for statement in sent:
+        if statement.is_answered or not statement.ended_at:
+            continue
+        for stop in by_vm.get(statement.vm, ()):
+            ends_at = stop.began_at + grace_s + AFTER_GRACE_S
+            if not stop.began_at <= statement.ended_at <= ends_at:
+                continue
+            ran = statement.id in arrivals
+            held_s = statement.ended_at - statement.sent_at
+            if (ran or held_s > LOSS_SLACK_S) and not _is_excused(
+                statement, stop, arrivals.get(statement.id), grace_s
+            ):
+                cut.append(CutStatement(statement=statement, stop=stop, ran=ran))
+    return cut
+
+
+def _is_excused(
+    statement: SentStatement,
+    stop: PlannedStop,
+    arrival: tuple[float, float] | None,
+    grace_s: float,
+) -> bool:
+    """Tell whether a server still worked on an old statement late in the grace period."""
+    if arrival is None or statement.sent_at > stop.began_at + EXCUSED_SENT_S:
+        return False
+    return arrival[1] > stop.began_at + grace_s * (1 - LAST_PART)
+
+
+def _choose_work_s(random: Random) -> float:
+    if random.random() < SLOW_SHARE:
+        return random.uniform(0.2, SLOW_WORK_S)
+    return random.lognormvariate(0.0, WORK_SPREAD) * MEDIAN_WORK_S
+
+
+async def run_stop_series(
+    *,
+    seed: int,
+    duration_s: float,
+    vms: int,
+    grace_s: float,
+    folder: Path,
+    program_folder: Path | None = None,
+    host_prefix: str = "",
+) -> StopResult:
+    """Play one series; `program_folder` is the checkout whose program runs, this one by default."""
+    random = Random(seed)
+    deployment = build_deployment(
+        folder, host_prefix=host_prefix or f"127.{230 + seed % 20}.{seed // 20 % 250}"
+    )
+    deployment.grace_s, deployment.program_folder = grace_s, program_folder
+    deployment.group.limit_work(slots=SLOTS, choose_work_s=lambda: _choose_work_s(random))
+    series = StopSeries(
+        deployment=deployment, random=random, changes_settings=random.random() < 0.5
+    )
+    try:
+        await deployment.start(vms=vms)
+        await series.play(duration_s=duration_s)
+    finally:
+        await deployment.stop()
+    cut = find_cut_statements(series.sent, series.stops, deployment.group.arrivals, grace_s=grace_s)
+    return StopResult(
+        seed=seed,
+        stops=series.stops,
+        sent=len(series.sent),
+        answered=sum(statement.is_answered for statement in series.sent),
+        refused=series.refused,
+        cut=cut,
+    )
+
+
+def main() -> None:
+    """Play one series from the command line: SEED SECONDS VMS GRACE FOLDER [CHECKOUT]."""
+    seed, seconds, vms, grace, folder, *checkout = sys.argv[1:]
+    path = Path(folder)
+    path.mkdir(parents=True, exist_ok=True)
+    result = asyncio.run(
+        run_stop_series(
+            seed=int(seed),
+            duration_s=float(seconds),
+            vms=int(vms),
+            grace_s=float(grace),
+            folder=path,
+            program_folder=Path(checkout[0]) if checkout else None,
+        )
+    )
+    print(
+        f"seed {result.seed}: {len(result.cut)} cut; {len(result.stops)} stops, longest "
+        f"{result.longest_s:.2f} s, {result.killed} killed; {result.sent} statements, "
+        f"{result.answered} answered, refused {dict(result.refused)}"
+    )
+    for entry in result.cut:
+        print(f"  ! {entry.describe()}")
+
+
+if __name__ == "__main__":
+    main()
--- a/lentilring/standin/prepared/servers.py
+++ b/lentilring/standin/prepared/servers.py
@@ -1,6 +1,8 @@
 """Stand-ins of the platform's backend servers: a primary and replicas with lag and faults."""
 
 import asyncio
+import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ...platform.statements import LINE_END
@@ -131,7 +133,27 @@
         self.log: list[LoggedCommit] = []
         self.rolled_back: list[LoggedCommit] = []
         self.connections = 0
+        # When each caller's statement arrived and when its work was done, on the loop's clock.
+        self.arrivals: dict[str, tuple[float, float]] = {}
         self._applied: dict[str, Position] = {}
+        self._slots: dict[str, asyncio.Semaphore] = {}
+        self._choose_work_s: Callable[[], float] | None = None
+
+    def limit_work(self, *, slots: int, choose_work_s: Callable[[], float]) -> None:
+        """Let callers' statements take time, and each server run `slots` of them at a time."""
+        self._slots = {server.id: asyncio.Semaphore(slots) for server in self.servers}
+        self._choose_work_s = choose_work_s
+
+    async def work(self, server: "StandinServer", request_id: str) -> None:
+        """Take the time of one statement."""
+        if self._choose_work_s is None:
+            return
+        loop = asyncio.get_running_loop()
+        arrived_at = loop.time()
+        self.arrivals[request_id] = arrived_at, math.inf
+        async with self._slots[server.id]:
+            await asyncio.sleep(self._choose_work_s())
+        self.arrivals[request_id] = arrived_at, loop.time()
 
     async def start(self) -> None:
         """Start all servers."""
@@ -277,6 +299,8 @@
             await self._query(request_id, text)
 
     async def _query(self, request_id: str, text: str) -> None:
+        if request_id != "-":
+            await self._group.work(self._server, request_id)
         error = self._run(request_id, text)
         if self._unreceived is not None:
             position, self._unreceived = self._unreceived, None
