Tell statements that were read from those that met a closing connection

The check of the stop series took each statement without an answer that took over 0.2 s for one that had been read; on a busy machine most of them had only met a connection that was closed before. The caller now looks for the end of its connection in the kernel first, and a statement counts as read if a server ran it or a proxy's log names it. Others are listed as missed. A processor's share is played by suspending processes for a part of each 0.1 s. lentilring-load stops plays it.

--- a/lentilring/cli/load.py
+++ b/lentilring/cli/load.py
@@ -15,6 +15,7 @@
 from ..loadtest.runner import LoadRun
 from ..loadtest.scenario import Scenario, ScenarioInvalid, read_scenario
 from ..soak.run import SoakResult, run_soak
+from ..soak.stops import StopResult, run_stop_series
 from ..telemetry.log import write_logs
 from .options import VERSION_OPTION, ExitCode
 from .tables import print_json
@@ -122,6 +123,56 @@
         raise typer.Exit(ExitCode.FAILURE)
 
 
+@application.command()
+def stops(
+    seed: Annotated[int, typer.Option(help="Seed of the stops and the callers.")] = 1,
+    seeds: Annotated[int, typer.Option(min=1, help="Runs, with seeds that follow.")] = 1,
+    minutes: Annotated[float, typer.Option(min=0.05, max=600, help="Time of stops.")] = 0.4,
+    vms: Annotated[int, typer.Option(min=2, max=200, help="Proxies, each a process.")] = 3,
+    grace: Annotated[float, typer.Option(min=2, help="Seconds from SIGTERM to SIGKILL.")] = 6.0,
+    share: Annotated[
+        float, typer.Option(min=0.05, max=1, help="Part of the time that a proxy may run.")
+    ] = 1.0,
+    folder: Annotated[
+        Path, typer.Option(help="Directory of the proxies' logs; one of each seed.")
+    ] = Path("soak"),
+    checkout: Annotated[
+        Path | None, typer.Option(help="Checkout whose proxies run; this one by default.")
+    ] = None,
+) -> None:
+    """Stop proxies in overlapping series; exit with 1 if a statement gets no answer."""
+    is_cut = False
+    for number in range(seed, seed + seeds):
+        logs = folder / f"stops-{number}"
+        logs.mkdir(parents=True, exist_ok=True)
+        result = asyncio.run(
+            run_stop_series(
+                seed=number,
+                duration_s=minutes * 60,
+                vms=vms,
+                grace_s=grace,
+                folder=logs,
+                processor_share=share,
+                program_folder=checkout,
+            )
+        )
+        _print_stops(result)
+        is_cut = is_cut or bool(result.cut or result.missed)
+    if is_cut:
+        raise typer.Exit(ExitCode.FAILURE)
+
+
+def _print_stops(result: StopResult) -> None:
+    refused = ", ".join(f"{count} {failure}" for failure, count in result.refused.most_common())
+    typer.echo(
+        f"seed {result.seed}: {len(result.cut)} cut, {len(result.missed)} missed; "
+        f"{len(result.stops)} stops, longest {result.longest_s:.2f} s, {result.killed} killed; "
+        f"{result.sent} statements, {result.answered} answered; refused: {refused or 'none'}"
+    )
+    for entry in [*result.cut, *result.missed][:MAX_LISTED]:
+        typer.echo(f"  ! {entry.describe()}")
+
+
 def _print_soak(result: SoakResult) -> None:
     verdict = f"{len(result.violations)} VIOLATIONS" if result.violations else "no violation"
     typer.echo(
--- a/lentilring/soak/stops.py
+++ b/lentilring/soak/stops.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import itertools
+import re
 import signal
-import sys
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -31,8 +31,8 @@
 MAX_OVERLAP_S = 1.0
 MAX_STOP_PAUSE_S = 3.0
 CHANGE_INTERVAL_S = 0.7
-# A request that was read, but not passed on, has to be answered within this time.
-LOSS_SLACK_S = 0.2
+# A processor that runs only a part of each period, as under a usage limit.
+PROCESSOR_PERIOD_S = 0.1
 # A stop counts until this long after the grace period.
 AFTER_GRACE_S = 1.0
 # The part of the grace period in which a server may still work on an older statement.
@@ -71,12 +71,13 @@
     statement: SentStatement
     stop: PlannedStop
     ran: bool
+    was_read: bool
 
     def describe(self) -> str:
         """Return one line with the times since the stop began."""
         statement, began_at = self.statement, self.stop.began_at
         kind = "transaction" if statement.in_transaction else "single"
-        passed_on = "passed on" if self.ran else "not passed on"
+        passed_on = "passed on" if self.ran else "read" if self.was_read else "not known to be read"
         end = "killed" if self.stop.was_killed else "ended"
         return (
             f"{statement.id} {statement.text.split(' ')[0]} ({kind}) at {statement.vm}, "
@@ -96,6 +97,8 @@
     answered: int
     refused: Counter[str]
     cut: list[CutStatement]
+    # Statements that a closed connection met on their way, as far as the proxies' logs tell.
+    missed: list[CutStatement]
 
     @property
     def longest_s(self) -> float:
@@ -115,6 +118,8 @@
     deployment: SoakDeployment
     random: Random
     changes_settings: bool
+    # Part of the time in which each proxy's process may run, from 0 to 1.
+    processor_share: float
     sent: list[SentStatement] = field(default_factory=list)
     stops: list[PlannedStop] = field(default_factory=list)
     refused: Counter[str] = field(default_factory=Counter)
@@ -126,14 +131,20 @@
             asyncio.ensure_future(self._run_caller(number))
             for number in range(CALLERS_PER_PROXY * len(self.deployment.proxies))
         ]
-        changes = asyncio.ensure_future(self._change_settings())
+        others = [asyncio.ensure_future(self._change_settings())]
+        if self.processor_share < 1:
+            others += [
+                asyncio.ensure_future(self._limit_processor(proxy))
+                for proxy in self.deployment.proxies
+            ]
         await asyncio.sleep(1.0)
         ends_at = asyncio.get_running_loop().time() + duration_s
         while asyncio.get_running_loop().time() < ends_at:
             await self._stop_some()
             await asyncio.sleep(self.random.uniform(0.0, MAX_STOP_PAUSE_S))
         self.is_over = True
-        changes.cancel()
+        for task in others:
+            task.cancel()
         await asyncio.gather(*callers)
 
     async def _stop_some(self) -> None:
@@ -172,6 +183,17 @@
             self.deployment.put_configuration()
             self.random.choice(self.deployment.proxies).send(signal.SIGHUP)
 
+    async def _limit_processor(self, proxy: ProxyProcess) -> None:
+        """Suspend a process for a part of each period."""
+        try:
+            while True:
+                proxy.send(signal.SIGSTOP)
+                await asyncio.sleep(PROCESSOR_PERIOD_S * (1 - self.processor_share))
+                proxy.send(signal.SIGCONT)
+                await asyncio.sleep(PROCESSOR_PERIOD_S * self.processor_share)
+        finally:
+            proxy.send(signal.SIGCONT)
+
     async def _run_caller(self, number: int) -> None:
         """Open sessions one after the other, and use each until it closes."""
         random = Random(self.random.getrandbits(64))
@@ -204,6 +226,8 @@
     ) -> bool:
         """Send one statement; return False if the operation can't go on. Raise CallerLost."""
         loop = asyncio.get_running_loop()
+        if client.is_closed_by_peer():
+            raise CallerLost(detail="closed between two statements")
         statement = SentStatement(
             id=request, text=text, vm=vm, in_transaction=in_transaction, sent_at=loop.time()
         )
@@ -230,21 +254,23 @@
     return [(text, True) for text in ["BEGIN", *work[:count], "COMMIT"]]
 
 
-def find_cut_statements(
+def find_unanswered(
     sent: Iterable[SentStatement],
     stops: Iterable[PlannedStop],
     arrivals: dict[str, tuple[float, float]],
+    logged: frozenset[str],
     *,
     grace_s: float,
 ) -> list[CutStatement]:
     """Return the statements that stops of their caller's own proxy left without an answer.
 
-    `arrivals` holds when each statement reached a server and when the server had finished.
+    `arrivals` holds when each statement reached a server and when the server had finished,
+    `logged` the statements that a proxy's log names.
     """
     by_vm: dict[str, list[PlannedStop]] = {}
     for stop in stops:
         by_vm.setdefault(stop.vm, []).append(stop)
-    cut = []
+    unanswered = []
     for statement in sent:
         if statement.is_answered or not statement.ended_at:
             continue
@@ -252,13 +278,22 @@
             ends_at = stop.began_at + grace_s + AFTER_GRACE_S
             if not stop.began_at <= statement.ended_at <= ends_at:
                 continue
-            ran = statement.id in arrivals
-            held_s = statement.ended_at - statement.sent_at
-            if (ran or held_s > LOSS_SLACK_S) and not _is_excused(
-                statement, stop, arrivals.get(statement.id), grace_s
-            ):
-                cut.append(CutStatement(statement=statement, stop=stop, ran=ran))
-    return cut
+            arrival = arrivals.get(statement.id)
+            if not _is_excused(statement, stop, arrival, grace_s):
+                entry = CutStatement(
+                    statement=statement,
+                    stop=stop,
+                    ran=arrival is not None,
+                    was_read=statement.id in logged,
+                )
+                unanswered.append(entry)
+    return unanswered
+
+
+def read_logged_requests(folder: Path) -> frozenset[str]:
+    """Return the ids of all requests that the logs of the proxies in a folder name."""
+    logs = "".join(path.read_text(errors="replace") for path in folder.glob("*.log"))
+    return frozenset(re.findall(r"\brequest=(\S+)", logs))
 
 
 def _is_excused(
@@ -286,6 +321,7 @@
     vms: int,
     grace_s: float,
     folder: Path,
+    processor_share: float = 1.0,
     program_folder: Path | None = None,
     host_prefix: str = "",
 ) -> StopResult:
@@ -297,47 +333,29 @@
     deployment.grace_s, deployment.program_folder = grace_s, program_folder
     deployment.group.limit_work(slots=SLOTS, choose_work_s=lambda: _choose_work_s(random))
     series = StopSeries(
-        deployment=deployment, random=random, changes_settings=random.random() < 0.5
+        deployment=deployment,
+        random=random,
+        changes_settings=random.random() < 0.5,
+        processor_share=processor_share,
     )
     try:
         await deployment.start(vms=vms)
         await series.play(duration_s=duration_s)
     finally:
         await deployment.stop()
-    cut = find_cut_statements(series.sent, series.stops, deployment.group.arrivals, grace_s=grace_s)
+    unanswered = find_unanswered(
+        series.sent,
+        series.stops,
+        deployment.group.arrivals,
+        read_logged_requests(folder),
+        grace_s=grace_s,
+    )
     return StopResult(
         seed=seed,
         stops=series.stops,
         sent=len(series.sent),
         answered=sum(statement.is_answered for statement in series.sent),
         refused=series.refused,
-        cut=cut,
+        cut=[entry for entry in unanswered if entry.ran or entry.was_read],
+        missed=[entry for entry in unanswered if not entry.ran and not entry.was_read],
     )
-
-
-def main() -> None:
-    """Play one series from the command line: SEED SECONDS VMS GRACE FOLDER [CHECKOUT]."""
-    seed, seconds, vms, grace, folder, *checkout = sys.argv[1:]
-    path = Path(folder)
-    path.mkdir(parents=True, exist_ok=True)
-    result = asyncio.run(
-        run_stop_series(
-            seed=int(seed),
-            duration_s=float(seconds),
-            vms=int(vms),
-            grace_s=float(grace),
-            folder=path,
-            program_folder=Path(checkout[0]) if checkout else None,
-        )
-    )
-    print(
-        f"seed {result.seed}: {len(result.cut)} cut; {len(result.stops)} stops, longest "
-        f"{result.longest_s:.2f} s, {result.killed} killed; {result.sent} statements, "
-        f"{result.answered} answered, refused {dict(result.refused)}"
-    )
-    for entry in result.cut:
-        print(f"  ! {entry.describe()}")
-
-
-if __name__ == "__main__":
-    main()
--- a/lentilring/standin/prepared/caller.py
+++ b/lentilring/standin/prepared/caller.py
@@ -1,6 +1,8 @@
 """A stand-in for a caller of the prepared platform: a client of the statement protocol."""
 
 import asyncio
+import os
+import socket
 from dataclasses import dataclass
 
 from ...errors import LentilringError
@@ -78,6 +80,19 @@
             self.close()
             raise CallerLost(detail=repr(error)) from error
 
+    def is_closed_by_peer(self) -> bool:
+        """Tell whether the end of the connection has arrived, also if it was not handled yet."""
+        if self._reader.at_eof():
+            return True
+        descriptor = os.dup(self._writer.get_extra_info("socket").fileno())
+        with socket.socket(fileno=descriptor) as connection:
+            try:
+                return connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+            except BlockingIOError:
+                return False
+            except OSError:
+                return True
+
     def close(self) -> None:
         """Close the connection."""
         self._writer.transport.abort()
