Keep a connection open whose next statement has arrived unread

Callers whose proxy was stopping lost a statement without an answer: draining closed connections as idle although the next statement lay in the kernel's buffer and the event loop had not read it yet. The caller gets a reset and can't know that a write has not run.

Cause: only the process's own buffer decided whether a session was idle or had its last answer.

The kernel's buffer is asked too, right before a connection is closed. The test failed before: the statement got no answer.

--- a/lentilring/sessions/listener.py
+++ b/lentilring/sessions/listener.py
@@ -1,6 +1,7 @@
 """The listener for callers' sessions: answers messages in order and drains sessions at shutdown."""
 
 import asyncio
+import os
 import socket
 from collections.abc import Callable
 from typing import Protocol
@@ -194,7 +195,9 @@
 
     @property
     def _has_unread_data(self) -> bool:
-        return bool(self._reader._buffer)  # type: ignore[attr-defined]
+        """Tell whether bytes have arrived, also if the event loop has not read them yet."""
+        buffer = self._reader._buffer  # type: ignore[attr-defined]
+        return bool(buffer) or _holds_received_bytes(self._writer.get_extra_info("socket"))
 
     def close(self) -> None:
         """Close the connection."""
@@ -216,8 +219,6 @@
             while self._session is not None and not self._writer.is_closing():
                 if not await self._serve_message(self._session):
                     return
-                if self.closes_after_answer and self._is_between_statements:
-                    return
         except (OSError, EOFError, TimeoutError) as error:
             reason = repr(error)
             log.debug("session_lost", detail=reason)
@@ -250,12 +251,11 @@
             detail=reason,
         )
 
-    @property
-    def _is_between_statements(self) -> bool:
-        """Tell whether no transaction is open and no further statement has arrived."""
+    def _closes_with_answer(self, session: Session) -> bool:
+        """Tell whether the connection ends with an answer that leaves the session in its state."""
         return (
-            self._session is not None
-            and self._session.state is TransactionState.IDLE
+            self.closes_after_answer
+            and session.state is TransactionState.IDLE
             and not self._has_unread_data
         )
 
@@ -296,16 +296,18 @@
         if isinstance(message, Query):
             self._unanswered = message
             outcome = await self._run_query(session, message)
-            await self._write(self._codec.encode_outcome(outcome, session.state))
+            answer = self._codec.encode_outcome(outcome, session.state)
+            is_last = self._closes_with_answer(session)
+            await self._write(answer)
             self._unanswered = None
-            return True
+            return not is_last
         failure = message.failure if isinstance(message, UnreadableMessage) else Failure.MALFORMED
         detail = message.detail if isinstance(message, UnreadableMessage) else "the session is open"
         failed = Failed(failure=failure, detail=detail)
         log.info("message_rejected", failure=failure, detail=detail)
         if isinstance(message, UnreadableMessage) and message.request_id:
             await self._write(self._codec.encode_outcome(failed, session.state))
-            return True
+            return not self._closes_with_answer(session)
         await self._write(self._codec.encode_failure(failed))
         return False
 
@@ -342,6 +344,14 @@
             await self._writer.drain()
 
 
+def _holds_received_bytes(client_socket: socket.socket) -> bool:
+    with socket.socket(fileno=os.dup(client_socket.fileno())) as duplicate:
+        try:
+            return bool(duplicate.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
+
 def _set_socket_options(client_socket: socket.socket) -> None:
     client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     client_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -158,6 +158,25 @@
         run(scenario())
 
 
+class ClosingConnectionTest(TestCase):
+    def test_statement_that_arrived_unread_keeps_its_idle_connection_open(self) -> None:
+        """Guards against a statement that meets the close of a connection that seems idle."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as platform:
+                proxy = platform.proxies["vm-0"]
+                client = await proxy.open("stock")
+                listener = proxy.kernel.find("sessions", SessionListener)
+                # The event loop does not run between these two.
+                client.send("QUERY q1 READ a")
+                self.assertEqual(0, listener.close_idle())
+                self.assertIn("READY", (await client.read_answer())[-1])
+                self.assertEqual(1, listener.close_idle())
+                client.close()
+
+        run(scenario())
+
+
 class UnansweredLogTest(TestCase):
     def test_log_names_the_statement_gateway_and_server_of_a_cut_connection(self) -> None:
         """Guards against a connection that ends without a line that tells where its request was."""
