Send the last answer of a draining connection with its end

A caller of a stopping proxy that sends its next statement at once sent it into a connection that was being closed: no answer, and no way to know that a write has not run.

Cause: the answer invites the next statement, and the end of the connection followed it only in the next iteration of the event loop, so that callers that look for the end before they send did not find it.

The last answer and the end are now sent in one segment. The test, with callers in a process of their own and a busy event loop, failed before: none of 20 sessions had ended with its answer.

--- a/lentilring/sessions/listener.py
+++ b/lentilring/sessions/listener.py
@@ -298,7 +298,7 @@
             outcome = await self._run_query(session, message)
             answer = self._codec.encode_outcome(outcome, session.state)
             is_last = self._closes_with_answer(session)
-            await self._write(answer)
+            await (self._write_last(answer) if is_last else self._write(answer))
             self._unanswered = None
             return not is_last
         failure = message.failure if isinstance(message, UnreadableMessage) else Failure.MALFORMED
@@ -338,6 +338,18 @@
             self._is_reading = False
         return self._codec.decode(line.removesuffix(self._codec.line_end))
 
+    async def _write_last(self, data: bytes) -> None:
+        """Send an answer and the end of the connection in one segment.
+
+        The end on its own would reach callers that send their next statement at once too late.
+        """
+        client_socket = self._writer.get_extra_info("socket")
+        client_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_CORK, 1)
+        self._writer.write(data)
+        self._writer.write_eof()
+        async with asyncio.timeout(WRITE_TIMEOUT_S):
+            await self._writer.drain()
+
     async def _write(self, data: bytes) -> None:
         self._writer.write(data)
         async with asyncio.timeout(WRITE_TIMEOUT_S):
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -1,8 +1,11 @@
 """Planned stops: every statement that the proxy has read is answered before the process ends."""
 
 import asyncio
+import sys
+import time
 
 import logbook
+import pytest
 from testtools import TestCase
 
 from lentilring.gateways.messages import StatementKind
@@ -14,6 +17,8 @@
 TRANSACTION_TIME_S = 0.5
 # The statements' timeout of the routes is 1.5 s.
 DRAIN_TIMEOUT_S = 1.5
+SESSIONS = 20
+LOOP_ITERATION_S = 0.005
 
 
 class StopScheduleTest(TestCase):
@@ -176,6 +181,27 @@
 
         run(scenario())
 
+    @pytest.mark.process
+    def test_last_answer_arrives_with_the_end_of_its_connection(self) -> None:
+        """Guards against callers that send their next statement before they see the close."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as platform:
+                proxy = platform.proxies["vm-0"]
+                proxy.kernel.find("sessions", SessionListener).close_after_answers()
+                # The caller is another process, as it would wait for the proxy's thread here.
+                caller = await asyncio.create_subprocess_exec(
+                    *(sys.executable, "-m", "tests.blocking_caller"),
+                    *(proxy.settings.session_address, str(SESSIONS)),
+                    stdout=asyncio.subprocess.PIPE,
+                )
+                load = asyncio.ensure_future(keep_loop_busy())
+                output, _ = await caller.communicate()
+                load.cancel()
+                self.assertEqual(f"{SESSIONS} ended with their answer", output.decode().strip())
+
+        run(scenario())
+
 
 class UnansweredLogTest(TestCase):
     def test_log_names_the_statement_gateway_and_server_of_a_cut_connection(self) -> None:
@@ -205,6 +231,13 @@
         run(scenario())
 
 
+async def keep_loop_busy() -> None:
+    """Let each iteration of the event loop take long, as with many sessions."""
+    while True:
+        time.sleep(LOOP_ITERATION_S)
+        await asyncio.sleep(0)
+
+
 async def stop_as_planned(proxy: Proxy) -> None:
     """Stop a proxy as its process does after SIGTERM."""
     await proxy.readiness.drain_sessions(
