Answer connections that are accepted as the listener stops

What callers saw: a connection that was being accepted as the listener stopped got READY; the statement behind it was read and passed on, and 0.3 s later the connection closed without an answer.

Cause: asyncio runs SessionListener._accept some steps after the connection arrived. stop() had gone through its connections by then, so the new one was never told to end, and its task was cancelled as a whole.

Evidence: LateConnectionTest stops the listener 0 to 7 loop steps after a connection arrives that sends START and a WRITE at once, with a silent server. It failed before, at 3 and 4 steps: READY for START and no answer ("'ERROR' not in ''").

Why the fix works: a connection that is accepted by a stopping listener is told to end as the others are, the wait for last answers includes it, and the router refuses whatever begins after that moment (BUSY outside of a transaction, ABORTED inside), so that statements in a buffer can't run beyond the wait either.

--- a/lentilring/sessions/listener.py
+++ b/lentilring/sessions/listener.py
@@ -23,6 +23,7 @@
 from .context import SessionContext
 from .router import StatementRouter
 from .session import PreparedNameRewriter, Session
+from .stopping import STOPPED
 
 # Callers give up when their session is not open after 2 s; a connection that sends nothing for this
 # long is closed.
@@ -84,6 +85,7 @@
         self._connections: set[SessionConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._closes_after_answers = False
+        self._is_stopping = False
 
     @property
     def session_count(self) -> int:
@@ -101,12 +103,13 @@
 
     async def stop(self) -> None:
         """Close the listener, answer every statement that was read, and close all connections."""
+        self._is_stopping = True
+        self._router.begin_stop(STOPPED)
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
             connection.end()
-        if self._tasks:
-            await asyncio.wait(self._tasks, timeout=LAST_ANSWERS_TIMEOUT_S)
+        await self._wait_for_last_answers()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -131,6 +134,13 @@
         """Return the number of connections with a running statement or an open transaction."""
         return sum(not entry.is_idle for entry in self._connections)
 
+    async def _wait_for_last_answers(self) -> None:
+        """Wait a limited time for all connections, also for those accepted meanwhile."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + LAST_ANSWERS_TIMEOUT_S
+        while self._tasks and loop.time() < deadline:
+            await asyncio.wait(self._tasks, timeout=deadline - loop.time())
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
@@ -150,6 +160,8 @@
         connection.closes_after_answer = self._closes_after_answers
         self._connections.add(connection)
         self._tasks.add(task)
+        if self._is_stopping:
+            connection.end()
         try:
             await connection.serve()
         finally:
--- a/lentilring/sessions/stopping.py
+++ b/lentilring/sessions/stopping.py
@@ -1,6 +1,7 @@
 """Which statements a stopping proxy still runs, so that each is answered before it ends."""
 
 from dataclasses import dataclass
+from math import inf
 
 from ..gateways.messages import StatementKind
 
@@ -22,3 +23,7 @@
         """Tell whether a statement that takes up to `timeout_s` may start now."""
         reserve_s = COMMIT_RESERVE_S if work is StatementKind.COMMIT else timeout_s
         return now < max(self.transactions_until, self.ends_at - reserve_s)
+
+
+# Accepts nothing.
+STOPPED = StopSchedule(transactions_until=-inf, ends_at=-inf)
