Answer a statement whose handling fails unexpectedly

What callers saw: nothing but a closed connection when the handling of a statement raised an error that the code does not expect, and no line in the log named the request. A TimeoutError, OSError or EOFError out of the handling even passed for a caller that had left.

Cause: only SessionConnection.serve caught errors, for the whole session.

Evidence: HandlingErrorTest makes the gateway raise KeyError, TimeoutError, OSError and EOFError below a read, a write, and a write and a commit in a transaction.

Why the fix works: _run_query catches the error, logs statement_error with the request's id and the innermost calls, counts it and answers as for a statement that is given up: INDOUBT for a commit or a single write, ABORTED for what is rolled back. The session goes on. An error outside of a statement is logged as session_error.

--- a/lentilring/sessions/listener.py
+++ b/lentilring/sessions/listener.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import traceback
 from collections.abc import Callable
 from typing import Protocol
 
@@ -21,7 +22,7 @@
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .context import SessionContext
-from .router import StatementRouter
+from .router import STOPPING_DETAIL, StatementRouter
 from .session import PreparedNameRewriter, Session
 from .stopping import STOPPED
 
@@ -38,6 +39,9 @@
 BACKLOG = 1024
 # Statements that still run at the end of a stop are given up and answered in this time.
 LAST_ANSWERS_TIMEOUT_S = 0.3
+ERROR_DETAIL = "internal error"
+# Innermost calls that the log shows of an unexpected error.
+TRACE_DEPTH = 4
 
 log = Log(source="sessions")
 
@@ -237,6 +241,11 @@
             # The listener is stopping; asyncio would log a cancelled callback as an error.
             reason = "cancelled"
             log.debug("session_cancelled")
+        except Exception as error:
+            reason = repr(error)
+            log.error(
+                "session_error", detail=reason, trace=traceback.format_exc(limit=-TRACE_DEPTH)
+            )
         finally:
             self._report_unanswered(reason)
             if self._session is not None:
@@ -330,7 +339,17 @@
             if not self._is_ending:
                 raise
             task.uncancel()
-            return session.fail_unfinished(query)
+            return session.fail_unfinished(query, STOPPING_DETAIL)
+        except Exception as error:
+            self._telemetry.count("statement_errors")
+            log.error(
+                "statement_error",
+                request=query.request_id,
+                database=session.context.database,
+                detail=repr(error),
+                trace=traceback.format_exc(limit=-TRACE_DEPTH),
+            )
+            return session.fail_unfinished(query, ERROR_DETAIL)
         finally:
             self._running = None
 
--- a/lentilring/sessions/session.py
+++ b/lentilring/sessions/session.py
@@ -87,8 +87,8 @@
             if self.state is TransactionState.OPEN:
                 self._start_idle_timer()
 
-    def fail_unfinished(self, query: Query) -> Failed:
-        """Return the outcome of a statement that was cancelled as the proxy stops."""
+    def fail_unfinished(self, query: Query, detail: str) -> Failed:
+        """Return the outcome of a statement that was given up and may have run."""
         transaction = self.context.transaction
         is_uncertain = isinstance(query.statement, Commit) or (
             transaction is None and self._writes(query.statement)
@@ -97,7 +97,7 @@
             self._fail_transaction(transaction)
         failure = Failure.UNCERTAIN if is_uncertain else Failure.ABORTED
         log.warning("statement_unfinished", request=query.request_id, failure=failure)
-        return Failed(failure=failure, detail=STOPPING_DETAIL)
+        return Failed(failure=failure, detail=detail)
 
     def _writes(self, statement: Statement) -> bool:
         if isinstance(statement, Execute):
--- a/tests/test_stop_of_sessions.py
+++ b/tests/test_stop_of_sessions.py
@@ -2,9 +2,13 @@
 
 import asyncio
 import socket
+from unittest.mock import patch
 
+import logbook
 from testtools import TestCase
 
+from lentilring.gateways.service import GatewayService
+
 from .prepared import SessionClient, run, run_prepared_platform
 
 # More loop steps than a connection takes from its arrival to its first statement.
@@ -43,6 +47,51 @@
             other.close()
 
 
+class HandlingErrorTest(TestCase):
+    def test_error_in_the_handling_is_answered_and_the_session_goes_on(self) -> None:
+        """Guards against a connection that an unexpected error closes without an answer."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as platform:
+                proxy = platform.proxies["vm-0"]
+                gateways = proxy.kernel.find("gateways", GatewayService)
+                client = await proxy.open("booking")
+                handler = logbook.TestHandler()
+                with handler.applicationbound():
+                    for error in (KeyError("broken"), TimeoutError(), OSError(), EOFError()):
+                        self.assertEqual(
+                            ["ABORTED", "INDOUBT", "ABORTED", "INDOUBT"],
+                            await self._fail_statements(gateways, client, error),
+                        )
+                lines = [line for line in handler.formatted_records if "=statement_error" in line]
+                self.assertEqual(16, len(lines))
+                self.assertIn("request=q1", lines[0])
+                self.assertIn("KeyError('broken')", lines[0])
+                client.close()
+
+        run(scenario())
+
+    async def _fail_statements(
+        self, gateways: GatewayService, client: SessionClient, error: Exception
+    ) -> list[str]:
+        """Return the codes of a read, a write, and both a write and a commit in transactions."""
+        answers = []
+        for before, text in (
+            ([], "READ a"),
+            ([], "WRITE a 1"),
+            (["BEGIN", "WRITE a 1"], "WRITE a 2"),
+            (["BEGIN", "WRITE a 1"], "COMMIT"),
+        ):
+            for earlier in before:
+                self.assertIn("COMPLETE", (await client.query(earlier))[0])
+            with patch.object(gateways, "run", side_effect=error):
+                answers.append(await client.query(text, f"q{len(answers) + 1}"))
+            if answers[-1][-1].startswith("READY E"):
+                self.assertIn("COMPLETE", (await client.query("ROLLBACK"))[0])
+            self.assertIn("COMPLETE", (await client.query("READ a"))[-2])
+        return [answer[0].split(" ")[1] for answer in answers]
+
+
 async def read_line(client: SessionClient) -> str:
     """Return a line; an empty one if the connection is closed or was never read."""
     try:
