Wait at a stop until a slow caller's answer is sent

What callers saw: a caller that reads slowly, or whose receive buffer was full, got the first part of an answer and then the end of the connection, although its statement had run.

Cause: drain() returns while up to 64 KiB are unsent, so the statement counted as answered. The stop then closed the connection, had no task left to wait for, and the process could end with the rest in its buffer; so could a draining process that saw no session left.

Evidence: SlowReaderTest reads an answer of 40 KB over small socket buffers 0.1 s after the stop began. It failed before: stop() returned with 27,765 bytes unsent ("0 != 27765").

Why the fix works: drain() now waits for all bytes of an answer. Until then the connection isn't idle and its task runs, so the stop waits for it within the 0.3 s of last answers, and statement_unanswered tells of the ones that stay unsent. A caller that reads nothing for 5 s is disconnected as before, now also with less than 64 KiB unsent.

--- a/lentilring/sessions/listener.py
+++ b/lentilring/sessions/listener.py
@@ -187,6 +187,8 @@
         transaction_idle_s: float,
     ) -> None:
         self._reader, self._writer, self._codec = reader, writer, codec
+        # drain() then waits for the whole answer, which the end of the process would cut otherwise.
+        writer.transport.set_write_buffer_limits(high=0)
         self._telemetry = telemetry
         self._router, self._transaction_idle_s = router, transaction_idle_s
         self._session: Session | None = None
--- a/tests/test_stop_of_sessions.py
+++ b/tests/test_stop_of_sessions.py
@@ -8,12 +8,15 @@
 from testtools import TestCase
 
 from lentilring.gateways.service import GatewayService
+from lentilring.sessions.listener import LAST_ANSWERS_TIMEOUT_S, SessionListener
 
-from .prepared import SessionClient, run, run_prepared_platform
+from .prepared import Proxy, SessionClient, run, run_prepared_platform, wait_until
 
 # More loop steps than a connection takes from its arrival to its first statement.
 ACCEPT_STEPS = 8
 SILENCE_S = 0.5
+# Below asyncio's default limit for unsent data of a connection.
+ANSWER_BYTES = 40_000
 
 
 class LateConnectionTest(TestCase):
@@ -92,6 +95,59 @@
         return [answer[0].split(" ")[1] for answer in answers]
 
 
+class SlowReaderTest(TestCase):
+    def test_stop_waits_until_a_slow_caller_has_its_answer(self) -> None:
+        """Guards against a process that ends with half an answer in its buffer."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as platform:
+                proxy = platform.proxies["vm-0"]
+                platform.group.items["a"] = "x" * ANSWER_BYTES
+                caller = await self._open_slowly(proxy)
+                (connection,) = proxy.kernel.find("sessions", SessionListener)._connections
+                transport = connection._writer.transport
+                narrow(transport.get_extra_info("socket"), socket.SO_SNDBUF)
+                loop = asyncio.get_running_loop()
+                await loop.sock_sendall(caller, b"QUERY q1 READ a\r\n")
+                await wait_until(lambda: transport.get_write_buffer_size() > 0, within_s=2.0)
+                stop = asyncio.ensure_future(proxy.stop())
+                await asyncio.sleep(LAST_ANSWERS_TIMEOUT_S / 3)
+                reading = asyncio.ensure_future(read_all(caller))
+                await stop
+                self.assertEqual(0, transport.get_write_buffer_size())
+                answer = await reading
+                self.assertEqual(ANSWER_BYTES, answer.count(b"x"))
+                self.assertTrue(answer.endswith(b"READY I 1.0\r\n"), answer[-40:])
+                caller.close()
+
+        run(scenario())
+
+    async def _open_slowly(self, proxy: Proxy) -> socket.socket:
+        """Return the open session of a caller that reads nothing on its own."""
+        host, _, port = proxy.settings.session_address.rpartition(":")
+        caller = socket.socket()
+        narrow(caller, socket.SO_RCVBUF)
+        caller.connect((host, int(port)))
+        caller.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(caller, b"START booking plan-key\r\n")
+        self.assertEqual(b"READY I -\r\n", await loop.sock_recv(caller, 100))
+        return caller
+
+
+def narrow(end: socket.socket, buffer: int) -> None:
+    """Make a socket's buffer hold a few kilobytes only."""
+    end.setsockopt(socket.SOL_SOCKET, buffer, 4096)
+
+
+async def read_all(caller: socket.socket) -> bytes:
+    """Return all bytes until the end of a connection."""
+    parts = []
+    while part := await asyncio.get_running_loop().sock_recv(caller, 65536):
+        parts.append(part)
+    return b"".join(parts)
+
+
 async def read_line(client: SessionClient) -> str:
     """Return a line; an empty one if the connection is closed or was never read."""
     try:
