Stop the services although starting or draining fails

What callers would see: an unexpected error in drain_sessions, or in the start of a late service, ended run_session_proxy at once; the end of the event loop cancelled all connections and statements that were read got no answer.

Cause: kernel.stop() came only after a draining without errors.

Evidence: ProcessTest runs run_session_proxy, lets draining raise KeyError at SIGTERM and has a WRITE at a silent server. It failed before: the process's coroutine had ended and no answer came (TimeoutError after 0.5 s).

Why the fix works: kernel.stop() runs in a finally block; it stops the listener first, which answers what was read. The error still ends the process with its traceback and exit code.

--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -73,15 +73,18 @@
             secret=secret,
             telemetry=telemetry,
         )
-        await kernel.start()
-        log.info("proxy_started", vm=settings.vm, incarnation=incarnation)
-        await stopping.wait()
-        log.info("proxy_stopping", vm=settings.vm)
-        await readiness.drain_sessions(
-            timeout_s=settings.drain_timeout_s,
-            transaction_time_s=settings.transaction_end_time_s,
-        )
-        await kernel.stop()
+        try:
+            await kernel.start()
+            log.info("proxy_started", vm=settings.vm, incarnation=incarnation)
+            await stopping.wait()
+            log.info("proxy_stopping", vm=settings.vm)
+            await readiness.drain_sessions(
+                timeout_s=settings.drain_timeout_s,
+                transaction_time_s=settings.transaction_end_time_s,
+            )
+        finally:
+            # After an error too, so that statements that were read are answered.
+            await kernel.stop()
     log.info("proxy_stopped", vm=settings.vm)
 
 
--- a/tests/test_stop_of_sessions.py
+++ b/tests/test_stop_of_sessions.py
@@ -1,6 +1,8 @@
 """Stops and faults in the way in of sessions: a statement that was read is answered."""
 
 import asyncio
+import os
+import signal
 import socket
 from unittest.mock import patch
 
@@ -8,13 +10,25 @@
 from testtools import TestCase
 
 from lentilring.gateways.service import GatewayService
+from lentilring.session_process import run_session_proxy
 from lentilring.sessions.listener import LAST_ANSWERS_TIMEOUT_S, SessionListener
-
-from .prepared import Proxy, SessionClient, run, run_prepared_platform, wait_until
+from lentilring.sessions.readiness import SessionReadiness
+
+from .prepared import (
+    READY_TIMEOUT_S,
+    ZONES,
+    PreparedPlatform,
+    Proxy,
+    SessionClient,
+    run,
+    run_prepared_platform,
+    wait_until,
+)
 
 # More loop steps than a connection takes from its arrival to its first statement.
 ACCEPT_STEPS = 8
 SILENCE_S = 0.5
+STOP_TIMEOUT_S = 5.0
 # Below asyncio's default limit for unsent data of a connection.
 ANSWER_BYTES = 40_000
 
@@ -135,6 +149,48 @@
         return caller
 
 
+class ProcessTest(TestCase):
+    def test_statement_is_answered_although_draining_fails(self) -> None:
+        """Guards against an error in draining that cuts all connections."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=0) as platform:
+                settings = build_proxy(platform).settings
+                process = asyncio.ensure_future(run_session_proxy(settings))
+                client = await open_when_ready(settings.session_address)
+                for server in platform.group.servers:
+                    server.faults.silent = True
+                client.send("QUERY q1 WRITE a 1")
+                await asyncio.sleep(0.1)
+                with patch.object(SessionReadiness, "drain_sessions", side_effect=KeyError("x")):
+                    os.kill(os.getpid(), signal.SIGTERM)
+                    await asyncio.wait({process}, timeout=STOP_TIMEOUT_S)
+                self.assertIsInstance(process.exception(), KeyError)
+                answer = await asyncio.wait_for(client.read_answer(), SILENCE_S)
+                self.assertIn("ERROR INDOUBT", answer[0])
+                client.close()
+
+        run(scenario())
+
+
+def build_proxy(platform: PreparedPlatform) -> Proxy:
+    """Return a proxy that is not started, for its settings."""
+    return Proxy(vm="vm-0", zone=ZONES[0], store_address=platform.store.address, settings={})
+
+
+async def open_when_ready(address: str) -> SessionClient:
+    """Return an open session; wait until the process accepts one."""
+    async with asyncio.timeout(READY_TIMEOUT_S):
+        while True:
+            try:
+                client = await SessionClient.open(address, "booking", "plan-key")
+            except OSError:
+                client = None
+            if client is not None and client.greeting.startswith("READY"):
+                return client
+            await asyncio.sleep(0.05)
+
+
 def narrow(end: socket.socket, buffer: int) -> None:
     """Make a socket's buffer hold a few kilobytes only."""
     end.setsockopt(socket.SOL_SOCKET, buffer, 4096)
