End a process at once that waits for the shared secret

What callers would see: a process that got SIGTERM while the store was slow went on with its call, up to 2 s for reading the secret and 2 s for writing it. If that succeeded it registered all services, opened sessions and drained for 2.2 s more, so that SIGKILL at the end of its grace period could cut statements that it had just read.

Cause: wait_for_secret looked at the stop between calls only, and not after the last one.

Evidence: ProcessTest starts run_session_proxy at a store that accepts connections and says nothing, and sends SIGTERM 0.3 s later. It failed before: the process had not ended 0.5 s after SIGTERM (TimeoutError).

Why the fix works: the call is raced with the stop; a stop always wins, and then no service starts.

Looked at and not reproduced: kernel.start() waits for nothing but binding of ports. A process whose store goes away before SIGTERM answers an open transaction and ends in time, and a service that fails to stop does not keep the others from stopping: two tests guard these (passed before, too).

--- a/lentilring/shared_secret.py
+++ b/lentilring/shared_secret.py
@@ -105,18 +105,28 @@
 
 
 async def wait_for_secret(store: Store, stopping: asyncio.Event) -> PeerSecret | None:
-    """Return the secret that all proxies share; the first proxy to start creates it."""
-    while not stopping.is_set():
+    """Return the secret that all proxies share, or None as soon as the process is stopping."""
+    loading = asyncio.ensure_future(_load_until_available(store))
+    stop = asyncio.ensure_future(stopping.wait())
+    try:
+        await asyncio.wait({loading, stop}, return_when=asyncio.FIRST_COMPLETED)
+        return None if stopping.is_set() else loading.result()
+    finally:
+        loading.cancel()
+        stop.cancel()
+
+
+async def _load_until_available(store: Store) -> PeerSecret:
+    while True:
         try:
             return await load_secret(store)
         except StoreUnavailable as error:
             log.info("secret_unavailable", detail=error.detail)
             await asyncio.sleep(SECRET_RETRY_S)
-    return None
 
 
 async def load_secret(store: Store) -> PeerSecret:
-    """Return the stored secret, created if there is none; raise StoreUnavailable."""
+    """Return the stored secret, created by the first proxy to start; raise StoreUnavailable."""
     stored = await store.get(Kind.SECRET, SECRET_NAME)
     if stored is None:
         created = PeerSecret(
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -30,6 +30,11 @@
         self.events.append(f"stop {self.name}")
 
 
+class Unstoppable(Service):
+    async def stop(self) -> None:
+        raise KeyError("broken")
+
+
 class KernelTest(testtools.TestCase):
     def test_services_stop_in_reverse_order(self) -> None:
         """Guards against a service losing one that it depends on during shutdown."""
@@ -49,6 +54,15 @@
             ",".join(events),
         )
 
+    def test_service_that_fails_to_stop_does_not_keep_others_running(self) -> None:
+        """Guards against connections that are cut because another service failed."""
+        events: list[str] = []
+        kernel = Kernel()
+        kernel.register("first", Recorder(name="first", events=events))
+        kernel.register("second", Unstoppable())
+        run_virtual(kernel.stop())
+        self.assertEqual(["stop first"], events)
+
     def test_wrong_look_ups_are_typed(self) -> None:
         """Guards against a wrong wiring that shows only when the service is used."""
         kernel = Kernel()
--- a/tests/test_stop_of_sessions.py
+++ b/tests/test_stop_of_sessions.py
@@ -17,7 +17,6 @@
 from .prepared import (
     READY_TIMEOUT_S,
     ZONES,
-    PreparedPlatform,
     Proxy,
     SessionClient,
     run,
@@ -155,7 +154,7 @@
 
         async def scenario() -> None:
             async with run_prepared_platform(proxies=0) as platform:
-                settings = build_proxy(platform).settings
+                settings = build_proxy(platform.store.address).settings
                 process = asyncio.ensure_future(run_session_proxy(settings))
                 client = await open_when_ready(settings.session_address)
                 for server in platform.group.servers:
@@ -172,10 +171,45 @@
 
         run(scenario())
 
+    def test_process_that_waits_for_the_store_ends_at_once(self) -> None:
+        """Guards against a process that opens sessions when its grace period is half over."""
 
-def build_proxy(platform: PreparedPlatform) -> Proxy:
+        async def scenario() -> None:
+            store = await asyncio.start_server(lambda *_: asyncio.sleep(60), "127.0.0.1", 0)
+            port = store.sockets[0].getsockname()[1]
+            process = asyncio.ensure_future(
+                run_session_proxy(build_proxy(f"127.0.0.1:{port}").settings)
+            )
+            await asyncio.sleep(0.3)
+            os.kill(os.getpid(), signal.SIGTERM)
+            await asyncio.wait_for(process, SILENCE_S)
+            store.close()
+
+        run(scenario())
+
+    def test_statements_are_answered_although_the_store_is_gone(self) -> None:
+        """Guards against a stop that waits for a store that does not answer."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=0) as platform:
+                settings = build_proxy(platform.store.address).settings
+                process = asyncio.ensure_future(run_session_proxy(settings))
+                client = await open_when_ready(settings.session_address)
+                await client.query("BEGIN")
+                self.assertIn("COMPLETE", (await client.query("WRITE a 1"))[0])
+                await platform.store.stop()
+                os.kill(os.getpid(), signal.SIGTERM)
+                await asyncio.sleep(settings.drain_timeout_s / 2)
+                self.assertIn("COMPLETE", (await client.query("COMMIT"))[0])
+                await asyncio.wait_for(process, settings.drain_timeout_s)
+                client.close()
+
+        run(scenario())
+
+
+def build_proxy(store_address: str) -> Proxy:
     """Return a proxy that is not started, for its settings."""
-    return Proxy(vm="vm-0", zone=ZONES[0], store_address=platform.store.address, settings={})
+    return Proxy(vm="vm-0", zone=ZONES[0], store_address=store_address, settings={})
 
 
 async def open_when_ready(address: str) -> SessionClient:
