Ignore SIGHUP from the first moments of a process

No request is there yet, but the machine is gone until its restart.

Cause: SIGHUP keeps its default meaning until the event loop runs, and the program first loads all services.

Evidence: SignalTest starts the program and sends SIGHUP as it begins to load session_process. It failed before: exit by signal 1 ("(0, b'') != (-1, b'')").

Why the fix works: main() ignores SIGHUP before it loads anything but `sys` and `signal`; the event loop's handler replaces that. What serving needs is in session_serving.py now. ImportTest and bench/start.py load that module too, since sessions.py alone would show nothing any more: they check and measure the same libraries as before.

--- a/bench/start.py
+++ b/bench/start.py
@@ -21,7 +21,8 @@
 def main() -> None:
     """Print both times and their ratio."""
     pairs = [
-        (measure_import("asyncio"), measure_import("lentilring.cli.sessions")) for _ in range(RUNS)
+        (measure_import("asyncio"), measure_import("lentilring.cli.session_serving"))
+        for _ in range(RUNS)
     ]
     base = statistics.median(pair[0] for pair in pairs)
     proxy = statistics.median(pair[1] for pair in pairs)
--- a/lentilring/cli/session_flags.py
+++ b/lentilring/cli/session_flags.py
@@ -9,7 +9,7 @@
 from ..platform.boot import BOOT_VARIABLE, read_boot_file
 from ..setting_types import LogLevel
 from .options import VERSION_OPTION, ExitCode
-from .sessions import LEVEL_VARIABLE, serve
+from .session_serving import LEVEL_VARIABLE, serve
 
 application = typer.Typer(add_completion=True, pretty_exceptions_enable=False)
 
--- a/lentilring/cli/sessions.py
+++ b/lentilring/cli/sessions.py
@@ -1,47 +1,20 @@
 """The `lentilring-sessions` program."""
 
-import asyncio
-import os
+import signal
 import sys
-from pathlib import Path
-
-from ..platform.boot import BOOT_VARIABLE, read_boot_file
-from ..session_process import run_session_proxy
-from ..session_settings import SessionProxySettings
-from ..setting_types import LogLevel
-from ..telemetry.log import write_logs
-from ..telemetry.output import BoundedStream
-
-LEVEL_VARIABLE = "LENTILRING_LOG_LEVEL"
-
-
-def serve(settings: SessionProxySettings, log_level: LogLevel) -> None:
-    """Serve until a signal stops the process."""
-    stream = BoundedStream(descriptor=sys.stdout.fileno())
-    with write_logs(level=log_level, stream=stream):
-        asyncio.run(run_session_proxy(settings))
-    stream.close()
 
 
 def main() -> None:
     """Run the program; the library for flags is loaded only if there is a flag or an error."""
-    if len(sys.argv) > 1 or not _serve_from_environment():
+    # Loading takes a while, in which a change of the settings must not end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from .session_serving import serve_from_environment
+
+    if len(sys.argv) > 1 or not serve_from_environment():
         from .session_flags import application
 
         application()
 
 
-def _serve_from_environment() -> bool:
-    """Serve with the settings that the environment names; return False if they are not valid."""
-    try:
-        settings = read_boot_file(Path(os.environ[BOOT_VARIABLE]))
-        log_level = LogLevel(os.environ.get(LEVEL_VARIABLE) or LogLevel.INFO)
-    except (OSError, KeyError, ValueError):
-        # msgspec's errors are ValueErrors. The program with flags reports what is not valid.
-        return False
-    serve(settings, log_level)
-    return True
-
-
 if __name__ == "__main__":
     main()
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -9,6 +9,20 @@
 from lentilring.session_settings import check_settings
 from lentilring.telemetry.metrics import MAX_PENDING_DURATIONS, Telemetry
 
+# Starts the program, which gets SIGHUP as it begins to load the services.
+SIGNALLED_START = """
+import os, signal, sys
+
+class Finder:
+    def find_spec(self, name, path, target=None):
+        if name == "lentilring.session_process":
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, Finder())
+sys.argv = ["lentilring-sessions", "--version"]
+from lentilring.cli.sessions import main
+main()
+"""
 # Libraries of other programs, or that are used only after the start.
 DEFERRED_LIBRARIES = (
     "aiohttp",
@@ -39,7 +53,9 @@
 class ImportTest(TestCase):
     def test_start_loads_no_library_that_serving_does_not_need(self) -> None:
         """After a power loss, no caller is served until the processes have started."""
-        program = "import sys, lentilring.cli.sessions; print(*sys.modules)"
+        program = (
+            "import sys; from lentilring.cli import session_serving, sessions; print(*sys.modules)"
+        )
         run = subprocess.run(
             [sys.executable, "-c", program], capture_output=True, text=True, check=True
         )
@@ -47,6 +63,13 @@
         self.assertEqual(set(), loaded & set(DEFERRED_LIBRARIES))
 
 
+class SignalTest(TestCase):
+    def test_changed_settings_do_not_end_a_process_that_starts(self) -> None:
+        """Guards against SIGHUP in its default meaning while the program loads."""
+        run = subprocess.run([sys.executable, "-c", SIGNALLED_START], capture_output=True)
+        self.assertEqual((0, b""), (run.returncode, run.stderr))
+
+
 class SettingsTest(TestCase):
     def test_settings_are_checked(self) -> None:
         self.assertEqual("vm-1", check_settings(SETTINGS).vm)
