Refuse a session that opens too late for any operation

What callers saw: a session opened late in a stop got READY; its first operation was then refused, or found the connection closed, which tells a caller with a single write nothing.

Cause: only operations looked at the time that a stopping proxy has left, START did not.

Evidence: NewSessionTest opens a session when the route's timeout no longer fits into the stop. It failed before: "READY I -" instead of ERROR BUSY.

Why the fix works: START makes the same check as a new operation and is answered ERROR BUSY, which is true, as nothing was sent. A session that opens earlier in the stop is accepted as before.

Result: the test passes.

--- a/lentilring/sessions/listener.py
+++ b/lentilring/sessions/listener.py
@@ -293,7 +293,7 @@
                 await self._write(self._codec.encode_failure(Failed(failure=failure)))
             return
         context = SessionContext(database=message.database, key=message.key)
-        admission = self._router.check_session(context)
+        admission = self._router.check_new_work(context)
         if isinstance(admission, Failed):
             log.info(
                 "session_refused",
--- a/lentilring/sessions/router.py
+++ b/lentilring/sessions/router.py
@@ -89,16 +89,19 @@
             return Admission(route=route, account=ANONYMOUS_ACCOUNT)
         return Failed(failure=Failure.UNAUTHORIZED, detail="the key is not known")
 
+    def check_new_work(self, context: SessionContext) -> Failed | Admission:
+        """Return what `check_session` does, or that this proxy has no time left for new work."""
+        admission = self.check_session(context)
+        if isinstance(admission, Admission) and self.is_too_late(admission, StatementKind.READ):
+            return Failed(failure=Failure.OVERLOADED, detail=STOPPING_DETAIL)
+        return admission
+
     async def admit(self, context: SessionContext, request_id: str) -> Failed | Admission:
         """Admit one operation if its key and route are valid and its account is within its rate."""
-        admission = self.check_session(context)
+        admission = self.check_new_work(context)
         if isinstance(admission, Failed):
             self._log_refusal(context, request_id, admission)
             return admission
-        if self.is_too_late(admission, StatementKind.READ):
-            stopping = Failed(failure=Failure.OVERLOADED, detail=STOPPING_DETAIL)
-            self._log_refusal(context, request_id, stopping)
-            return stopping
         account = self._catalog.find_account(admission.account)
         if account is None:
             return admission
--- a/tests/test_stop_of_sessions.py
+++ b/tests/test_stop_of_sessions.py
@@ -148,6 +148,32 @@
         return caller
 
 
+class NewSessionTest(TestCase):
+    def test_session_is_refused_when_nothing_can_run_any_more(self) -> None:
+        """Guards against a session that is opened only to refuse its caller's statements."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as platform:
+                proxy = platform.proxies["vm-0"]
+                busy = await proxy.open("booking")
+                await busy.query("BEGIN")
+                await busy.query("READ a")
+                stop = asyncio.ensure_future(
+                    proxy.readiness.drain_sessions(timeout_s=1.5, transaction_time_s=0.3)
+                )
+                early = await proxy.open("booking")
+                self.assertEqual("READY I -", early.greeting)
+                await asyncio.sleep(0.4)
+                late = await proxy.open("booking")
+                self.assertEqual("ERROR BUSY the proxy is stopping", late.greeting)
+                self.assertEqual("", await late.read_line())
+                for client in (busy, early, late):
+                    client.close()
+                await stop
+
+        run(scenario())
+
+
 class ProcessTest(TestCase):
     def test_statement_is_answered_although_draining_fails(self) -> None:
         """Guards against an error in draining that cuts all connections."""
