Keep a new session open for its first statement

What callers saw: callers still arrive for 2.2 s after SIGTERM. From then on idle sessions are closed every 0.1 s, and a session that had just been opened was idle: its caller's first statement met the close, and a single write that was sent to a broken connection can't be sent again.

Cause: is_idle did not tell a session that waits for its first statement from one whose caller pauses.

Evidence: NewSessionTest opens a session just before idle ones are closed and writes 0.25 s later. It failed before: the connection was closed (" 'COMPLETE' not in ''").

Why the fix works: a new session isn't idle until its first statement came or FIRST_STATEMENT_TIMEOUT_S (0.5 s) has passed; it is closed after its answer as before, and an unused one at the end of that time.

--- a/lentilring/sessions/listener.py
+++ b/lentilring/sessions/listener.py
@@ -36,6 +36,8 @@
 KEEPALIVE_IDLE_S = 5
 KEEPALIVE_INTERVAL_S = 2
 KEEPALIVE_PROBES = 3
+# A new session's first statement is usually sent as soon as the caller learns that it is open.
+FIRST_STATEMENT_TIMEOUT_S = 0.5
 BACKLOG = 1024
 # Statements that still run at the end of a stop are given up and answered in this time.
 LAST_ANSWERS_TIMEOUT_S = 0.3
@@ -194,6 +196,8 @@
         self._session: Session | None = None
         self._is_reading = False
         self._is_ending = False
+        # Until this time on the event loop's clock, the first statement is expected.
+        self._expects_statement_until = 0.0
         self._running: asyncio.Task[None] | None = None
         # The newest statement until its answer has been passed to the operating system.
         self._unanswered: Query | None = None
@@ -201,13 +205,14 @@
 
     @property
     def is_idle(self) -> bool:
-        """Tell whether the caller has no statement running and no transaction open."""
+        """Tell whether no statement is running or expected and no transaction is open."""
         session = self._session
         return (
             self._is_reading
             and session is not None
             and session.state is TransactionState.IDLE
             and not self._has_unread_data
+            and asyncio.get_running_loop().time() >= self._expects_statement_until
         )
 
     @property
@@ -309,6 +314,8 @@
             name_rewriter=self._codec,
             transaction_idle_s=self._transaction_idle_s,
         )
+        loop = asyncio.get_running_loop()
+        self._expects_statement_until = loop.time() + FIRST_STATEMENT_TIMEOUT_S
         await self._write(self._codec.encode_ready(TransactionState.IDLE, None))
 
     async def _serve_message(self, session: Session) -> bool:
@@ -318,6 +325,7 @@
             return False
         if isinstance(message, Query):
             self._unanswered = message
+            self._expects_statement_until = 0.0
             outcome = await self._run_query(session, message)
             await self._write(self._codec.encode_outcome(outcome, session.state))
             self._unanswered = None
--- a/tests/test_stop_of_sessions.py
+++ b/tests/test_stop_of_sessions.py
@@ -11,8 +11,12 @@
 
 from lentilring.gateways.service import GatewayService
 from lentilring.session_process import run_session_proxy
-from lentilring.sessions.listener import LAST_ANSWERS_TIMEOUT_S, SessionListener
-from lentilring.sessions.readiness import SessionReadiness
+from lentilring.sessions.listener import (
+    FIRST_STATEMENT_TIMEOUT_S,
+    LAST_ANSWERS_TIMEOUT_S,
+    SessionListener,
+)
+from lentilring.sessions.readiness import POLL_INTERVAL_S, SessionReadiness
 
 from .prepared import (
     READY_TIMEOUT_S,
@@ -173,6 +177,27 @@
 
         run(scenario())
 
+    def test_new_session_is_not_closed_before_its_first_statement(self) -> None:
+        """Guards against a first statement that meets the close of an idle session."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=2) as platform:
+                proxy = platform.proxies["vm-0"]
+                stop = asyncio.ensure_future(
+                    proxy.readiness.drain_sessions(timeout_s=2.0, transaction_time_s=2.0)
+                )
+                # New callers still arrive until half of the time is over.
+                await asyncio.sleep(0.95)
+                first, unused = await proxy.open("booking"), await proxy.open("booking")
+                await asyncio.sleep(2.5 * POLL_INTERVAL_S)
+                self.assertIn("COMPLETE", (await first.query("WRITE a 1"))[0])
+                await asyncio.wait_for(stop, FIRST_STATEMENT_TIMEOUT_S)
+                self.assertEqual(("", ""), (await first.read_line(), await unused.read_line()))
+                for client in (first, unused):
+                    client.close()
+
+        run(scenario())
+
 
 class ProcessTest(TestCase):
     def test_statement_is_answered_although_draining_fails(self) -> None:
