Test stops beside failed, partial and withdrawn statements

- Six pipelined statements, the first of which is given up as the proxy stops in a transaction: each is answered, in order.
- A line of 200 KB whose end arrives while idle sessions are closed: the session stays open and the statement is answered.
- A route that is removed and a key that is withdrawn during the stop: the commit of a transaction on the route runs, that of the key gets UNAUTH, and a new operation gets NODB.

--- a/tests/test_stop_of_sessions.py
+++ b/tests/test_stop_of_sessions.py
@@ -23,6 +23,7 @@
     ZONES,
     Proxy,
     SessionClient,
+    build_manifest,
     run,
     run_prepared_platform,
     wait_until,
@@ -199,6 +200,89 @@
         run(scenario())
 
 
+class PipelinedTest(TestCase):
+    def test_statements_behind_a_failed_one_are_answered_in_order(self) -> None:
+        """Guards against a stop that drops what was read behind a statement that it gives up."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as platform:
+                proxy = platform.proxies["vm-0"]
+                client = await proxy.open("booking")
+                await client.query("BEGIN")
+                self.assertIn("COMPLETE", (await client.query("WRITE a 1"))[0])
+                for server in platform.group.servers:
+                    server.faults.silent = True
+                for text in ("WRITE a 2", "READ a", "SET x 1", "COMMIT", "WRITE a 3", "SET x 2"):
+                    client.send(f"QUERY q {text}")
+                await asyncio.sleep(0.1)
+                await proxy.stop()
+                answers = [await client.read_answer() for _ in range(6)]
+                self.assertEqual(
+                    [
+                        ("ERROR ABORTED", "READY E"),
+                        ("ERROR MALFORMED", "READY E"),
+                        ("ERROR MALFORMED", "READY E"),
+                        ("ERROR ABORTED", "READY I"),
+                        ("ERROR BUSY", "READY I"),
+                        ("COMPLETE -", "READY I"),
+                    ],
+                    [tuple(" ".join(line.split(" ")[:2]) for line in lines) for lines in answers],
+                )
+                client.close()
+
+        run(scenario())
+
+    def test_line_that_arrives_in_parts_keeps_its_session_open(self) -> None:
+        """Guards against a session that is closed as idle while a statement arrives."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=2) as platform:
+                proxy = platform.proxies["vm-0"]
+                client = await proxy.open("booking")
+                self.assertIn("COMPLETE", (await client.query("WRITE a 1"))[0])
+                client._writer.write(b"QUERY q1 WRITE a " + b"x" * 200_000)
+                stop = asyncio.ensure_future(
+                    proxy.readiness.drain_sessions(timeout_s=2.0, transaction_time_s=2.0)
+                )
+                await asyncio.sleep(1.0 + 2.5 * POLL_INTERVAL_S)
+                client.send("")
+                self.assertIn("COMPLETE", (await client.read_answer())[0])
+                await stop
+                client.close()
+
+        run(scenario())
+
+
+class ChangedConfigurationTest(TestCase):
+    def test_statements_are_answered_when_route_and_key_go_during_the_stop(self) -> None:
+        """Guards against a stop that cuts sessions whose route or key was withdrawn."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=2) as platform:
+                proxy = platform.proxies["vm-0"]
+                rerouted = await proxy.open("booking")
+                withdrawn = await proxy.open("stock", "crew-key")
+                for client in (rerouted, withdrawn):
+                    await client.query("BEGIN")
+                    self.assertIn("COMPLETE", (await client.query("WRITE a 1"))[0])
+                stop = asyncio.ensure_future(
+                    proxy.readiness.drain_sessions(timeout_s=4.0, transaction_time_s=4.0)
+                )
+                manifest = build_manifest(2)
+                manifest["routes"] = manifest["routes"][1:]
+                manifest["tenants"] = manifest["tenants"][:1]
+                platform.store.put("config", "main", manifest)
+                await wait_until(lambda: proxy.catalog.version == 2, within_s=2.0)
+                self.assertIn("COMPLETE", (await rerouted.query("COMMIT"))[0])
+                self.assertIn("ERROR UNAUTH", (await withdrawn.query("COMMIT"))[0])
+                self.assertIn("ERROR NODB", (await rerouted.query("WRITE a 2"))[0])
+                for client in (rerouted, withdrawn):
+                    client.close()
+                await stop
+
+        run(scenario())
+
+
 class ProcessTest(TestCase):
     def test_statement_is_answered_although_draining_fails(self) -> None:
         """Guards against an error in draining that cuts all connections."""
