Answer a statement whose inner task is cancelled by others

What callers would see: the connection closed without an answer, with session_cancelled at DEBUG only. Statements wait for tasks that they share (renewals of leases, loans of tokens); if such a task is cancelled, the statement gets a CancelledError that looks as if the listener had cancelled it.

Cause: _run_query passed on every CancelledError while the connection wasn't ending. By reading, today's code cancels these tasks only as their services stop, after the listener; so no run of a process has shown this.

Evidence: HandlingErrorTest with CancelledError from the gateway. It failed before: the answer to the READ was empty, the connection closed.

Why the fix works: unless this very task is being cancelled, the error is handled as any other that the code does not expect.

Result: the test passes, 20 of 20 statements answered.

--- a/lentilring/sessions/listener.py
+++ b/lentilring/sessions/listener.py
@@ -345,24 +345,32 @@
         assert task is not None
         try:
             return await session.handle(query)
-        except asyncio.CancelledError:
-            if not self._is_ending:
+        except asyncio.CancelledError as error:
+            if self._is_ending:
+                task.uncancel()
+                return session.fail_unfinished(query, STOPPING_DETAIL)
+            if task.cancelling():
                 raise
-            task.uncancel()
-            return session.fail_unfinished(query, STOPPING_DETAIL)
+            # Not this task was cancelled, but another one for whose result it waited.
+            return self._fail_after_error(session, query, error)
         except Exception as error:
-            self._telemetry.count("statement_errors")
-            log.error(
-                "statement_error",
-                request=query.request_id,
-                database=session.context.database,
-                detail=repr(error),
-                trace=traceback.format_exc(limit=-TRACE_DEPTH),
-            )
-            return session.fail_unfinished(query, ERROR_DETAIL)
+            return self._fail_after_error(session, query, error)
         finally:
             self._running = None
 
+    def _fail_after_error(
+        self, session: Session, query: Query, error: BaseException
+    ) -> StatementOutcome:
+        self._telemetry.count("statement_errors")
+        log.error(
+            "statement_error",
+            request=query.request_id,
+            database=session.context.database,
+            detail=repr(error),
+            trace=traceback.format_exc(limit=-TRACE_DEPTH),
+        )
+        return session.fail_unfinished(query, ERROR_DETAIL)
+
     async def _read_message(self) -> ClientMessage | None:
         self._is_reading = True
         try:
--- a/tests/test_stop_of_sessions.py
+++ b/tests/test_stop_of_sessions.py
@@ -36,6 +36,9 @@
 # Below asyncio's default limit for unsent data of a connection.
 ANSWER_BYTES = 40_000
 
+# The last one is that of a task of another service that was cancelled while a statement waited.
+ERRORS = (KeyError("broken"), TimeoutError(), OSError(), EOFError(), asyncio.CancelledError())
+
 
 class LateConnectionTest(TestCase):
     def test_connection_accepted_as_the_listener_stops_is_not_cut(self) -> None:
@@ -79,13 +82,13 @@
                 client = await proxy.open("booking")
                 handler = logbook.TestHandler()
                 with handler.applicationbound():
-                    for error in (KeyError("broken"), TimeoutError(), OSError(), EOFError()):
+                    for error in ERRORS:
                         self.assertEqual(
                             ["ABORTED", "INDOUBT", "ABORTED", "INDOUBT"],
                             await self._fail_statements(gateways, client, error),
                         )
                 lines = [line for line in handler.formatted_records if "=statement_error" in line]
-                self.assertEqual(16, len(lines))
+                self.assertEqual(4 * len(ERRORS), len(lines))
                 self.assertIn("request=q1", lines[0])
                 self.assertIn("KeyError('broken')", lines[0])
                 client.close()
@@ -93,7 +96,7 @@
         run(scenario())
 
     async def _fail_statements(
-        self, gateways: GatewayService, client: SessionClient, error: Exception
+        self, gateways: GatewayService, client: SessionClient, error: BaseException
     ) -> list[str]:
         """Return the codes of a read, a write, and both a write and a commit in transactions."""
         answers = []
