--- a/lentilring/sessions/listener.py
+++ b/lentilring/sessions/listener.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import socket
+import traceback
 from collections.abc import Callable
 from typing import Protocol
 
@@ -22,8 +23,9 @@
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .context import SessionContext
-from .router import StatementRouter
+from .router import STOPPING_DETAIL, StatementRouter
 from .session import PreparedNameRewriter, Session
+from .stopping import STOPPED
 
 # Callers give up when their session is not open after 2 s; a connection that sends nothing for this
 # long is closed.
@@ -35,9 +37,14 @@
 KEEPALIVE_IDLE_S = 5
 KEEPALIVE_INTERVAL_S = 2
 KEEPALIVE_PROBES = 3
+# A new session's first statement is usually sent as soon as the caller learns that it is open.
+FIRST_STATEMENT_TIMEOUT_S = 0.5
 BACKLOG = 1024
 # Statements that still run at the end of a stop are given up and answered in this time.
 LAST_ANSWERS_TIMEOUT_S = 0.3
+ERROR_DETAIL = "internal error"
+# Innermost calls that the log shows of an unexpected error.
+TRACE_DEPTH = 4
 
 log = Log(source="sessions")
 
@@ -85,6 +92,7 @@
         self._connections: set[SessionConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._closes_after_answers = False
+        self._is_stopping = False
 
     @property
     def session_count(self) -> int:
@@ -102,12 +110,13 @@
 
     async def stop(self) -> None:
         """Close the listener, answer every statement that was read, and close all connections."""
+        self._is_stopping = True
+        self._router.begin_stop(STOPPED)
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
             connection.end()
-        if self._tasks:
-            await asyncio.wait(self._tasks, timeout=LAST_ANSWERS_TIMEOUT_S)
+        await self._wait_for_last_answers()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -132,6 +141,13 @@
         """Return the number of connections with a running statement or an open transaction."""
         return sum(not entry.is_idle for entry in self._connections)
 
+    async def _wait_for_last_answers(self) -> None:
+        """Wait a limited time for all connections, also for those accepted meanwhile."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + LAST_ANSWERS_TIMEOUT_S
+        while self._tasks and loop.time() < deadline:
+            await asyncio.wait(self._tasks, timeout=deadline - loop.time())
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
@@ -151,6 +167,8 @@
         connection.closes_after_answer = self._closes_after_answers
         self._connections.add(connection)
         self._tasks.add(task)
+        if self._is_stopping:
+            connection.end()
         try:
             await connection.serve()
         finally:
@@ -172,11 +190,15 @@
         transaction_idle_s: float,
     ) -> None:
         self._reader, self._writer, self._codec = reader, writer, codec
+        # drain() then waits for the whole answer, which the end of the process would cut otherwise.
+        writer.transport.set_write_buffer_limits(high=0)
         self._telemetry = telemetry
         self._router, self._transaction_idle_s = router, transaction_idle_s
         self._session: Session | None = None
         self._is_reading = False
         self._is_ending = False
+        # Until this time on the event loop's clock, the first statement is expected.
+        self._expects_statement_until = 0.0
         self._running: asyncio.Task[None] | None = None
         # The newest statement until its answer has been passed to the operating system.
         self._unanswered: Query | None = None
@@ -184,13 +206,14 @@
 
     @property
     def is_idle(self) -> bool:
-        """Tell whether the caller has no statement running and no transaction open."""
+        """Tell whether no statement is running or expected and no transaction is open."""
         session = self._session
         return (
             self._is_reading
             and session is not None
             and session.state is TransactionState.IDLE
             and not self._has_unread_data
+            and asyncio.get_running_loop().time() >= self._expects_statement_until
         )
 
     @property
@@ -226,6 +249,11 @@
             # The listener is stopping; asyncio would log a cancelled callback as an error.
             reason = "cancelled"
             log.debug("session_cancelled")
+        except Exception as error:
+            reason = repr(error)
+            log.error(
+                "session_error", detail=reason, trace=traceback.format_exc(limit=-TRACE_DEPTH)
+            )
         finally:
             self._report_unanswered(reason)
             if self._session is not None:
@@ -270,7 +298,7 @@
                 await self._write(self._codec.encode_failure(Failed(failure=failure)))
             return
         context = SessionContext(database=message.database, key=message.key)
-        admission = self._router.check_session(context)
+        admission = self._router.check_new_work(context)
         if isinstance(admission, Failed):
             log.info(
                 "session_refused",
@@ -286,6 +314,8 @@
             name_rewriter=self._codec,
             transaction_idle_s=self._transaction_idle_s,
         )
+        loop = asyncio.get_running_loop()
+        self._expects_statement_until = loop.time() + FIRST_STATEMENT_TIMEOUT_S
         await self._write(self._codec.encode_ready(TransactionState.IDLE, None))
 
     async def _serve_message(self, session: Session) -> bool:
@@ -295,6 +325,7 @@
             return False
         if isinstance(message, Query):
             self._unanswered = message
+            self._expects_statement_until = 0.0
             outcome = await self._run_query(session, message)
             answer = self._codec.encode_outcome(outcome, session.state)
             is_last = self._closes_with_answer(session)
@@ -316,14 +347,32 @@
         assert task is not None
         try:
             return await session.handle(query)
-        except asyncio.CancelledError:
-            if not self._is_ending:
+        except asyncio.CancelledError as error:
+            if self._is_ending:
+                task.uncancel()
+                return session.fail_unfinished(query, STOPPING_DETAIL)
+            if task.cancelling():
                 raise
-            task.uncancel()
-            return session.fail_unfinished(query)
+            # Not this task was cancelled, but another one for whose result it waited.
+            return self._fail_after_error(session, query, error)
+        except Exception as error:
+            return self._fail_after_error(session, query, error)
         finally:
             self._running = None
 
+    def _fail_after_error(
+        self, session: Session, query: Query, error: BaseException
+    ) -> StatementOutcome:
+        self._telemetry.count("statement_errors")
+        log.error(
+            "statement_error",
+            request=query.request_id,
+            database=session.context.database,
+            detail=repr(error),
+            trace=traceback.format_exc(limit=-TRACE_DEPTH),
+        )
+        return session.fail_unfinished(query, ERROR_DETAIL)
+
     async def _read_message(self) -> ClientMessage | None:
         self._is_reading = True
         try:
