Take the exception of a peer call that fails as its caller is cancelled

Cause: PeerProber.call runs the call in a task of its own and takes its result after `asyncio.wait`. If the outer task is cancelled in the same loop iteration, as the end of a process does to rollbacks that are under way while the transport fails their calls, the finished inner task is left with an exception that nobody takes.

Fix: a done callback takes the exception in every path.

--- a/lentilring/gateways/probing.py
+++ b/lentilring/gateways/probing.py
@@ -62,6 +62,8 @@
         call = asyncio.ensure_future(
             self._transport.call(peer.address, request, timeout_s=timeout_s)
         )
+        # A call that fails just as this one is cancelled has nobody else who takes its exception.
+        call.add_done_callback(_take_exception)
         try:
             while True:
                 done, _ = await asyncio.wait({call}, timeout=PROBE_DELAY_S)
@@ -100,3 +102,9 @@
 
     async def _answer_ping(self, sender: Sender, ping: Ping) -> Pong:
         return Pong(incarnation=self._fleet.local.incarnation)
+
+
+def _take_exception(call: asyncio.Future[object]) -> None:
+    """Mark a call's exception as retrieved."""
+    if not call.cancelled():
+        call.exception()
