Let rollbacks at peers finish before a stop closes the connections

What callers saw: a server's connection and the locks of a transaction stayed taken for up to the idle time plus 1 s after the proxy of the transaction's caller had stopped.

Cause: the end of a stop starts a rollback for each open transaction and nobody awaits it. The transport closes in the next loop iterations, so a rollback whose connection to the gateway has yet to be opened is never sent. One on an open connection was sent before, too (the test passed without the silent connection).

Evidence: the new test failed before: the gateway still held the transaction 0.5 s after the stop.

Fix: the dispatcher, which stops before the transport, waits for its rollbacks at peers, 0.1 s at most.

--- a/lentilring/gateways/dispatch.py
+++ b/lentilring/gateways/dispatch.py
@@ -28,6 +28,8 @@
 # The gateway answers within the statement's timeout; this adds time for the round trip to it.
 ANSWER_MARGIN_S = 0.25
 END_TRANSACTION_TIMEOUT_S = 1.0
+# A stop waits for this long until peers have confirmed the rollbacks that are under way.
+LAST_ROLLBACKS_TIMEOUT_S = 0.1
 # How long a proxy that could not reach a server is ranked behind the others for it.
 DEMOTION_S = 1.0
 # An older proof means that the gateway could not get a new one.
@@ -62,6 +64,14 @@
         self._fleet, self._gateways, self._prober = fleet, gateways, prober
         self._clock, self._telemetry = clock, telemetry
         self._demoted_until: dict[tuple[str, str], float] = {}
+        self._rollbacks: set[asyncio.Task[None]] = set()
+
+    async def stop(self) -> None:
+        """Wait briefly for rollbacks at peers, as the connections to peers close next."""
+        # Rollbacks that were started just now have not run yet.
+        await asyncio.sleep(0)
+        if self._rollbacks:
+            await asyncio.wait(self._rollbacks, timeout=LAST_ROLLBACKS_TIMEOUT_S)
 
     @property
     def local(self) -> ProxyEntry:
@@ -142,6 +152,12 @@
         if gateway.vm == self._fleet.local.vm:
             await self._gateways.end_transaction(transaction)
             return
+        rollback = asyncio.ensure_future(self._end_at_peer(gateway, transaction))
+        self._rollbacks.add(rollback)
+        rollback.add_done_callback(self._rollbacks.discard)
+        await rollback
+
+    async def _end_at_peer(self, gateway: ProxyEntry, transaction: str) -> None:
         try:
             await self._prober.call(
                 gateway,
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -11,10 +11,12 @@
 from lentilring.clock import BootClock
 from lentilring.gateways.messages import EndTransaction
 from lentilring.gateways.probing import PeerProber
+from lentilring.gateways.service import GatewayService
+from lentilring.peers.tcp import TcpTransport
 from lentilring.peers.transport import PeerAnswerLost, PeerTransport
 from lentilring.telemetry.metrics import Telemetry
 
-from .prepared import run
+from .prepared import Proxy, run, run_prepared_platform, wait_until
 
 
 class FailingTransport:
@@ -73,3 +75,29 @@
         run(scenario())
         gc.collect()
         self.assertEqual([], [context["message"] for context in unhandled])
+
+
+class RollbackAtStopTest(TestCase):
+    def test_rollback_that_begins_at_the_end_of_a_stop_reaches_the_gateway(self) -> None:
+        """Guards against a stopped proxy's transaction that holds a connection until it is idle."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=2) as platform:
+                gateway, own = platform.proxies["vm-0"], platform.proxies["vm-1"]
+                client = await own.open("booking")
+                await client.query("BEGIN")
+                self.assertIn("COMPLETE", (await client.query("WRITE a 1"))[0])
+                gateways = find_gateways(gateway)
+                self.assertEqual(1, gateways.count_transactions())
+                # As after a call without an answer: the next call opens a connection.
+                for connection in own.kernel.find("transport", TcpTransport)._callers.values():
+                    connection.silent = True
+                await own.stop()
+                await wait_until(lambda: not gateways.count_transactions(), within_s=0.5)
+                client.close()
+
+        run(scenario())
+
+
+def find_gateways(proxy: Proxy) -> GatewayService:
+    return proxy.kernel.find("gateways", GatewayService)
