Refuse at a stopping gateway what it could not answer before its end

What callers saw: at a proxy that goes on, a single write that was sent through a gateway shortly before that gateway's end got INDOUBT, and a transaction's statement ran until the process ended, whatever its time.

Cause: after SIGTERM only the callers of the stopping proxy itself were checked against the time that is left (sessions/stopping.py). Statements of peers were taken until the transport closed. Peers that know of the stop choose another gateway; those that don't, as while the store is down, and all with an open transaction there do not.

Evidence: the two new tests failed before: the late write got `ERROR INDOUBT the gateway's answer was lost`, the late statement of a transaction `COMPLETE` after its half of the grace period.

Fix: the gateways get the same schedule, with the time that is left for the statement, as it arrives and again when it has its slot. Refused is what was not sent: ABORTED in a transaction, which is rolled back, and outside of one `is_unreachable`, so that the peer uses another gateway.

--- a/lentilring/gateways/attempt.py
+++ b/lentilring/gateways/attempt.py
@@ -30,7 +30,7 @@
 class RunResult:
     """Hold the outcome of a statement and the id of the transaction that stays open after it.
 
-    `is_unreachable` says that the server could not be reached and was sent nothing.
+    `is_unreachable` says that this gateway has not run the statement and another one may.
     """
 
     outcome: StatementOutcome
--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -48,6 +48,7 @@
 # second.
 MIN_PAUSE_TIMEOUT_S = 0.7
 
+GATEWAY_STOPPING = "the gateway is stopping"
 LEADERSHIP_UNCERTAIN = Failed(
     failure=Failure.NOT_PRIMARY, detail="it is not certain that the server still leads"
 )
@@ -75,6 +76,7 @@
         is_primary: Callable[[], bool],
         ensure_leadership: Callable[[], Awaitable[bool]],
         is_first_choice: Callable[[], bool],
+        is_too_late: Callable[[StatementKind, float], bool],
     ) -> None:
         self.server = server
         self.history = history
@@ -96,6 +98,7 @@
         self._transaction_idle_s = transaction_idle_s
         self._refresh_positions, self._request_sampling = refresh_positions, request_sampling
         self._is_primary, self._ensure_leadership = is_primary, ensure_leadership
+        self._is_too_late = is_too_late
         self._primary_work_resumed: asyncio.Event | None = None
         self._commits_failing_since: float | None = None
         self._failed_commits = 0
@@ -120,6 +123,8 @@
                     Failure.OVERLOADED, "the server did not take a connection lately"
                 )
                 return replace(result, is_unreachable=True)
+        if (late := self._refuse_late(attempt)) is not None:
+            return late
         rank = IN_TRANSACTION if request.transaction else 1 + request.priority
         slot_refusal = await self.slots.acquire(
             request.account, rank=rank, patience_s=min(request.patience_s, request.timeout_s)
@@ -227,7 +232,28 @@
             )
         )
 
+    def _refuse_late(self, attempt: Attempt) -> RunResult | None:
+        """Refuse a statement that this proxy could not answer before it stops."""
+        if not self._is_too_late(attempt.request.work, self._remaining_s(attempt)):
+            return None
+        self._telemetry.count("gateway_refusals", reason="stopping")
+        log.info(
+            "statement_refused",
+            request=attempt.request.request_id,
+            server=self.server.id,
+            reason="stopping",
+        )
+        if attempt.transaction is not None:
+            self._remove_transaction(attempt.transaction)
+            self.pool.discard(attempt.transaction.connection)
+            return build_failed_result(Failure.ABORTED, GATEWAY_STOPPING)
+        result = build_failed_result(Failure.OVERLOADED, GATEWAY_STOPPING)
+        return replace(result, is_unreachable=True)
+
     async def _run_in_slot(self, attempt: Attempt) -> RunResult:
+        # A statement may have waited long for its slot.
+        if (late := self._refuse_late(attempt)) is not None:
+            return late
         try:
             outcome, state = await self._run_steps(attempt)
         except ServerRefused as error:
--- a/lentilring/gateways/messages.py
+++ b/lentilring/gateways/messages.py
@@ -70,7 +70,8 @@
 
     `transaction` is the id of the transaction that stays open. `wait_s` estimates how long the next
     statement waits for a slot. `age_s` is the age of the position that a read had to include.
-    `is_unreachable` says that the gateway could not reach the server and sent it nothing.
+    `is_unreachable` says that the gateway could not reach the server, or stops, and has not run the
+    statement.
     """
 
     failure: str = ""
--- a/lentilring/gateways/service.py
+++ b/lentilring/gateways/service.py
@@ -11,6 +11,7 @@
 from ..clock import SuspensionClock
 from ..kernel import Service
 from ..peers.transport import PeerTransport, Sender
+from ..sessions.stopping import StopSchedule
 from ..statements.model import Done, Failed, Failure, Position
 from ..tasks import start_task
 from ..telemetry.log import Log
@@ -24,6 +25,7 @@
     ProvenPosition,
     RunStatement,
     StatementAnswer,
+    StatementKind,
     TransactionEnded,
 )
 from .placement import rank_gateways
@@ -65,6 +67,7 @@
         self._transaction_numbers = itertools.count(1)
         self._transaction_prefix = f"{vm}.{incarnation}."
         self._trim_task: asyncio.Task[None] | None = None
+        self._stop_schedule: StopSchedule | None = None
         self._renewal = LeaseRenewal(
             catalog=catalog, connector=connector, clock=clock, telemetry=telemetry
         )
@@ -88,6 +91,10 @@
         for gateway in self._gateways.values():
             gateway.close()
 
+    def begin_stop(self, schedule: StopSchedule) -> None:
+        """Refuse from now on what could not be answered before the process ends."""
+        self._stop_schedule = schedule
+
     def get_history(self, service: str) -> ProvenPositionHistory:
         """Return the proven positions of a service's primary, empty at first."""
         return self._histories.setdefault(service, ProvenPositionHistory())
@@ -222,6 +229,7 @@
                 is_primary=lambda: self._is_primary(server),
                 ensure_leadership=lambda: self._renewal.ensure_lease(server),
                 is_first_choice=lambda: self._is_first_choice(server),
+                is_too_late=self._is_too_late,
             )
             log.info("gateway_opened", server=server.id, limit=gateway.pool.limit)
         return gateway
@@ -235,6 +243,13 @@
             return None
         return Failed(failure=Failure.OVERLOADED, detail="the server is leaving or evacuated")
 
+    def _is_too_late(self, work: StatementKind, timeout_s: float) -> bool:
+        """Tell whether this proxy is stopping and has too little time left for a statement."""
+        schedule = self._stop_schedule
+        return schedule is not None and not schedule.accepts(
+            work, timeout_s=timeout_s, now=self._clock.monotonic()
+        )
+
     def _is_first_choice(self, server: ServerEntry) -> bool:
         """Tell whether this proxy is the first choice for a server's work."""
         ranked = rank_gateways(server, self._fleet, is_suspect=self._fleet.is_suspect)
--- a/lentilring/sessions/readiness.py
+++ b/lentilring/sessions/readiness.py
@@ -66,11 +66,11 @@
         self._is_stopping = True
         now = self._clock.monotonic()
         deadline = now + timeout_s
-        self._router.begin_stop(
-            StopSchedule(
-                transactions_until=now + min(transaction_time_s, timeout_s), ends_at=deadline
-            )
+        schedule = StopSchedule(
+            transactions_until=now + min(transaction_time_s, timeout_s), ends_at=deadline
         )
+        self._router.begin_stop(schedule)
+        self._gateways.begin_stop(schedule)
         self._fleet.leave()
         await self._clock.sleep(min(BALANCER_REMOVAL_S, timeout_s / 2))
         self._listener.close_after_answers()
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 from typing import Any, cast
+from unittest.mock import patch
 
 from testtools import TestCase
 
@@ -17,6 +18,9 @@
 from lentilring.telemetry.metrics import Telemetry
 
 from .prepared import Proxy, run, run_prepared_platform, wait_until
+from .test_planned_stop import DRAIN_TIMEOUT_S, TRANSACTION_TIME_S, stop_as_planned
+
+SLOW_WORK_S = 0.6
 
 
 class FailingTransport:
@@ -99,5 +103,49 @@
         run(scenario())
 
 
+class PeersAtStoppingGatewayTest(TestCase):
+    def test_late_write_of_a_peer_runs_through_another_gateway(self) -> None:
+        """Guards against a stopping gateway that takes what it can't answer before its end."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=2) as platform:
+                gateway, own = platform.proxies["vm-0"], platform.proxies["vm-1"]
+                client = await own.open("booking")
+                # The peer does not learn that the gateway is leaving, as while the store is down.
+                with patch.object(FleetService, "leave"):
+                    stop = asyncio.ensure_future(stop_as_planned(gateway))
+                    await asyncio.sleep(DRAIN_TIMEOUT_S - SLOW_WORK_S / 2)
+                platform.group.limit_work(slots=2, choose_work_s=lambda: SLOW_WORK_S)
+                self.assertIn("COMPLETE", (await client.query("WRITE a 1"))[0])
+                client.close()
+                await stop
+
+        run(scenario())
+
+    def test_late_statement_of_a_peers_transaction_is_answered_at_once(self) -> None:
+        """Guards against transactions that go on at a gateway until its process ends."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=2) as platform:
+                gateway, own = platform.proxies["vm-0"], platform.proxies["vm-1"]
+                late, in_time = await own.open("booking"), await own.open("booking")
+                for client in (late, in_time):
+                    await client.query("BEGIN")
+                    self.assertIn("COMPLETE", (await client.query("WRITE a 1"))[0])
+                stop = asyncio.ensure_future(stop_as_planned(gateway))
+                await asyncio.sleep(TRANSACTION_TIME_S / 2)
+                self.assertIn("COMPLETE", (await late.query("WRITE a 2"))[0])
+                await asyncio.sleep(TRANSACTION_TIME_S / 2 + 0.1)
+                self.assertIn("ERROR ABORTED", (await late.query("WRITE a 3", "late"))[0])
+                self.assertIn("COMPLETE", (await in_time.query("COMMIT"))[0])
+                await stop
+                self.assertNotIn("late", [entry.request_id for entry in platform.group.runs])
+                self.assertEqual(1, len(platform.group.log))
+                late.close()
+                in_time.close()
+
+        run(scenario())
+
+
 def find_gateways(proxy: Proxy) -> GatewayService:
     return proxy.kernel.find("gateways", GatewayService)
