Answer peers' statements before the transport of a gateway closes

What callers saw: INDOUBT for a single write that had never left the slot queue of a gateway on another proxy, and for commits that ended some milliseconds after that proxy's draining did.

Cause: at the end of a stop the transport cancelled the handlers of peers' calls and closed the connections. No statement that waited or ran got an answer, so its own proxy had to report what it might mean.

Evidence: two new tests failed before, both with `ERROR INDOUBT the gateway's answer was lost`: a write that waits in the queue, and a commit that ends 50 ms later. The test of a read guards what held before; it failed while the dispatcher did not know the new answer.

Fix: the gateways stop before the transport. They give up at once what was not sent to a server (`is_unreachable`, or ABORTED in a transaction), wait 0.1 s for what runs, then give that up as well: INDOUBT for a commit or a single write, ABORTED otherwise. A single read runs again through another gateway. A statement that is cancelled while it waits for a slot or a pause no longer leaves its transaction behind, and has a line in the log (`statement_broken`, `sent=False`).

--- a/lentilring/gateways/dispatch.py
+++ b/lentilring/gateways/dispatch.py
@@ -12,6 +12,7 @@
 from ..statements.model import Failure
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
+from .gateway import GATEWAY_STOPPING
 from .messages import (
     AskPosition,
     EndTransaction,
@@ -197,7 +198,7 @@
         repeatable = (
             request.work is StatementKind.READ and request.opening is TransactionOpening.NONE
         )
-        return answer.detail == GATEWAY_LOST and repeatable
+        return answer.detail in (GATEWAY_LOST, GATEWAY_STOPPING) and repeatable
 
     def _record_failure(
         self, gateway: ProxyEntry, request: RunStatement, reason: str, detail: str
--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import replace
+from typing import Any
 
 from ..catalog.model import ServerEntry
 from ..clock import SuspensionClock
@@ -99,6 +100,8 @@
         self._refresh_positions, self._request_sampling = refresh_positions, request_sampling
         self._is_primary, self._ensure_leadership = is_primary, ensure_leadership
         self._is_too_late = is_too_late
+        self._attempts: dict[asyncio.Task[Any], Attempt] = {}
+        self._is_ending = False
         self._primary_work_resumed: asyncio.Event | None = None
         self._commits_failing_since: float | None = None
         self._failed_commits = 0
@@ -107,6 +110,33 @@
     async def run(self, request: RunStatement) -> RunResult:
         """Run one statement; the failure of its result tells whether it may have taken effect."""
         attempt = Attempt(request=request, deadline=self._clock.monotonic() + request.timeout_s)
+        task = asyncio.current_task()
+        assert task is not None
+        self._attempts[task] = attempt
+        try:
+            return await self._run_attempt(attempt)
+        except asyncio.CancelledError:
+            result = self._give_up(attempt, GATEWAY_STOPPING if self._is_ending else "cancelled")
+            if not self._is_ending:
+                raise
+            task.uncancel()
+            return result
+        except BaseException as error:
+            self._give_up(attempt, repr(error))
+            raise
+        finally:
+            del self._attempts[task]
+
+    def end_statements(self, *, only_unsent: bool) -> list[asyncio.Task[Any]]:
+        """Give up statements so that they are answered; return the tasks of those that remain."""
+        self._is_ending = True
+        for task, attempt in self._attempts.items():
+            if not (only_unsent and attempt.was_sent):
+                task.cancel()
+        return list(self._attempts)
+
+    async def _run_attempt(self, attempt: Attempt) -> RunResult:
+        request = attempt.request
         if request.transaction:
             attempt.transaction = self._claim_transaction(request.transaction)
             if attempt.transaction is None:
@@ -266,11 +296,10 @@
             if error.timed_out and is_commit(attempt):
                 self._record_failed_commit()
             return self._fail_statement(
-                attempt, self._classify_lost_answer(attempt, error), error.detail
+                attempt,
+                self._classify_lost_answer(attempt, timed_out=error.timed_out),
+                error.detail,
             )
-        except BaseException:
-            self._fail_statement(attempt, Failure.ABORTED, "cancelled")
-            raise
         return await self._finish(attempt, outcome, state)
 
     async def _run_steps(self, attempt: Attempt) -> tuple[StatementOutcome, TransactionState]:
@@ -378,7 +407,7 @@
     def _remaining_s(self, attempt: Attempt) -> float:
         return max(0.001, attempt.deadline - self._clock.monotonic())
 
-    def _classify_lost_answer(self, attempt: Attempt, error: ServerLost) -> Failure:
+    def _classify_lost_answer(self, attempt: Attempt, *, timed_out: bool) -> Failure:
         """Return the failure to report for a statement whose answer was lost.
 
         Its connection is closed, which rolls its transaction back.
@@ -390,11 +419,20 @@
             return Failure.UNCERTAIN if attempt.was_sent else Failure.ABORTED
         if is_in_transaction(attempt):
             return Failure.ABORTED
-        return Failure.TIMED_OUT if error.timed_out else Failure.ABORTED
+        return Failure.TIMED_OUT if timed_out else Failure.ABORTED
+
+    def _give_up(self, attempt: Attempt, detail: str) -> RunResult:
+        """Return the result of a statement that does not go on, and close its connection."""
+        if attempt.was_sent:
+            failure = self._classify_lost_answer(attempt, timed_out=False)
+            return self._fail_statement(attempt, failure, detail)
+        result = self._fail_statement(attempt, Failure.OVERLOADED, detail)
+        return replace(result, is_unreachable=attempt.transaction is None)
 
     def _fail_statement(self, attempt: Attempt, failure: Failure, detail: str) -> RunResult:
         if attempt.transaction is not None:
             self._remove_transaction(attempt.transaction)
+            attempt.connection = attempt.transaction.connection
             if failure is not Failure.UNCERTAIN:
                 failure = Failure.ABORTED
         if attempt.connection is not None:
--- a/lentilring/gateways/service.py
+++ b/lentilring/gateways/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 from collections.abc import Awaitable, Callable
 from random import Random
 
@@ -37,6 +38,10 @@
 PROOF_REFRESH_AGE_S = 0.15
 DEFAULT_MAX_CONNECTIONS = 4
 TRIM_INTERVAL_S = 0.25
+# Statements that still run at the end of a stop may take this long.
+LAST_RUNS_TIMEOUT_S = 0.1
+LAST_ANSWERS_TIMEOUT_S = 0.05
+NOTHING_ACCEPTED = StopSchedule(transactions_until=-math.inf, ends_at=-math.inf)
 
 log = Log(source="gateway")
 
@@ -84,9 +89,12 @@
         self._trim_task = start_task("trim_pools", self._trim_pools, telemetry=self._telemetry)
 
     async def stop(self) -> None:
-        """Close all connections to backend servers."""
+        """Answer all statements of peers and close all connections to backend servers."""
         if self._trim_task is not None:
             self._trim_task.cancel()
+        self._stop_schedule = NOTHING_ACCEPTED
+        await self._end_statements(only_unsent=True, timeout_s=LAST_RUNS_TIMEOUT_S)
+        await self._end_statements(only_unsent=False, timeout_s=LAST_ANSWERS_TIMEOUT_S)
         self._renewal.close()
         for gateway in self._gateways.values():
             gateway.close()
@@ -95,6 +103,16 @@
         """Refuse from now on what could not be answered before the process ends."""
         self._stop_schedule = schedule
 
+    async def _end_statements(self, *, only_unsent: bool, timeout_s: float) -> None:
+        """Give up statements and wait until all have ended; the transport stops after this."""
+        tasks = {
+            task
+            for gateway in self._gateways.values()
+            for task in gateway.end_statements(only_unsent=only_unsent)
+        }
+        if tasks:
+            await asyncio.wait(tasks, timeout=timeout_s)
+
     def get_history(self, service: str) -> ProvenPositionHistory:
         """Return the proven positions of a service's primary, empty at first."""
         return self._histories.setdefault(service, ProvenPositionHistory())
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -20,7 +20,10 @@
 from .prepared import Proxy, run, run_prepared_platform, wait_until
 from .test_planned_stop import DRAIN_TIMEOUT_S, TRANSACTION_TIME_S, stop_as_planned
 
+# A gateway sends one statement more than the two slots of a server.
+RUNNING = 3
 SLOW_WORK_S = 0.6
+SHORT_WORK_S = 0.05
 
 
 class FailingTransport:
@@ -104,6 +107,70 @@
 
 
 class PeersAtStoppingGatewayTest(TestCase):
+    def test_statement_that_waits_at_a_stopping_gateway_runs_through_another(self) -> None:
+        """Guards against INDOUBT for a write that never left the queue of a stopped gateway."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=2) as platform:
+                gateway, own = platform.proxies["vm-0"], platform.proxies["vm-1"]
+                clients = [await own.open("booking") for _ in range(RUNNING + 2)]
+                *running, waiting, in_transaction = clients
+                await in_transaction.query("BEGIN")
+                self.assertIn("COMPLETE", (await in_transaction.query("WRITE a 0"))[0])
+                platform.group.limit_work(slots=2, choose_work_s=lambda: SLOW_WORK_S)
+                gateways = find_gateways(gateway)
+                for number, client in enumerate(running):
+                    client.send(f"QUERY running{number} WRITE a 1")
+                await wait_until(lambda: gateways.count_running() == RUNNING, within_s=1.0)
+                waiting.send("QUERY waiting WRITE a 2")
+                in_transaction.send("QUERY inside WRITE a 3")
+                await wait_until(lambda: gateways.count_running() == RUNNING + 2, within_s=0.3)
+                await gateway.stop()
+                self.assertIn("ERROR ABORTED", (await in_transaction.read_answer())[0])
+                self.assertIn("COMPLETE", (await waiting.read_answer())[0])
+                for client in running:
+                    self.assertIn("ERROR INDOUBT", (await client.read_answer())[0])
+                self.assertNotIn("inside", [entry.request_id for entry in platform.group.runs])
+                for client in clients:
+                    client.close()
+
+        run(scenario())
+
+    def test_commit_that_ends_right_after_draining_is_answered(self) -> None:
+        """Guards against INDOUBT for a commit that its gateway could have answered."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=2) as platform:
+                gateway, own = platform.proxies["vm-0"], platform.proxies["vm-1"]
+                client = await own.open("booking")
+                await client.query("BEGIN")
+                self.assertIn("COMPLETE", (await client.query("WRITE a 1"))[0])
+                platform.group.limit_work(slots=2, choose_work_s=lambda: SHORT_WORK_S)
+                client.send("QUERY q COMMIT")
+                await wait_until(lambda: "q" in platform.group.arrivals, within_s=1.0)
+                await gateway.stop()
+                self.assertIn("COMPLETE", (await client.read_answer())[0])
+                client.close()
+
+        run(scenario())
+
+    def test_read_that_runs_at_a_stopping_gateway_runs_again_through_another(self) -> None:
+        """Guards against ABORTED for a read that another gateway can run."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=2) as platform:
+                gateway, own = platform.proxies["vm-0"], platform.proxies["vm-1"]
+                client = await own.open("booking")
+                await client.query("READ a")
+                platform.group.limit_work(slots=2, choose_work_s=lambda: SLOW_WORK_S)
+                client.send("QUERY q READ a")
+                await wait_until(lambda: "q" in platform.group.arrivals, within_s=1.0)
+                await gateway.stop()
+                self.assertIn("COMPLETE", " ".join(await client.read_answer()))
+                client.close()
+
+        run(scenario())
+
     def test_late_write_of_a_peer_runs_through_another_gateway(self) -> None:
         """Guards against a stopping gateway that takes what it can't answer before its end."""
 
