Let proxies work for each other while all of them are stopping

What callers saw: `BUSY no gateway is known` for the first statement of a transaction that was open at SIGTERM, and for every single statement, as soon as all proxies of the fleet were leaving (a fleet of one, or stops that overlap), though half of the grace period was left.

Cause: a leaving proxy counts as no member, and without members no server has a gateway.

Evidence: the new test of both proxies failed before with `ERROR BUSY no gateway is known`. The other new test, in which a write and a commit run as both proxies end and the gateway's answer comes too late, held before (both got INDOUBT); it stays as a guard.

Fix: while all proxies are leaving, all are members. What can't be answered in time is refused by the stop schedule.

--- a/lentilring/catalog/fleet.py
+++ b/lentilring/catalog/fleet.py
@@ -94,7 +94,7 @@
         self._spawn(self._register())
 
     def members(self) -> tuple[ProxyEntry, ...]:
-        """Return the proxies that accept work, including the local one unless it is leaving."""
+        """Return the proxies that accept work: those that are not leaving, or all if all are."""
         return self._members
 
     def rank(
@@ -236,7 +236,8 @@
 
     def _rebuild_ranking(self) -> None:
         known = [self._local, *self._entries.values()]
-        remaining = [entry for entry in known if not entry.is_leaving]
+        # While all are leaving, as when a whole fleet stops, they still work for each other.
+        remaining = [entry for entry in known if not entry.is_leaving] or known
         self._members = tuple(sorted(remaining, key=lambda entry: entry.vm))
         self._ranking = Ranking(members=self._members)
 
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -214,5 +214,54 @@
         run(scenario())
 
 
+class StopAtBothEndsTest(TestCase):
+    def test_statements_that_run_as_both_proxies_end_are_answered(self) -> None:
+        """Guards against a gateway's answer that comes after its peer has ended draining."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=2) as platform:
+                gateway, own = platform.proxies["vm-0"], platform.proxies["vm-1"]
+                clients = [await own.open("booking") for _ in range(2)]
+                single, in_transaction = clients
+                await in_transaction.query("BEGIN")
+                self.assertIn("COMPLETE", (await in_transaction.query("WRITE a 0"))[0])
+                platform.group.limit_work(slots=RUNNING, choose_work_s=lambda: DRAIN_TIMEOUT_S)
+                stops = asyncio.gather(stop_as_planned(own), stop_as_planned(gateway))
+                single.send("QUERY q1 WRITE a 1")
+                in_transaction.send("QUERY q2 COMMIT")
+                for client in clients:
+                    answer = await client.read_answer()
+                    self.assertIn("ERROR INDOUBT", answer[0])
+                    self.assertIn("READY", answer[-1])
+                await stops
+                for client in clients:
+                    client.close()
+
+        run(scenario())
+
+    def test_work_goes_on_for_its_time_while_all_proxies_stop(self) -> None:
+        """Guards against proxies that have no gateway as soon as all of them are leaving."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=2) as platform:
+                own = platform.proxies["vm-1"]
+                clients = [await own.open("booking") for _ in range(2)]
+                single, in_transaction = clients
+                await in_transaction.query("BEGIN")
+                stops = asyncio.gather(
+                    *[stop_as_planned(proxy) for proxy in platform.proxies.values()]
+                )
+                fleet = own.kernel.find("fleet", FleetService)
+                await wait_until(lambda: fleet.find("vm-0").is_leaving, within_s=0.4)
+                self.assertIn("COMPLETE", (await in_transaction.query("WRITE a 1"))[0])
+                self.assertIn("COMPLETE", (await in_transaction.query("COMMIT"))[0])
+                self.assertIn("COMPLETE", (await single.query("WRITE a 2"))[0])
+                for client in clients:
+                    client.close()
+                await stops
+
+        run(scenario())
+
+
 def find_gateways(proxy: Proxy) -> GatewayService:
     return proxy.kernel.find("gateways", GatewayService)
