Log a peer's statement whose answer its gateway could not send

What operators saw: nothing at the gateway.

Cause: an answer that finds the peer's connection closed was only counted (`peer_answers_unsent`), as the transport does not know what a message is about.

Evidence: the new test of a closed connection failed before, no line named the request.

Fix: `describe_request`, a function of the message's type, says what a line names: a statement gives its request id and server, other messages have no line. `peer_answer_unsent` adds the peer.

--- a/lentilring/gateways/messages.py
+++ b/lentilring/gateways/messages.py
@@ -4,6 +4,7 @@
 from enum import StrEnum, unique
 
 from ..peers.messages import message
+from ..peers.transport import describe_request
 
 
 @unique
@@ -63,6 +64,11 @@
     timeout_s: float = 0.0
 
 
+@describe_request.register
+def _(request: RunStatement) -> dict[str, object]:
+    return {"request": request.request_id, "server": request.server}
+
+
 @message
 @dataclass(frozen=True, kw_only=True)
 class StatementAnswer:
--- a/lentilring/peers/tcp.py
+++ b/lentilring/peers/tcp.py
@@ -21,6 +21,7 @@
     PeerRejected,
     PeerUnreachable,
     Sender,
+    describe_request,
 )
 
 M = TypeVar("M")
@@ -282,6 +283,9 @@
                 )
                 return
             answer = await handler(call.sender, request)
+        except asyncio.CancelledError:
+            self._report_unsent(call)
+            raise
         except DecodeFailed as error:
             self._reject_call(connection, call, RejectionReason.MALFORMED, str(error))
         except Exception as error:
@@ -299,7 +303,7 @@
         except (EncodeFailed, FrameTooLarge) as error:
             self._reject_call(connection, call, RejectionReason.ANSWER_INVALID, str(error))
             return
-        self._send_to_caller(connection, frame)
+        self._send_to_caller(connection, call, frame)
 
     def _reject_call(
         self, connection: ListenerConnection, call: Envelope, reason: RejectionReason, detail: str
@@ -308,16 +312,26 @@
         log.warning("peer_request_rejected", reason=reason, peer=call.vm, detail=detail)
         text = f"{reason}: {detail}"[:MAX_DETAIL_CHARACTERS]
         envelope = self._make_envelope(call.request_id, EnvelopeKind.REJECTION, detail=text)
-        self._send_to_caller(connection, encode_frame(encode_struct(envelope)))
+        self._send_to_caller(connection, call, encode_frame(encode_struct(envelope)))
 
-    def _send_to_caller(self, connection: ListenerConnection, frame: bytes) -> None:
+    def _send_to_caller(self, connection: ListenerConnection, call: Envelope, frame: bytes) -> None:
         if connection.is_send_buffer_full():
             connection.abort()
         if connection.closed:
-            self.telemetry.count("peer_answers_unsent")
+            self._report_unsent(call)
             return
         connection.send(frame)
 
+    def _report_unsent(self, call: Envelope) -> None:
+        """Count a call that gets no answer; log it if its request has a description."""
+        self.telemetry.count("peer_answers_unsent")
+        try:
+            description = describe_request(decode(call.body))
+        except DecodeFailed:
+            return
+        if description:
+            log.warning("peer_answer_unsent", peer=call.vm, **description)
+
     def _receive_datagram(self, datagram: bytes) -> None:
         payload = self._authenticator.verify_datagram(datagram)
         if payload is None:
--- a/lentilring/peers/transport.py
+++ b/lentilring/peers/transport.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from functools import singledispatch
 from typing import Protocol, TypeVar
 
 from ..errors import LentilringError
@@ -44,6 +45,12 @@
     detail: str = ""
 
 
+@singledispatch
+def describe_request(request: object) -> dict[str, object]:
+    """Return what a log line says of a request without an answer; empty for one without a line."""
+    return {}
+
+
 class PeerTransport(Protocol):
     """Exchange typed messages with peers; addresses are `ip:port`."""
 
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -5,6 +5,7 @@
 from typing import Any, cast
 from unittest.mock import patch
 
+import logbook
 from testtools import TestCase
 
 from lentilring.catalog.fleet import FleetService
@@ -263,5 +264,60 @@
         run(scenario())
 
 
+class UnsentAnswerTest(TestCase):
+    def test_log_names_the_statement_whose_answer_a_peer_does_not_get(self) -> None:
+        """Guards against a gateway that says nothing of a statement whose proxy is gone."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=2) as platform:
+                own = platform.proxies["vm-1"]
+                client = await own.open("booking")
+                platform.group.limit_work(slots=2, choose_work_s=lambda: SHORT_WORK_S)
+                handler = logbook.TestHandler()
+                with handler.applicationbound():
+                    client.send("QUERY q WRITE a 1")
+                    await wait_until(lambda: "q" in platform.group.arrivals, within_s=1.0)
+                    for connection in own.kernel.find("transport", TcpTransport)._callers.values():
+                        connection.abort()
+                    self.assertIn("ERROR INDOUBT", (await client.read_answer())[0])
+                    await asyncio.sleep(2 * SHORT_WORK_S)
+                unsent = [
+                    entry for entry in handler.records if "peer_answer_unsent" in entry.message
+                ]
+                (line,) = unsent
+                server = platform.group.servers[0].id
+                self.assertIn(f"peer=vm-1 request=q server={server}", line.message)
+                self.assertEqual("WARNING", line.level_name)
+                client.close()
+
+        run(scenario())
+
+    def test_log_names_a_statement_that_is_cancelled_while_it_waits_for_a_slot(self) -> None:
+        """Guards against a statement that disappears from a gateway's queue without a line."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as platform:
+                proxy = platform.proxies["vm-0"]
+                clients = [await proxy.open("booking") for _ in range(RUNNING + 1)]
+                platform.group.limit_work(slots=2, choose_work_s=lambda: SLOW_WORK_S)
+                gateways = find_gateways(proxy)
+                for number, client in enumerate(clients):
+                    client.send(f"QUERY q{number} WRITE a 1")
+                    await wait_until(lambda n=number: gateways.count_running() == n + 1, within_s=1)
+                handler = logbook.TestHandler()
+                with handler.applicationbound():
+                    await proxy.stop()
+                lines = [
+                    entry.message for entry in handler.records if "request=q3" in entry.message
+                ]
+                (broken,) = [line for line in lines if "event=statement_broken" in line]
+                self.assertIn(f"server={platform.group.servers[0].id}", broken)
+                self.assertIn("sent=False", broken)
+                for client in clients:
+                    client.close()
+
+        run(scenario())
+
+
 def find_gateways(proxy: Proxy) -> GatewayService:
     return proxy.kernel.find("gateways", GatewayService)
