Log the first contact with the store as such, not as a regained store

Cause: the client's state before the first call, unknown, counted as unreachable.

Evidence: the new test failed before with `store_regained` at WARNING as its first line where `store_reached` at INFO is expected.

Fix: a first answer is logged as `store_reached`. A first call that fails is still `store_lost`, and the answer after it `store_regained`.

--- a/lentilring/platform/objects.py
+++ b/lentilring/platform/objects.py
@@ -285,10 +285,13 @@
         self._era = era
 
     def _set_reachable(self, reachable: bool, method: str, path: str, detail: str) -> None:
-        """Log once when the store stops answering and once when it answers again."""
+        """Log the first answer, and once when the store stops answering and answers again."""
         if reachable == self.is_reachable:
             return
-        self.is_reachable = reachable
+        is_first_contact, self.is_reachable = self.is_reachable is None, reachable
+        if reachable and is_first_contact:
+            log.info("store_reached", method=method, path=path)
+            return
         event = "store_regained" if reachable else "store_lost"
         log.warning(event, method=method, path=path, detail=detail)
 
--- a/tests/test_store_answers.py
+++ b/tests/test_store_answers.py
@@ -3,13 +3,16 @@
 import asyncio
 from http import HTTPStatus
 from typing import Any
+from unittest.mock import patch
 
+import logbook
 import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from testtools import TestCase
 
 from lentilring.catalog.source import HistoryExpired, RecordKind
+from lentilring.http.exchange import ExchangeFailed, HttpAnswer
 from lentilring.platform.objects import ObjectClient, ObjectConflict, StoreAnswer
 from lentilring.platform.records import PlatformRecords
 from lentilring.platform.store import StoreUnavailable
@@ -91,3 +94,31 @@
                     continue
 
         asyncio.run(scenario())
+
+
+class ReachableStoreTest(TestCase):
+    def test_first_contact_is_not_logged_as_a_store_that_returned(self) -> None:
+        """Guards against a warning of a regained store at every start."""
+
+        async def scenario() -> None:
+            client = ObjectClient(address="127.0.0.1:1", telemetry=Telemetry())
+            answer = HttpAnswer(status=HTTPStatus.OK, content=b"{}")
+            answers = [answer, answer, ExchangeFailed(detail="refused"), answer]
+            with patch("lentilring.platform.objects.exchange", side_effect=answers):
+                for _ in answers:
+                    await asyncio.gather(client.get("config", "main"), return_exceptions=True)
+
+        handler = logbook.TestHandler()
+        with handler.applicationbound():
+            asyncio.run(scenario())
+        lines = [
+            (entry.level_name, entry.message.split(" ")[0])
+            for entry in handler.records
+            if entry.channel == "store" and "event=store_" in entry.message
+        ]
+        expected = [
+            ("INFO", "event=store_reached"),
+            ("WARNING", "event=store_lost"),
+            ("WARNING", "event=store_regained"),
+        ]
+        self.assertEqual(expected, lines)
