Test transactions and statements whose gateway is replaced at its address

Both tests held on today's code without a change: the next statement of a transaction and its commit are ABORTED and do not run; of the statements that run as the gateway is killed, a read runs again elsewhere, a single write and a commit get INDOUBT, a write in a transaction ABORTED.

--- a/tests/prepared.py
+++ b/tests/prepared.py
@@ -187,10 +187,21 @@
                 self.register(entry)
 
     async def add_proxy(
-        self, vm: str, zone: str, *, secret: PeerSecret = SECRET, **settings: Any
+        self,
+        vm: str,
+        zone: str,
+        *,
+        secret: PeerSecret = SECRET,
+        incarnation: int = 1,
+        **settings: Any,
     ) -> "Proxy":
         proxy = Proxy(
-            vm=vm, zone=zone, store_address=self.store.address, settings=settings, secret=secret
+            vm=vm,
+            zone=zone,
+            store_address=self.store.address,
+            settings=settings,
+            secret=secret,
+            incarnation=incarnation,
         )
         await proxy.start()
         self.proxies[vm] = proxy
@@ -214,6 +225,7 @@
         store_address: str,
         settings: dict[str, Any],
         secret: PeerSecret = SECRET,
+        incarnation: int = 1,
     ) -> None:
         values: dict[str, Any] = {
             "vm": vm,
@@ -236,7 +248,7 @@
         self.readiness: SessionReadiness = register_session_services(
             self.kernel,
             settings=self.settings,
-            incarnation=1,
+            incarnation=incarnation,
             objects=self._objects,
             secret=secret,
             telemetry=self.telemetry,
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -18,7 +18,7 @@
 from lentilring.peers.transport import PeerAnswerLost, PeerTransport
 from lentilring.telemetry.metrics import Telemetry
 
-from .prepared import Proxy, run, run_prepared_platform, wait_until
+from .prepared import PreparedPlatform, Proxy, run, run_prepared_platform, wait_until
 from .test_planned_stop import DRAIN_TIMEOUT_S, TRANSACTION_TIME_S, stop_as_planned
 
 # A gateway sends one statement more than the two slots of a server.
@@ -319,5 +319,70 @@
         run(scenario())
 
 
+class ReplacedGatewayTest(TestCase):
+    def test_transaction_whose_gateway_was_replaced_at_its_address_is_aborted(self) -> None:
+        """Guards against a new process that takes a statement of its predecessor's transaction."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=2) as platform:
+                own = platform.proxies["vm-1"]
+                clients = [await own.open("booking") for _ in range(2)]
+                for client in clients:
+                    await client.query("BEGIN")
+                    self.assertIn("COMPLETE", (await client.query("WRITE a 1"))[0])
+                await replace_process(platform, "vm-0")
+                for client, text in zip(clients, ["WRITE a 2", "COMMIT"], strict=True):
+                    self.assertIn("ERROR ABORTED", (await client.query(text, "late"))[0])
+                self.assertNotIn("late", [entry.request_id for entry in platform.group.runs])
+                self.assertEqual([], platform.group.log)
+                for client in clients:
+                    client.close()
+
+        run(scenario())
+
+    def test_statements_that_run_as_their_gateway_is_replaced_get_a_true_answer(self) -> None:
+        """Guards against a write called not run, or a read called lost, at a killed gateway."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=2) as platform:
+                own = platform.proxies["vm-1"]
+                clients = [await own.open("booking") for _ in range(4)]
+                for client in clients[2:]:
+                    await client.query("BEGIN")
+                    self.assertIn("COMPLETE", (await client.query("WRITE a 1"))[0])
+                platform.group.limit_work(slots=4, choose_work_s=lambda: SLOW_WORK_S)
+                texts = ["READ a", "WRITE a 1", "WRITE a 2", "COMMIT"]
+                for number, (client, text) in enumerate(zip(clients, texts, strict=True)):
+                    client.send(f"QUERY q{number} {text}")
+                await wait_until(
+                    lambda: {"q0", "q1", "q2"} <= platform.group.arrivals.keys(), within_s=1.0
+                )
+                await replace_process(platform, "vm-0", is_killed=True)
+                answers = [" ".join(await client.read_answer()) for client in clients]
+                expected = ["COMPLETE", "ERROR INDOUBT", "ERROR ABORTED", "ERROR INDOUBT"]
+                for answer, part in zip(answers, expected, strict=True):
+                    self.assertIn(part, answer)
+                self.assertIn("COMPLETE", (await clients[1].query("WRITE a 4"))[0])
+                for client in clients:
+                    client.close()
+
+        run(scenario())
+
+
+async def replace_process(platform: PreparedPlatform, vm: str, *, is_killed: bool = False) -> None:
+    """Start a new process at the peer address of one that was stopped or killed."""
+    old = platform.proxies.pop(vm)
+    transport = old.kernel.find("transport", TcpTransport)
+    if is_killed:
+        transport._server.close()
+        for connection in list(transport._listeners):
+            connection.abort()
+    await old.stop()
+    await platform.add_proxy(
+        vm, old.settings.failure_domain, incarnation=2, peer_address=old.settings.peer_address
+    )
+    await platform.wait_ready()
+
+
 def find_gateways(proxy: Proxy) -> GatewayService:
     return proxy.kernel.find("gateways", GatewayService)
