--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -214,6 +214,23 @@
 
         run(scenario())
 
+    def test_commit_after_its_gateway_has_ended_is_answered_at_once(self) -> None:
+        """Guards against silence or INDOUBT for a commit that can't have run."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=2) as platform:
+                gateway, own = platform.proxies["vm-0"], platform.proxies["vm-1"]
+                client = await own.open("booking")
+                await client.query("BEGIN")
+                self.assertIn("COMPLETE", (await client.query("WRITE a 1"))[0])
+                await stop_as_planned(gateway)
+                async with asyncio.timeout(SHORT_WORK_S * 4):
+                    self.assertIn("ERROR ABORTED", (await client.query("COMMIT"))[0])
+                self.assertEqual([], platform.group.log)
+                client.close()
+
+        run(scenario())
+
 
 class StopAtBothEndsTest(TestCase):
     def test_statements_that_run_as_both_proxies_end_are_answered(self) -> None:
