Roll an abandoned transaction back after the statement that it runs

What callers saw: a server's connection and the locks of a transaction stayed taken for the idle time plus 1 s when a proxy stopped while a statement of that transaction ran at a gateway on another proxy.

Cause: the stopping proxy gives the statement up, answers ABORTED and asks the gateway for a rollback. The gateway refused it, as the transaction was busy, and kept the transaction open after its statement.

Evidence: the new test failed before: the transaction was still open 0.6 s after its statement had run.

Fix: a rollback that finds a statement running marks the transaction, which is rolled back when the statement ends. A commit that runs is not affected.

--- a/lentilring/gateways/attempt.py
+++ b/lentilring/gateways/attempt.py
@@ -17,12 +17,16 @@
 
 @dataclass(kw_only=True, eq=False)
 class GatewayTransaction:
-    """Hold an open transaction and its connection; it runs one statement at a time."""
+    """Hold an open transaction and its connection; it runs one statement at a time.
+
+    One that `is_abandoned` is rolled back when the statement that it runs has ended.
+    """
 
     id: str
     connection: PooledConnection
     proves_lead: bool
     is_busy: bool = False
+    is_abandoned: bool = False
     idle_timer: asyncio.TimerHandle | None = None
 
 
--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -170,10 +170,13 @@
             self.slots.release(request.account, rank=rank, cost_s=cost_s)
 
     async def end_transaction(self, transaction_id: str) -> bool:
-        """Roll a transaction back; return False if it is not open or still runs a statement."""
-        transaction = self._claim_transaction(transaction_id)
+        """Roll a transaction back, after the statement that it runs; return False if not open."""
+        transaction = self.transactions.get(transaction_id)
         if transaction is None:
             return False
+        if self._claim_transaction(transaction_id) is None:
+            transaction.is_abandoned = True
+            return True
         await self._remove_and_roll_back(transaction)
         return True
 
@@ -453,7 +456,8 @@
     ) -> RunResult:
         connection = attempt.connection
         assert connection is not None
-        if state is TransactionState.OPEN and isinstance(outcome, Done):
+        is_abandoned = attempt.transaction is not None and attempt.transaction.is_abandoned
+        if state is TransactionState.OPEN and isinstance(outcome, Done) and not is_abandoned:
             return RunResult(
                 outcome=outcome,
                 transaction=self._keep_open(attempt, connection),
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -106,6 +106,28 @@
 
         run(scenario())
 
+    def test_rollback_of_a_transaction_that_still_runs_a_statement_follows_it(self) -> None:
+        """Guards against a transaction that stays open after its given-up statement has run."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=2) as platform:
+                gateway, own = platform.proxies["vm-0"], platform.proxies["vm-1"]
+                client = await own.open("booking")
+                await client.query("BEGIN")
+                self.assertIn("COMPLETE", (await client.query("WRITE a 1"))[0])
+                platform.group.limit_work(slots=2, choose_work_s=lambda: SLOW_WORK_S)
+                client.send("QUERY q WRITE a 2")
+                await wait_until(lambda: "q" in platform.group.arrivals, within_s=1.0)
+                await own.stop()
+                self.assertIn("ERROR ABORTED", (await client.read_answer())[0])
+                gateways = find_gateways(gateway)
+                await wait_until(
+                    lambda: not gateways.count_transactions(), within_s=2 * SLOW_WORK_S
+                )
+                client.close()
+
+        run(scenario())
+
 
 class PeersAtStoppingGatewayTest(TestCase):
     def test_statement_that_waits_at_a_stopping_gateway_runs_through_another(self) -> None:
