--- a/lentilring/gateways/attempt.py
+++ b/lentilring/gateways/attempt.py
@@ -17,12 +17,16 @@
 
 @dataclass(kw_only=True, eq=False)
 class GatewayTransaction:
-    """Hold an open transaction and its connection; it runs one statement at a time."""
+    """Hold an open transaction and its connection; it runs one statement at a time.
+
+    One that `is_abandoned` is rolled back when the statement that it runs has ended.
+    """
 
     id: str
     connection: PooledConnection
     proves_lead: bool
     is_busy: bool = False
+    is_abandoned: bool = False
     idle_timer: asyncio.TimerHandle | None = None
 
 
@@ -30,7 +34,7 @@
 class RunResult:
     """Hold the outcome of a statement and the id of the transaction that stays open after it.
 
-    `is_unreachable` says that the server could not be reached and was sent nothing.
+    `is_unreachable` says that this gateway has not run the statement and another one may.
     """
 
     outcome: StatementOutcome
--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import replace
+from typing import Any
 
 from ..catalog.model import ServerEntry
 from ..clock import SuspensionClock
@@ -48,6 +49,7 @@
 # second.
 MIN_PAUSE_TIMEOUT_S = 0.7
 
+GATEWAY_STOPPING = "the gateway is stopping"
 LEADERSHIP_UNCERTAIN = Failed(
     failure=Failure.NOT_PRIMARY, detail="it is not certain that the server still leads"
 )
@@ -75,6 +77,7 @@
         is_primary: Callable[[], bool],
         ensure_leadership: Callable[[], Awaitable[bool]],
         is_first_choice: Callable[[], bool],
+        is_too_late: Callable[[StatementKind, float], bool],
     ) -> None:
         self.server = server
         self.history = history
@@ -96,6 +99,9 @@
         self._transaction_idle_s = transaction_idle_s
         self._refresh_positions, self._request_sampling = refresh_positions, request_sampling
         self._is_primary, self._ensure_leadership = is_primary, ensure_leadership
+        self._is_too_late = is_too_late
+        self._attempts: dict[asyncio.Task[Any], Attempt] = {}
+        self._is_ending = False
         self._primary_work_resumed: asyncio.Event | None = None
         self._commits_failing_since: float | None = None
         self._failed_commits = 0
@@ -104,6 +110,33 @@
     async def run(self, request: RunStatement) -> RunResult:
         """Run one statement; the failure of its result tells whether it may have taken effect."""
         attempt = Attempt(request=request, deadline=self._clock.monotonic() + request.timeout_s)
+        task = asyncio.current_task()
+        assert task is not None
+        self._attempts[task] = attempt
+        try:
+            return await self._run_attempt(attempt)
+        except asyncio.CancelledError:
+            result = self._give_up(attempt, GATEWAY_STOPPING if self._is_ending else "cancelled")
+            if not self._is_ending:
+                raise
+            task.uncancel()
+            return result
+        except BaseException as error:
+            self._give_up(attempt, repr(error))
+            raise
+        finally:
+            del self._attempts[task]
+
+    def end_statements(self, *, only_unsent: bool) -> list[asyncio.Task[Any]]:
+        """Give up statements so that they are answered; return the tasks of those that remain."""
+        self._is_ending = True
+        for task, attempt in self._attempts.items():
+            if not (only_unsent and attempt.was_sent):
+                task.cancel()
+        return list(self._attempts)
+
+    async def _run_attempt(self, attempt: Attempt) -> RunResult:
+        request = attempt.request
         if request.transaction:
             attempt.transaction = self._claim_transaction(request.transaction)
             if attempt.transaction is None:
@@ -120,6 +153,8 @@
                     Failure.OVERLOADED, "the server did not take a connection lately"
                 )
                 return replace(result, is_unreachable=True)
+        if (late := self._refuse_late(attempt)) is not None:
+            return late
         rank = IN_TRANSACTION if request.transaction else 1 + request.priority
         slot_refusal = await self.slots.acquire(
             request.account, rank=rank, patience_s=min(request.patience_s, request.timeout_s)
@@ -135,10 +170,13 @@
             self.slots.release(request.account, rank=rank, cost_s=cost_s)
 
     async def end_transaction(self, transaction_id: str) -> bool:
-        """Roll a transaction back; return False if it is not open or still runs a statement."""
-        transaction = self._claim_transaction(transaction_id)
+        """Roll a transaction back, after the statement that it runs; return False if not open."""
+        transaction = self.transactions.get(transaction_id)
         if transaction is None:
             return False
+        if self._claim_transaction(transaction_id) is None:
+            transaction.is_abandoned = True
+            return True
         await self._remove_and_roll_back(transaction)
         return True
 
@@ -227,7 +265,28 @@
             )
         )
 
+    def _refuse_late(self, attempt: Attempt) -> RunResult | None:
+        """Refuse a statement that this proxy could not answer before it stops."""
+        if not self._is_too_late(attempt.request.work, self._remaining_s(attempt)):
+            return None
+        self._telemetry.count("gateway_refusals", reason="stopping")
+        log.info(
+            "statement_refused",
+            request=attempt.request.request_id,
+            server=self.server.id,
+            reason="stopping",
+        )
+        if attempt.transaction is not None:
+            self._remove_transaction(attempt.transaction)
+            self.pool.discard(attempt.transaction.connection)
+            return build_failed_result(Failure.ABORTED, GATEWAY_STOPPING)
+        result = build_failed_result(Failure.OVERLOADED, GATEWAY_STOPPING)
+        return replace(result, is_unreachable=True)
+
     async def _run_in_slot(self, attempt: Attempt) -> RunResult:
+        # A statement may have waited long for its slot.
+        if (late := self._refuse_late(attempt)) is not None:
+            return late
         try:
             outcome, state = await self._run_steps(attempt)
         except ServerRefused as error:
@@ -240,11 +299,10 @@
             if error.timed_out and is_commit(attempt):
                 self._record_failed_commit()
             return self._fail_statement(
-                attempt, self._classify_lost_answer(attempt, error), error.detail
+                attempt,
+                self._classify_lost_answer(attempt, timed_out=error.timed_out),
+                error.detail,
             )
-        except BaseException:
-            self._fail_statement(attempt, Failure.ABORTED, "cancelled")
-            raise
         return await self._finish(attempt, outcome, state)
 
     async def _run_steps(self, attempt: Attempt) -> tuple[StatementOutcome, TransactionState]:
@@ -352,7 +410,7 @@
     def _remaining_s(self, attempt: Attempt) -> float:
         return max(0.001, attempt.deadline - self._clock.monotonic())
 
-    def _classify_lost_answer(self, attempt: Attempt, error: ServerLost) -> Failure:
+    def _classify_lost_answer(self, attempt: Attempt, *, timed_out: bool) -> Failure:
         """Return the failure to report for a statement whose answer was lost.
 
         Its connection is closed, which rolls its transaction back.
@@ -364,11 +422,20 @@
             return Failure.UNCERTAIN if attempt.was_sent else Failure.ABORTED
         if is_in_transaction(attempt):
             return Failure.ABORTED
-        return Failure.TIMED_OUT if error.timed_out else Failure.ABORTED
+        return Failure.TIMED_OUT if timed_out else Failure.ABORTED
+
+    def _give_up(self, attempt: Attempt, detail: str) -> RunResult:
+        """Return the result of a statement that does not go on, and close its connection."""
+        if attempt.was_sent:
+            failure = self._classify_lost_answer(attempt, timed_out=False)
+            return self._fail_statement(attempt, failure, detail)
+        result = self._fail_statement(attempt, Failure.OVERLOADED, detail)
+        return replace(result, is_unreachable=attempt.transaction is None)
 
     def _fail_statement(self, attempt: Attempt, failure: Failure, detail: str) -> RunResult:
         if attempt.transaction is not None:
             self._remove_transaction(attempt.transaction)
+            attempt.connection = attempt.transaction.connection
             if failure is not Failure.UNCERTAIN:
                 failure = Failure.ABORTED
         if attempt.connection is not None:
@@ -389,7 +456,8 @@
     ) -> RunResult:
         connection = attempt.connection
         assert connection is not None
-        if state is TransactionState.OPEN and isinstance(outcome, Done):
+        is_abandoned = attempt.transaction is not None and attempt.transaction.is_abandoned
+        if state is TransactionState.OPEN and isinstance(outcome, Done) and not is_abandoned:
             return RunResult(
                 outcome=outcome,
                 transaction=self._keep_open(attempt, connection),
--- a/lentilring/gateways/messages.py
+++ b/lentilring/gateways/messages.py
@@ -4,6 +4,7 @@
 from enum import StrEnum, unique
 
 from ..peers.messages import message
+from ..peers.transport import describe_request
 
 
 @unique
@@ -63,6 +64,11 @@
     timeout_s: float = 0.0
 
 
+@describe_request.register
+def _(request: RunStatement) -> dict[str, object]:
+    return {"request": request.request_id, "server": request.server}
+
+
 @message
 @dataclass(frozen=True, kw_only=True)
 class StatementAnswer:
@@ -70,7 +76,8 @@
 
     `transaction` is the id of the transaction that stays open. `wait_s` estimates how long the next
     statement waits for a slot. `age_s` is the age of the position that a read had to include.
-    `is_unreachable` says that the gateway could not reach the server and sent it nothing.
+    `is_unreachable` says that the gateway could not reach the server, or stops, and has not run the
+    statement.
     """
 
     failure: str = ""
--- a/lentilring/gateways/service.py
+++ b/lentilring/gateways/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 from collections.abc import Awaitable, Callable
 from random import Random
 
@@ -11,6 +12,7 @@
 from ..clock import SuspensionClock
 from ..kernel import Service
 from ..peers.transport import PeerTransport, Sender
+from ..sessions.stopping import StopSchedule
 from ..statements.model import Done, Failed, Failure, Position
 from ..tasks import start_task
 from ..telemetry.log import Log
@@ -24,6 +26,7 @@
     ProvenPosition,
     RunStatement,
     StatementAnswer,
+    StatementKind,
     TransactionEnded,
 )
 from .placement import rank_gateways
@@ -35,6 +38,10 @@
 PROOF_REFRESH_AGE_S = 0.15
 DEFAULT_MAX_CONNECTIONS = 4
 TRIM_INTERVAL_S = 0.25
+# Statements that still run at the end of a stop may take this long.
+LAST_RUNS_TIMEOUT_S = 0.1
+LAST_ANSWERS_TIMEOUT_S = 0.05
+NOTHING_ACCEPTED = StopSchedule(transactions_until=-math.inf, ends_at=-math.inf)
 
 log = Log(source="gateway")
 
@@ -65,6 +72,7 @@
         self._transaction_numbers = itertools.count(1)
         self._transaction_prefix = f"{vm}.{incarnation}."
         self._trim_task: asyncio.Task[None] | None = None
+        self._stop_schedule: StopSchedule | None = None
         self._renewal = LeaseRenewal(
             catalog=catalog, connector=connector, clock=clock, telemetry=telemetry
         )
@@ -81,13 +89,30 @@
         self._trim_task = start_task("trim_pools", self._trim_pools, telemetry=self._telemetry)
 
     async def stop(self) -> None:
-        """Close all connections to backend servers."""
+        """Answer all statements of peers and close all connections to backend servers."""
         if self._trim_task is not None:
             self._trim_task.cancel()
+        self._stop_schedule = NOTHING_ACCEPTED
+        await self._end_statements(only_unsent=True, timeout_s=LAST_RUNS_TIMEOUT_S)
+        await self._end_statements(only_unsent=False, timeout_s=LAST_ANSWERS_TIMEOUT_S)
         self._renewal.close()
         for gateway in self._gateways.values():
             gateway.close()
 
+    def begin_stop(self, schedule: StopSchedule) -> None:
+        """Refuse from now on what could not be answered before the process ends."""
+        self._stop_schedule = schedule
+
+    async def _end_statements(self, *, only_unsent: bool, timeout_s: float) -> None:
+        """Give up statements and wait until all have ended; the transport stops after this."""
+        tasks = {
+            task
+            for gateway in self._gateways.values()
+            for task in gateway.end_statements(only_unsent=only_unsent)
+        }
+        if tasks:
+            await asyncio.wait(tasks, timeout=timeout_s)
+
     def get_history(self, service: str) -> ProvenPositionHistory:
         """Return the proven positions of a service's primary, empty at first."""
         return self._histories.setdefault(service, ProvenPositionHistory())
@@ -222,6 +247,7 @@
                 is_primary=lambda: self._is_primary(server),
                 ensure_leadership=lambda: self._renewal.ensure_lease(server),
                 is_first_choice=lambda: self._is_first_choice(server),
+                is_too_late=self._is_too_late,
             )
             log.info("gateway_opened", server=server.id, limit=gateway.pool.limit)
         return gateway
@@ -235,6 +261,13 @@
             return None
         return Failed(failure=Failure.OVERLOADED, detail="the server is leaving or evacuated")
 
+    def _is_too_late(self, work: StatementKind, timeout_s: float) -> bool:
+        """Tell whether this proxy is stopping and has too little time left for a statement."""
+        schedule = self._stop_schedule
+        return schedule is not None and not schedule.accepts(
+            work, timeout_s=timeout_s, now=self._clock.monotonic()
+        )
+
     def _is_first_choice(self, server: ServerEntry) -> bool:
         """Tell whether this proxy is the first choice for a server's work."""
         ranked = rank_gateways(server, self._fleet, is_suspect=self._fleet.is_suspect)
