Move the stop schedule to the gateways, which apply it as well

The gateways imported it from the sessions, which build on the gateways, and defined the schedule that accepts nothing a second time.

--- a/lentilring/gateways/service.py
+++ b/lentilring/gateways/service.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import itertools
-import math
 from collections.abc import Awaitable, Callable
 from random import Random
 
@@ -12,7 +11,6 @@
 from ..clock import SuspensionClock
 from ..kernel import Service
 from ..peers.transport import PeerTransport, Sender
-from ..sessions.stopping import StopSchedule
 from ..statements.model import Done, Failed, Failure, Position
 from ..tasks import start_task
 from ..telemetry.log import Log
@@ -33,6 +31,7 @@
 from .positions import ProvenPositionHistory
 from .renewal import LeaseRenewal
 from .server import ServerConnector
+from .stopping import STOPPED, StopSchedule
 
 # A proven position that is older is proved again when somebody asks for it.
 PROOF_REFRESH_AGE_S = 0.15
@@ -41,7 +40,6 @@
 # Statements that still run at the end of a stop may take this long.
 LAST_RUNS_TIMEOUT_S = 0.1
 LAST_ANSWERS_TIMEOUT_S = 0.05
-NOTHING_ACCEPTED = StopSchedule(transactions_until=-math.inf, ends_at=-math.inf)
 
 log = Log(source="gateway")
 
@@ -92,7 +90,7 @@
         """Answer all statements of peers and close all connections to backend servers."""
         if self._trim_task is not None:
             self._trim_task.cancel()
-        self._stop_schedule = NOTHING_ACCEPTED
+        self._stop_schedule = STOPPED
         await self._end_statements(only_unsent=True, timeout_s=LAST_RUNS_TIMEOUT_S)
         await self._end_statements(only_unsent=False, timeout_s=LAST_ANSWERS_TIMEOUT_S)
         self._renewal.close()
--- a/lentilring/sessions/stopping.py
+++ b/lentilring/gateways/stopping.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from math import inf
 
-from ..gateways.messages import StatementKind
+from .messages import StatementKind
 
 # A commit usually takes far less than its timeout, and aborting it would undo a whole transaction.
 COMMIT_RESERVE_S = 0.5
--- a/lentilring/sessions/listener.py
+++ b/lentilring/sessions/listener.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from ..gateways.stopping import STOPPED
 from ..kernel import Service
 from ..statements.model import (
     ClientMessage,
@@ -25,7 +26,6 @@
 from .context import SessionContext
 from .router import STOPPING_DETAIL, StatementRouter
 from .session import PreparedNameRewriter, Session
-from .stopping import STOPPED
 
 # Callers give up when their session is not open after 2 s; a connection that sends nothing for this
 # long is closed.
--- a/lentilring/sessions/readiness.py
+++ b/lentilring/sessions/readiness.py
@@ -4,11 +4,11 @@
 from ..catalog.service import CatalogService
 from ..clock import Clock
 from ..gateways.service import GatewayService
+from ..gateways.stopping import StopSchedule
 from ..kernel import Service
 from ..telemetry.log import Log
 from .listener import SessionListener
 from .router import StatementRouter
-from .stopping import StopSchedule
 
 # The load balancer removes a proxy after two failed probes, one per second; until then new callers
 # still arrive.
--- a/lentilring/sessions/router.py
+++ b/lentilring/sessions/router.py
@@ -8,6 +8,7 @@
 from ..gateways.dispatch import DispatchResult, StatementDispatcher
 from ..gateways.gateway import LEADERSHIP_UNCERTAIN
 from ..gateways.messages import RunStatement, StatementAnswer, StatementKind, TransactionOpening
+from ..gateways.stopping import StopSchedule
 from ..kernel import Service
 from ..statements.model import (
     Done,
@@ -21,7 +22,6 @@
 from .calls import AccountRateLimiter, StatementCall, build_outcome, may_try_another_server
 from .choice import ProxyLocation, WaitEstimates, rank_read_servers
 from .context import ANONYMOUS_ACCOUNT, Admission, SessionContext, SessionTransaction
-from .stopping import StopSchedule
 
 # Waiting longer for a rate-limit token would cost the caller more time than asking again.
 TOKEN_TIMEOUT_S = 0.15
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -9,8 +9,8 @@
 from testtools import TestCase
 
 from lentilring.gateways.messages import StatementKind
+from lentilring.gateways.stopping import COMMIT_RESERVE_S, StopSchedule
 from lentilring.sessions.listener import SessionListener
-from lentilring.sessions.stopping import COMMIT_RESERVE_S, StopSchedule
 
 from .prepared import PreparedPlatform, Proxy, run, run_prepared_platform
 
