Register a stopping proxy as leaving in spite of other writers

A stopping proxy whose registration fails this way stays a gateway that peers choose, until it ends under their statements.

Cause: registrations after the first one ran as tasks whose errors nobody took, two of one process could run at once, and a second change of the entry by another writer was an error that the retry did not know. Of two registrations at once the older could be written last.

Registrations run one after the other in a task that goes on after an error, write the newest state, and a change by another writer is tried again.

--- a/lentilring/catalog/fleet.py
+++ b/lentilring/catalog/fleet.py
@@ -1,10 +1,9 @@
 """The service `fleet`: the proxies registered in the store, and which of them answer."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from dataclasses import replace
 from random import Random
-from typing import Any
 
 from ..clock import SuspensionClock
 from ..kernel import Service
@@ -46,6 +45,8 @@
         self._suspects: set[str] = set()
         self.on_suspected: Callable[[ProxyEntry], None] = _ignore_suspect
         self._revision: int | None = None
+        # One registration is written at a time, so that the newest state is written last.
+        self._registering = asyncio.Lock()
         self._revisions: dict[str, int] = {}
         self._removal_timers: dict[str, asyncio.TimerHandle] = {}
         self._follower = Follower(
@@ -91,7 +92,7 @@
         """Register that this process accepts no new work."""
         self._local = replace(self._local, is_leaving=True)
         self._rebuild_ranking()
-        self._spawn(self._register())
+        self._start_registering()
 
     def members(self) -> tuple[ProxyEntry, ...]:
         """Return the proxies that accept work: those that are not leaving, or all if all are."""
@@ -114,7 +115,7 @@
     def deregister(self, entry: ProxyEntry, *, silence_s: float) -> None:
         """Remove a proxy's registration; a proxy that still runs registers again."""
         log.warning("proxy_deregistered", peer=entry.vm, silence_s=round(silence_s, 1))
-        self._spawn(self._deregister(entry))
+        self._keep(asyncio.ensure_future(self._deregister(entry)))
 
     def find(self, vm: str) -> ProxyEntry | None:
         """Return the registration of a VM's proxy."""
@@ -151,20 +152,24 @@
         except StoreUnavailable as error:
             log.info("proxy_deregistration_failed", peer=entry.vm, detail=error.detail)
 
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(coroutine)
+    def _start_registering(self) -> None:
+        self._keep(start_task("register", self._register, telemetry=self._telemetry))
+
+    def _keep(self, task: asyncio.Task[None]) -> None:
         self._tasks.append(task)
         task.add_done_callback(self._tasks.remove)
 
     async def _register(self) -> None:
-        while True:
-            try:
-                self._revision = await self._source.register(self._local, revision=self._revision)
-                log.info("proxy_registered", vm=self._local.vm, leaving=self._local.is_leaving)
-                return
-            except StoreUnavailable as error:
-                log.info("registration_failed", detail=error.detail)
-                await asyncio.sleep(REGISTER_RETRY_S)
+        async with self._registering:
+            while True:
+                entry = self._local
+                try:
+                    self._revision = await self._source.register(entry, revision=self._revision)
+                    log.info("proxy_registered", vm=entry.vm, leaving=entry.is_leaving)
+                    return
+                except StoreUnavailable as error:
+                    log.info("registration_failed", detail=error.detail)
+                    await asyncio.sleep(REGISTER_RETRY_S)
 
     def _replace(self, batch: Records) -> None:
         listed = {record.name for record in batch.records}
@@ -196,7 +201,7 @@
         if self._revision is not None:
             log.warning("registration_removed", vm=self._local.vm)
             self._revision = None
-            self._spawn(self._register())
+            self._start_registering()
 
     def _put(self, entry: ProxyEntry, revision: int, batch: Records) -> None:
         known = self._entries.get(entry.vm)
--- a/lentilring/platform/records.py
+++ b/lentilring/platform/records.py
@@ -3,6 +3,7 @@
 import zlib
 from collections.abc import Sequence
 from dataclasses import replace
+from typing import Any
 
 from ..catalog.source import (
     HistoryExpired,
@@ -33,7 +34,7 @@
     PlatformObject,
     decode_json,
 )
-from .store import Snapshot, StoredObject, VersionConflict, VmEntry
+from .store import Snapshot, StoredObject, StoreUnavailable, VersionConflict, VmEntry
 
 OWN_KIND_PREFIX = "lentilring-"
 
@@ -69,15 +70,23 @@
                 return (await self._objects.create(kind, entry.vm, document)).revision
             written = await self._objects.replace(kind, entry.vm, document, revision=revision)
         except ObjectConflict as conflict:
-            current = conflict.current or await self._objects.get(kind, entry.vm)
-            if current is None:
-                written = await self._objects.create(kind, entry.vm, document)
-            else:
-                written = await self._objects.replace(
-                    kind, entry.vm, document, revision=current.revision
-                )
+            written = await self._overwrite(kind, entry.vm, document, conflict.current)
         return written.revision
 
+    async def _overwrite(
+        self, kind: str, vm: str, document: Any, current: PlatformObject | None
+    ) -> PlatformObject:
+        """Write an entry over the current one; another writer's change in between fails it."""
+        try:
+            current = current or await self._objects.get(kind, vm)
+            if current is None:
+                return await self._objects.create(kind, vm, document)
+            return await self._objects.replace(kind, vm, document, revision=current.revision)
+        except ObjectConflict as conflict:
+            raise StoreUnavailable(
+                operation="register", detail="another writer changed the entry meanwhile"
+            ) from conflict
+
     async def deregister(self, vm: str, *, revision: int) -> None:
         """Remove the entry of a proxy unless it has another revision by now."""
         try:
