Keep lentilring-proxy running on SIGHUP

Callers saw: a SIGHUP, such as a hook of log rotation sends, ended the process at once; the connections of all callers closed without an answer.

Cause: run_proxy set handlers for SIGTERM and SIGINT only, and the default action of SIGHUP ends a process. lentilring-sessions has had a handler.

Fix: the signal is handled and logged as settings_changed, like in lentilring-sessions. A repeated SIGTERM could not shorten a stop before either; test_second_sigterm_does_not_shorten_the_stop guards that.

--- a/lentilring/process.py
+++ b/lentilring/process.py
@@ -39,6 +39,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, _log_reload_request)
     kernel = Kernel()
     # Each start of a VM gets a greater incarnation, as long as its clock does not run backwards.
     incarnation = time.time_ns() // 1_000_000
@@ -147,6 +148,10 @@
     )
 
 
+def _log_reload_request() -> None:
+    log.info("settings_changed", detail="settings are read at start only")
+
+
 async def _shut_down(kernel: Kernel, readiness: Readiness, settings: ProxySettings) -> None:
     """Report not ready, let peers choose other gateways, finish running requests, then stop."""
     log.info("shutdown_started", vm=settings.vm)
--- /dev/null
+++ b/tests/test_http_stop.py
@@ -0,0 +1,109 @@
+"""Signals and stops of `lentilring-proxy`, with real processes and without a platform."""
+
+import asyncio
+import signal
+import subprocess
+import tempfile
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from testtools import TestCase
+from testtools.content import text_content
+
+from lentilring.http.exchange import ExchangeFailed, HttpAnswer, exchange
+
+from .processes import ROOT, build_command, build_environment, choose_host, find_address, wait_for
+
+EXIT_TIMEOUT_S = 15.0
+
+
+@dataclass(kw_only=True)
+class LoneProxy:
+    """Hold a proxy's process and its address for callers."""
+
+    process: subprocess.Popen[bytes]
+    callers: str
+
+    async def ask(self, method: str, target: str) -> HttpAnswer:
+        """Send a request on a connection of its own."""
+        return await exchange(self.callers, method, target, timeout_s=5.0, connect_timeout_s=1.0)
+
+    async def is_alive(self) -> bool:
+        """Tell whether the proxy answers."""
+        try:
+            return (await self.ask("GET", "/health")).status == 200
+        except ExchangeFailed:
+            return False
+
+    async def wait_for_exit(self) -> int:
+        """Return the exit code; raise TimeoutExpired after EXIT_TIMEOUT_S."""
+        return await asyncio.to_thread(self.process.wait, EXIT_TIMEOUT_S)
+
+
+class LoneProxyTestCase(TestCase):
+    """Run a test's body against one proxy whose platform is down; attach its log on failure."""
+
+    def run_alone(self, body: Callable[[LoneProxy], Awaitable[None]], *flags: str) -> None:
+        """Start a proxy, run the body and kill the process."""
+
+        async def run() -> None:
+            async with self._start(*flags) as proxy:
+                await wait_for("the proxy answers", proxy.is_alive)
+                await body(proxy)
+
+        asyncio.run(run())
+
+    @asynccontextmanager
+    async def _start(self, *flags: str) -> AsyncIterator[LoneProxy]:
+        host = choose_host()
+        callers, operators, peers, platform = (find_address(host) for _ in range(4))
+        command = build_command(
+            "lentilring-proxy",
+            *("--vm", "vm-0", "--failure-domain", "casa-a", "--region", "casablanca"),
+            *("--platform-address", platform, "--secret", "process-tests"),
+            *("--http-address", callers, "--admin-address", operators, "--peer-address", peers),
+            *flags,
+        )
+        with tempfile.TemporaryFile() as log:
+            process = subprocess.Popen(
+                command, env=build_environment({}), cwd=ROOT, stdout=log, stderr=log
+            )
+            try:
+                yield LoneProxy(process=process, callers=callers)
+            except BaseException:
+                log.seek(0)
+                self.addDetail("log", text_content(log.read().decode(errors="replace")))
+                raise
+            finally:
+                process.kill()
+                process.wait()
+
+
+class SignalTest(LoneProxyTestCase):
+    def test_sighup_does_not_end_the_process(self) -> None:
+        """Guards against a SIGHUP that ends the process and cuts all its requests."""
+
+        async def body(proxy: LoneProxy) -> None:
+            proxy.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.5)
+            self.assertIsNone(proxy.process.poll())
+            self.assertTrue(await proxy.is_alive())
+            proxy.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.2)
+            proxy.process.send_signal(signal.SIGHUP)
+            self.assertEqual(0, await proxy.wait_for_exit())
+
+        self.run_alone(body)
+
+    def test_second_sigterm_does_not_shorten_the_stop(self) -> None:
+        """Guards against a repeated SIGTERM that ends the process while it still serves."""
+
+        async def body(proxy: LoneProxy) -> None:
+            for _ in range(3):
+                proxy.process.send_signal(signal.SIGTERM)
+                await asyncio.sleep(0.2)
+            self.assertTrue(await proxy.is_alive())
+            self.assertEqual(0, await proxy.wait_for_exit())
+
+        self.run_alone(body)
