Stop what has started when a service can't start

Callers saw: a proxy whose callers' address was taken stayed up without its interface and without readiness; a supervisor did not start it again, as the process never ended.

Cause: Kernel.start left the services that had started running. The threads of the operators' HTTP server keep the interpreter alive after the error.

Evidence: test_process_ends_when_its_address_is_taken failed before, 1 of 1: the process still ran 15 s after the traceback.

Fix: Kernel.start stops the services begun so far, in reverse order, and raises the error again. Both tests pass; the process ends with code 1.

--- a/lentilring/kernel.py
+++ b/lentilring/kernel.py
@@ -86,10 +86,16 @@
         return cast(T, service)
 
     async def start(self) -> None:
-        """Start all services in the order of registration."""
+        """Start all services in the order of registration; if one fails, stop those begun."""
         self._enter("STARTING")
-        for service in self._managed():
-            await service.start()
+        begun: list[Service] = []
+        try:
+            for service in self._managed():
+                begun.append(service)
+                await service.start()
+        except BaseException:
+            await self._stop(begun)
+            raise
         self._enter("STARTED", event="start")
 
     async def drain(self, *, deadline_s: float) -> None:
@@ -100,7 +106,10 @@
 
     async def stop(self) -> None:
         """Stop all services in reverse order of registration."""
-        for service in reversed(self._managed()):
+        await self._stop(self._managed())
+
+    async def _stop(self, services: list[Service]) -> None:
+        for service in reversed(services):
             await _stop_safely(service.stop())
         if "bus" in self.__dict__:
             self.bus.publish("stop")
--- a/tests/test_http_stop.py
+++ b/tests/test_http_stop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import socket
 import subprocess
 import tempfile
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -48,14 +49,15 @@
         """Start a proxy, run the body and kill the process."""
 
         async def run() -> None:
-            async with self._start(*flags) as proxy:
+            async with self.start(*flags) as proxy:
                 await wait_for("the proxy answers", proxy.is_alive)
                 await body(proxy)
 
         asyncio.run(run())
 
     @asynccontextmanager
-    async def _start(self, *flags: str) -> AsyncIterator[LoneProxy]:
+    async def start(self, *flags: str) -> AsyncIterator[LoneProxy]:
+        """Start a proxy and kill it at the end; later flags replace earlier ones."""
         host = choose_host()
         callers, operators, peers, platform = (find_address(host) for _ in range(4))
         command = build_command(
@@ -107,3 +109,16 @@
             self.assertEqual(0, await proxy.wait_for_exit())
 
         self.run_alone(body)
+
+
+class StartTest(LoneProxyTestCase):
+    def test_process_ends_when_its_address_is_taken(self) -> None:
+        """Guards against a process that runs on without its callers' interface."""
+
+        async def run() -> None:
+            with socket.create_server((choose_host(), 0)) as taken:
+                host, port = taken.getsockname()
+                async with self.start("--http-address", f"{host}:{port}") as proxy:
+                    self.assertEqual(1, await proxy.wait_for_exit())
+
+        asyncio.run(run())
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -30,6 +30,30 @@
         self.events.append(f"stop {self.name}")
 
 
+class FailingRecorder(Recorder):
+    """Fail in one step of the life cycle."""
+
+    def __init__(self, *, name: str, events: list[str], step: str) -> None:
+        super().__init__(name=name, events=events)
+        self.step = step
+
+    async def start(self) -> None:
+        self._fail_in("start")
+        await super().start()
+
+    async def drain(self, *, deadline_s: float) -> None:
+        self._fail_in("drain")
+        await super().drain(deadline_s=deadline_s)
+
+    async def stop(self) -> None:
+        self._fail_in("stop")
+        await super().stop()
+
+    def _fail_in(self, step: str) -> None:
+        if step == self.step:
+            raise RuntimeError(f"{step} of {self.name}")
+
+
 class KernelTest(testtools.TestCase):
     def test_services_stop_in_reverse_order(self) -> None:
         """Guards against a service losing one that it depends on during shutdown."""
@@ -49,6 +73,16 @@
             ",".join(events),
         )
 
+    def test_services_that_started_stop_when_one_fails_to_start(self) -> None:
+        """Guards against a failed start whose threads and sockets keep the process alive."""
+        events: list[str] = []
+        kernel = Kernel()
+        kernel.register("first", Recorder(name="first", events=events))
+        kernel.register("second", FailingRecorder(name="second", events=events, step="start"))
+        kernel.register("third", Recorder(name="third", events=events))
+        self.assertRaises(RuntimeError, run_virtual, kernel.start())
+        self.assertEqual("start first,stop second,stop first", ",".join(events))
+
     def test_wrong_look_ups_are_typed(self) -> None:
         """Guards against a wrong wiring that shows only when the service is used."""
         kernel = Kernel()
