Answer requests that arrived before the HTTP server stops

Callers saw: a request on an open connection, or on a new one, that arrived just before the server stopped ended with a reset connection.

Cause: cheroot's stop ends the thread that hands connections to the workers and then closes the listening socket and all waiting connections. What has arrived on them is not looked at once more. On a busy machine that thread runs late, so its backlog is as long as its delay.

Fix: as the thread has ended, what has arrived is accepted and passed to the workers, at most for LAST_ARRIVALS_S; they answer it before they end, with 503 "not run" once the leaving grace is over. Connections without data are closed as before; a request that is sent as the socket closes can still meet a reset.

--- a/lentilring/http/server.py
+++ b/lentilring/http/server.py
@@ -5,6 +5,7 @@
 
 import cherrypy
 from cheroot import wsgi
+from cheroot.connections import ConnectionManager
 from cheroot.server import HTTPConnection, HTTPRequest
 from cherrypy.process.servers import ServerAdapter
 
@@ -12,6 +13,7 @@
 from ..kernel import Kernel, Service
 from ..telemetry.log import Log
 from .bridge import Bridge
+from .connections import ConnectionKeeper
 from .messages import HttpRequest, HttpResponse
 
 REQUEST_QUEUE_SIZE = 1024
@@ -61,6 +63,13 @@
     """
 
     ConnectionClass = TimedConnection
+    _connections: ConnectionManager
+
+    def prepare(self) -> None:
+        """Bind the address and start the threads."""
+        super().prepare()
+        self._connections.close()
+        self._connections = ConnectionKeeper(self)
 
     def process_conn(self, conn: TimedConnection) -> None:
         """Wait for data on a new connection; queue one that has data for a thread."""
@@ -68,7 +77,7 @@
             super().process_conn(conn)
         else:
             conn.has_waited = True
-            self._connections.put(conn)  # type: ignore[attr-defined]
+            self._connections.put(conn)
 
 
 class HttpServer(Service):
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import socket
+import threading
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -11,7 +12,7 @@
 from lentilring.clock import SystemClock
 from lentilring.http.callers import CallerInterface
 from lentilring.http.readiness import LEAVING_GRACE_S, Readiness
-from lentilring.http.server import HttpServer
+from lentilring.http.server import HttpServer, TimedConnection
 from lentilring.kernel import Kernel
 from lentilring.outcomes import Completed, NotRun, Outcome, RefusalReason
 from lentilring.routing.request import CallerRequest
@@ -211,6 +212,49 @@
 
         self.serve(scenario)
 
+    def test_requests_that_arrived_before_the_stop_are_answered(self) -> None:
+        """Guards against a stop that closes connections whose requests wait in the system."""
+
+        async def scenario(port: int, echo: Echo, readiness: Readiness) -> None:
+            connections = [await asyncio.open_connection("127.0.0.1", port) for _ in range(20)]
+            for reader, writer in connections:
+                await exchange(reader, writer, "/v1/s/d/r", GOOD, {})
+            resume = self.pause_connection_thread()
+            # The request of this connection ends the thread's wait.
+            first = asyncio.ensure_future(post(port, "/v1/s/d/r", GOOD, {}))
+            await asyncio.sleep(0.1)
+            requests = [
+                asyncio.ensure_future(exchange(reader, writer, "/v1/s/d/r", GOOD, {}))
+                for reader, writer in connections
+            ]
+            requests += [
+                asyncio.ensure_future(post(port, "/v1/s/d/r", GOOD, {})) for _ in range(20)
+            ]
+            await asyncio.sleep(0.1)
+            stopping = asyncio.ensure_future(self.server.stop())
+            await asyncio.sleep(0.1)
+            resume.set()
+            await stopping
+            answers = await asyncio.gather(first, *requests, return_exceptions=True)
+            unanswered = [answer for answer in answers if isinstance(answer, BaseException)]
+            self.assertEqual([], unanswered)
+
+        self.serve(scenario)
+
+    def pause_connection_thread(self) -> threading.Event:
+        """Hold the thread that hands connections to the workers, as on a busy machine."""
+        resume = threading.Event()
+        server = self.server._server
+        assert server is not None
+        process_conn = server.process_conn
+
+        def wait_and_process(conn: TimedConnection) -> None:
+            resume.wait(10)
+            process_conn(conn)
+
+        server.process_conn = wait_and_process  # type: ignore[method-assign]
+        return resume
+
 
 class ReadinessTest(testtools.TestCase):
     def test_leaving_proxy_serves_for_a_grace_and_then_refuses(self) -> None:
