See requests that begin as a drain ends

Cause: a server thread passed the request to the event loop first and only then added it to the running ones. The loop runs at once; a drain that looked in between found nothing running.

--- a/lentilring/http/bridge.py
+++ b/lentilring/http/bridge.py
@@ -1,6 +1,7 @@
 """The WSGI application that passes requests from the server's threads to the event loop."""
 
 import asyncio
+import threading
 import time
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from concurrent.futures import CancelledError, Future
@@ -33,15 +34,19 @@
         self._body_timeout_s = body_timeout_s
         self._answer_timeout_s = answer_timeout_s
         self._running: set[Future[HttpResponse]] = set()
+        # Held until a request that was passed to the event loop is among the running ones.
+        self._starting = threading.Lock()
 
     @property
     def is_busy(self) -> bool:
         """Tell whether requests are running."""
-        return bool(self._running)
+        with self._starting:
+            return bool(self._running)
 
     def give_up(self) -> int:
         """Answer all running requests that their outcome is unknown; return how many there were."""
-        running = list(self._running)
+        with self._starting:
+            running = list(self._running)
         for future in running:
             future.cancel()
         return len(running)
@@ -59,8 +64,9 @@
         return _respond(response, start_response, closes=response.closes_connection)
 
     def _answer(self, request: HttpRequest) -> HttpResponse:
-        future = asyncio.run_coroutine_threadsafe(self._run(request), self._loop)
-        self._running.add(future)
+        with self._starting:
+            future = asyncio.run_coroutine_threadsafe(self._run(request), self._loop)
+            self._running.add(future)
         try:
             return future.result(self._answer_timeout_s)
         except (TimeoutError, CancelledError):
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -4,13 +4,16 @@
 import json
 import socket
 import threading
+import time
 from collections.abc import Awaitable, Callable
+from concurrent.futures import Future
 from typing import Any
 
 import testtools
 
 from lentilring.clock import SystemClock
 from lentilring.http.callers import CallerInterface
+from lentilring.http.messages import HttpResponse
 from lentilring.http.readiness import LEAVING_GRACE_S, Readiness
 from lentilring.http.server import HttpServer, TimedConnection
 from lentilring.kernel import Kernel
@@ -41,6 +44,14 @@
         return Completed(result=request.statement)
 
 
+class LateSet(set[Future[HttpResponse]]):
+    """Add items late, as a thread does that waits for the processor."""
+
+    def add(self, item: Future[HttpResponse], /) -> None:
+        time.sleep(0.5)
+        super().add(item)
+
+
 class HttpTest(testtools.TestCase):
     server: HttpServer
 
@@ -212,6 +223,23 @@
 
         self.serve(scenario)
 
+    def test_request_that_begins_at_the_end_of_a_drain_is_answered(self) -> None:
+        """Guards against a request that neither a drain nor its end has seen."""
+
+        async def scenario(port: int, echo: Echo, readiness: Readiness) -> None:
+            echo.delay_s = 20.0
+            bridge = self.server._bridge
+            assert bridge is not None
+            bridge._running = LateSet()
+            request = asyncio.ensure_future(post(port, "/v1/s/d/r", GOOD, {}))
+            await asyncio.sleep(0.1)
+            self.assertEqual(1, len(echo.requests))
+            await self.server.drain(deadline_s=0.2)
+            _, content = await asyncio.wait_for(request, 5)
+            self.assertEqual("outcome_unknown", content["outcome"])
+
+        self.serve(scenario)
+
     def test_requests_that_arrived_before_the_stop_are_answered(self) -> None:
         """Guards against a stop that closes connections whose requests wait in the system."""
 
