Refuse HTTP requests that a short drain can't serve

Cause: the process waits for the shorter of LEAVING_GRACE_S and the drain's time before it drains, but requests were refused only after LEAVING_GRACE_S.

Fix: begin_shutdown takes the grace for which the process waits. The write is refused at once: not_run/shutting_down.

--- a/lentilring/http/readiness.py
+++ b/lentilring/http/readiness.py
@@ -17,7 +17,7 @@
         self._clock = clock
         self._unready_conditions: dict[str, Callable[[], bool]] = {}
         self._leaving_since: float | None = None
-        self._shutting_down_since: float | None = None
+        self._refuses_at: float | None = None
         self._is_drained: Callable[[], bool] = lambda: False
 
     def add_unready_condition(self, name: str, holds: Callable[[], bool]) -> None:
@@ -28,20 +28,20 @@
         """Register a check whether operators drained this VM's failure domain."""
         self._is_drained = is_drained
 
-    def begin_shutdown(self) -> None:
-        """Make the proxy not ready until the process ends."""
-        self._shutting_down_since = self._clock.monotonic()
+    def begin_shutdown(self, *, grace_s: float = LEAVING_GRACE_S) -> None:
+        """Make the proxy not ready until the process ends, and refuse requests after a grace."""
+        self._refuses_at = self._clock.monotonic() + grace_s
 
     @property
     def is_leaving(self) -> bool:
         """Tell whether connections should be closed after their next response."""
         self._update_drain()
-        return self._shutting_down_since is not None or self._leaving_since is not None
+        return self._refuses_at is not None or self._leaving_since is not None
 
     def list_unready_conditions(self) -> list[str]:
         """Return the names of the conditions that keep the proxy from being ready."""
         names = [name for name, holds in self._unready_conditions.items() if holds()]
-        if self._shutting_down_since is not None:
+        if self._refuses_at is not None:
             names.append("shutting_down")
         self._update_drain()
         if self._leaving_since is not None:
@@ -49,12 +49,12 @@
         return names
 
     def refuse_request(self) -> NotRun | None:
-        """Return a refusal once LEAVING_GRACE_S has passed since a shutdown or drain began."""
+        """Return a refusal once the grace of a shutdown or drain is over."""
         self._update_drain()
         now = self._clock.monotonic()
-        if self._is_grace_over(self._shutting_down_since, now):
+        if self._refuses_at is not None and now >= self._refuses_at:
             return NotRun(reason=RefusalReason.SHUTTING_DOWN, retry_after_s=1.0)
-        if self._is_grace_over(self._leaving_since, now):
+        if self._leaving_since is not None and now - self._leaving_since > LEAVING_GRACE_S:
             return NotRun(reason=RefusalReason.DRAINING, retry_after_s=1.0)
         return None
 
@@ -63,6 +63,3 @@
             self._leaving_since = None
         elif self._leaving_since is None:
             self._leaving_since = self._clock.monotonic()
-
-    def _is_grace_over(self, since: float | None, now: float) -> bool:
-        return since is not None and now - since > LEAVING_GRACE_S
--- a/lentilring/process.py
+++ b/lentilring/process.py
@@ -155,10 +155,11 @@
 async def _shut_down(kernel: Kernel, readiness: Readiness, settings: ProxySettings) -> None:
     """Report not ready, let peers choose other gateways, finish running requests, then stop."""
     log.info("shutdown_started", vm=settings.vm)
-    readiness.begin_shutdown()
+    grace_s = min(LEAVING_GRACE_S, settings.drain_timeout_s)
+    readiness.begin_shutdown(grace_s=grace_s)
     kernel.find("membership", MembershipService).leave()
     # Requests on open connections are still served until the load balancer stops sending new ones.
-    await asyncio.sleep(min(LEAVING_GRACE_S, settings.drain_timeout_s))
+    await asyncio.sleep(grace_s)
     await kernel.drain(deadline_s=settings.drain_timeout_s)
     in_flight = kernel.find("routing", RoutingService).in_flight
     running = kernel.find("gateway", RequestGatewayService).running
--- a/tests/test_http_stop.py
+++ b/tests/test_http_stop.py
@@ -14,9 +14,19 @@
 
 from lentilring.http.exchange import ExchangeFailed, HttpAnswer, exchange
 
-from .processes import ROOT, build_command, build_environment, choose_host, find_address, wait_for
+from .processes import (
+    ROOT,
+    Deployment,
+    ProcessTestCase,
+    build_command,
+    build_environment,
+    choose_host,
+    find_address,
+    wait_for,
+)
 
 EXIT_TIMEOUT_S = 15.0
+SHORT_DRAIN_S = 1.0
 
 
 @dataclass(kw_only=True)
@@ -122,3 +132,26 @@
                     self.assertEqual(1, await proxy.wait_for_exit())
 
         asyncio.run(run())
+
+
+class StopTest(ProcessTestCase):
+    def test_request_that_cannot_be_served_is_refused_at_once(self) -> None:
+        """Guards against requests taken in the drain's last moments and then given up."""
+
+        async def body(deployment: Deployment) -> None:
+            stopping = deployment.proxies[0]
+            await deployment.change_backends(statement_time_s=5.0)
+            slow = asyncio.ensure_future(deployment.ask(stopping, "book", put("slow", 1)))
+            await asyncio.sleep(0.3)
+            stopping.program.send(signal.SIGTERM)
+            await asyncio.sleep(1.5 * SHORT_DRAIN_S)
+            late = await deployment.ask(stopping, "book", put("late", 1))
+            self.assertEqual(("not_run", "shutting_down"), (late.outcome, late.reason))
+            self.assertEqual("outcome_unknown", (await slow).outcome)
+
+        self.run_deployed(body, proxy_flags=("--drain-timeout-s", str(SHORT_DRAIN_S)))
+
+
+def put(key: str, value: int) -> dict[str, object]:
+    """Return a statement that stores a value."""
+    return {"op": "put", "key": key, "value": value}
