Log an error in a probe's answer and answer it with status 500

Cause: an exception in the readiness check or the export of metrics went through the handler of the connection. An OSError, such as too many open files at the first import of OpenTelemetry, was logged at DEBUG as probe_connection_lost; others went to asyncio's own log.

Fix: the answer is built under a handler of its own, which logs probe_failed at ERROR with the traceback. The test passes for a RuntimeError and an OSError.

Errors of a gauge's or counter's callback are caught by OpenTelemetry; what can raise, by reading, is the first import of the exporter, a declaration, and the collection's own timeout of 10 s.

--- a/lentilring/http/probe.py
+++ b/lentilring/http/probe.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import traceback
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -121,7 +122,11 @@
         return ProbeResponse(status=HTTPStatus.NOT_FOUND, content=b"")
     if request.method != b"GET":
         return ProbeResponse(status=HTTPStatus.METHOD_NOT_ALLOWED, content=b"")
-    return build()
+    try:
+        return build()
+    except Exception:
+        log.error("probe_failed", path=path, traceback=traceback.format_exc())
+        return ProbeResponse(status=HTTPStatus.INTERNAL_SERVER_ERROR, content=b"")
 
 
 def _encode_response(connection: h11.Connection, response: ProbeResponse) -> bytes:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,12 +1,14 @@
 """HTTP calls on separate connections, and the probe server, over real sockets."""
 
 import asyncio
+import io
 from collections.abc import Awaitable, Callable
 
 from testtools import TestCase
 
 from lentilring.http.exchange import ExchangeFailed, HttpAnswer, exchange
 from lentilring.http.probe import ProbeServer
+from lentilring.telemetry.log import write_logs
 from lentilring.telemetry.metrics import Telemetry
 
 from .prepared import find_free_port, run
@@ -85,6 +87,17 @@
         run(scenario(), within_s=10)
 
 
+class BrokenTelemetry(Telemetry):
+    """Fail to export metrics."""
+
+    def __init__(self, *, error: Exception) -> None:
+        super().__init__()
+        self.error = error
+
+    def export(self) -> bytes:
+        raise self.error
+
+
 class ProbeTest(TestCase):
     def test_probe_follows_readiness_on_one_connection_and_metrics_hold_histograms(self) -> None:
         """Guards against a server that answers only the first probe on a connection."""
@@ -125,3 +138,30 @@
             await server.stop()
 
         run(scenario())
+
+    def test_unexpected_error_is_logged_and_answered(self) -> None:
+        """Guards against an endpoint that closes the connection without an answer or a line."""
+
+        async def scenario() -> None:
+            for error in (RuntimeError("dictionary changed"), OSError(24, "too many open files")):
+                telemetry = BrokenTelemetry(error=error)
+                metrics = f"127.0.0.1:{find_free_port()}"
+                server = ProbeServer(
+                    readiness_address=f"127.0.0.1:{find_free_port()}",
+                    metrics_address=metrics,
+                    is_ready=lambda: True,
+                    telemetry=telemetry,
+                )
+                await server.start()
+                output = io.StringIO()
+                with write_logs(stream=output):
+                    answer = await exchange(
+                        metrics, "GET", "/metrics", timeout_s=2, connect_timeout_s=2
+                    )
+                self.assertEqual((500, b""), (answer.status, answer.content))
+                self.assertIn("level=ERROR", output.getvalue())
+                self.assertIn(type(error).__name__, output.getvalue())
+                self.assertIn("in export", output.getvalue())
+                await server.stop()
+
+        run(scenario())
