Drain and stop the other services when one fails

Callers would see: an error in the drain of one service ended the stop of the process there. No other service drained or stopped, the threads of the HTTP server went on taking requests for an event loop that had ended, and the process hung until SIGKILL cut its connections.

Cause: Kernel.drain did not catch errors, and Kernel.stop let a CancelledError through, which a service raises when it awaits a task of its own that was cancelled.

Evidence: test_failure_of_one_service_leaves_the_others_drained_and_stopped failed before, 1 of 1: CancelledError out of the kernel (stop of one service); the RuntimeError of a drain does the same by reading. Not seen in a real process; that threads keep a failed process alive was (the test of the taken address).

Fix: each step of each service is caught and logged as "service failed to drain" or "to stop"; a cancellation of the process itself still ends the stop. tests/test_kernel.py passes.

--- a/lentilring/kernel.py
+++ b/lentilring/kernel.py
@@ -1,5 +1,6 @@
 """A service registry: services find each other by name and share one life cycle."""
 
+import asyncio
 import logging
 from collections.abc import Awaitable
 from dataclasses import dataclass
@@ -102,7 +103,7 @@
         """Drain all services in reverse order of registration."""
         self._enter("STOPPING", event="graceful")
         for service in reversed(self._managed()):
-            await service.drain(deadline_s=deadline_s)
+            await _end_safely(service.drain(deadline_s=deadline_s), "drain")
 
     async def stop(self) -> None:
         """Stop all services in reverse order of registration."""
@@ -110,7 +111,7 @@
 
     async def _stop(self, services: list[Service]) -> None:
         for service in reversed(services):
-            await _stop_safely(service.stop())
+            await _end_safely(service.stop(), "stop")
         if "bus" in self.__dict__:
             self.bus.publish("stop")
         self._enter("STOPPED")
@@ -130,9 +131,14 @@
         return [entry for entry in self._services.values() if isinstance(entry, Service)]
 
 
-async def _stop_safely(stopping: Awaitable[None]) -> None:
-    """Stop a service; log a failure, so that the remaining services still stop."""
+async def _end_safely(ending: Awaitable[None], step: str) -> None:
+    """Drain or stop a service; log a failure, so that the remaining services still end."""
     try:
-        await stopping
+        await ending
+    except asyncio.CancelledError:
+        task = asyncio.current_task()
+        if task is not None and task.cancelling():
+            raise
+        logger.exception("service failed to %s", step)
     except Exception:
-        logger.exception("service failed to stop")
+        logger.exception("service failed to %s", step)
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -1,5 +1,7 @@
 """Life cycle and look-up of services."""
 
+import asyncio
+
 import testtools
 
 from lentilring.kernel import (
@@ -54,6 +56,16 @@
             raise RuntimeError(f"{step} of {self.name}")
 
 
+class CancelledRecorder(Recorder):
+    """Raise CancelledError, as a service does that awaits a task of its own that was cancelled."""
+
+    async def drain(self, *, deadline_s: float) -> None:
+        raise asyncio.CancelledError
+
+    async def stop(self) -> None:
+        raise asyncio.CancelledError
+
+
 class KernelTest(testtools.TestCase):
     def test_services_stop_in_reverse_order(self) -> None:
         """Guards against a service losing one that it depends on during shutdown."""
@@ -83,6 +95,24 @@
         self.assertRaises(RuntimeError, run_virtual, kernel.start())
         self.assertEqual("start first,stop second,stop first", ",".join(events))
 
+    def test_failure_of_one_service_leaves_the_others_drained_and_stopped(self) -> None:
+        """Guards against an error in one service that cuts the requests of the others."""
+        for step in ("drain", "stop"):
+            events: list[str] = []
+            kernel = Kernel()
+            kernel.register("first", Recorder(name="first", events=events))
+            kernel.register("broken", FailingRecorder(name="broken", events=events, step=step))
+            kernel.register("cancelled", CancelledRecorder(name="cancelled", events=events))
+
+            async def live(kernel: Kernel = kernel) -> None:
+                await kernel.start()
+                await kernel.drain(deadline_s=1)
+                await kernel.stop()
+
+            run_virtual(live())
+            for event in ("drain first", "stop first"):
+                self.assertIn(event, events)
+
     def test_wrong_look_ups_are_typed(self) -> None:
         """Guards against a wrong wiring that shows only when the service is used."""
         kernel = Kernel()
