Share one drain time among all services

Callers would see: the process outlived the time that the platform gives it before SIGKILL, which cuts what is left.

Six services of lentilring-proxy use it, so a stop could take six times that setting and more.

Fix: the services share the time. One whose turn comes late still gets LEAST_DRAIN_S, as the shares of rate limits would otherwise stay taken until their leases end.

The unit file's TimeoutStopSec of 40 s, with 20 s to drain, stays; that all services fail to end in time at once was not measured.

--- a/lentilring/kernel.py
+++ b/lentilring/kernel.py
@@ -9,6 +9,9 @@
 
 from .errors import LentilringError
 
+# Enough to answer the last requests and to release what other processes wait for.
+LEAST_DRAIN_S = 1.0
+
 T = TypeVar("T")
 logger = logging.getLogger(__name__)
 
@@ -100,10 +103,16 @@
         self._enter("STARTED", event="start")
 
     async def drain(self, *, deadline_s: float) -> None:
-        """Drain all services in reverse order of registration."""
+        """Drain all services in reverse order of registration, within one deadline for all.
+
+        A service whose turn comes late still gets LEAST_DRAIN_S.
+        """
         self._enter("STOPPING", event="graceful")
+        loop = asyncio.get_running_loop()
+        end = loop.time() + deadline_s
         for service in reversed(self._managed()):
-            await _end_safely(service.drain(deadline_s=deadline_s), "drain")
+            remaining_s = max(min(LEAST_DRAIN_S, deadline_s), end - loop.time())
+            await _end_safely(service.drain(deadline_s=remaining_s), "drain")
 
     async def stop(self) -> None:
         """Stop all services in reverse order of registration."""
--- a/tests/test_http_stop.py
+++ b/tests/test_http_stop.py
@@ -13,6 +13,8 @@
 from testtools.content import text_content
 
 from lentilring.http.exchange import ExchangeFailed, HttpAnswer, exchange
+from lentilring.http.readiness import LEAVING_GRACE_S
+from lentilring.kernel import LEAST_DRAIN_S
 
 from .processes import (
     ROOT,
@@ -25,8 +27,11 @@
     wait_for,
 )
 
-EXIT_TIMEOUT_S = 15.0
+EXIT_TIMEOUT_S = 30.0
 SHORT_DRAIN_S = 1.0
+DRAIN_S = 3.0
+# The server's threads, and the rest of the process.
+STOP_MARGIN_S = 1.5
 
 
 @dataclass(kw_only=True)
@@ -151,6 +156,29 @@
 
         self.run_deployed(body, proxy_flags=("--drain-timeout-s", str(SHORT_DRAIN_S)))
 
+    def test_stop_with_work_in_several_services_ends_in_time(self) -> None:
+        """Guards against a stop that SIGKILL cuts, and steps of transactions without an answer."""
+
+        async def body(deployment: Deployment) -> None:
+            stopping = deployment.find_gateway(await deployment.find_primary())
+            begun = await deployment.ask(stopping, "transactions")
+            for backend in deployment.backends.values():
+                backend.program.kill()
+            waiting = asyncio.ensure_future(deployment.ask(stopping, "book", put("a", 1)))
+            await asyncio.sleep(0.3)
+            loop = asyncio.get_running_loop()
+            sent_at = loop.time()
+            stopping.program.send(signal.SIGTERM)
+            await asyncio.sleep(LEAVING_GRACE_S + 0.3)
+            late = await deployment.ask(stopping, f"transactions/{begun.result}/commit")
+            self.assertEqual(("not_run", "shutting_down"), (late.outcome, late.reason))
+            code = await asyncio.to_thread(stopping.program.process.wait, EXIT_TIMEOUT_S)
+            took_s = loop.time() - sent_at
+            self.assertEqual((0, "outcome_unknown"), (code, (await waiting).outcome))
+            self.assertLess(took_s, LEAVING_GRACE_S + DRAIN_S + LEAST_DRAIN_S + STOP_MARGIN_S)
+
+        self.run_deployed(body, proxy_flags=("--drain-timeout-s", str(DRAIN_S)))
+
 
 def put(key: str, value: int) -> dict[str, object]:
     """Return a statement that stores a value."""
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -5,6 +5,7 @@
 import testtools
 
 from lentilring.kernel import (
+    LEAST_DRAIN_S,
     Kernel,
     Service,
     ServiceNameTaken,
@@ -66,6 +67,14 @@
         raise asyncio.CancelledError
 
 
+class SlowRecorder(Recorder):
+    """Use all the time for draining."""
+
+    async def drain(self, *, deadline_s: float) -> None:
+        await asyncio.sleep(deadline_s)
+        await super().drain(deadline_s=deadline_s)
+
+
 class KernelTest(testtools.TestCase):
     def test_services_stop_in_reverse_order(self) -> None:
         """Guards against a service losing one that it depends on during shutdown."""
@@ -113,6 +122,23 @@
             for event in ("drain first", "stop first"):
                 self.assertIn(event, events)
 
+    def test_drain_ends_within_its_time(self) -> None:
+        """Guards against a stop that takes its whole time once for each service."""
+
+        async def live() -> None:
+            events: list[str] = []
+            kernel = Kernel()
+            for number in range(4):
+                kernel.register(f"slow-{number}", SlowRecorder(name="slow", events=events))
+            await kernel.start()
+            began = asyncio.get_running_loop().time()
+            await kernel.drain(deadline_s=2.0)
+            took_s = asyncio.get_running_loop().time() - began
+            self.assertAlmostEqual(2.0 + 3 * LEAST_DRAIN_S, took_s, places=3)
+            self.assertEqual(4, events.count("drain slow"))
+
+        run_virtual(live())
+
     def test_wrong_look_ups_are_typed(self) -> None:
         """Guards against a wrong wiring that shows only when the service is used."""
         kernel = Kernel()
