Name HTTP requests that are given up or fail

On call, the log of a stop said how many requests were given up (requests_unfinished), not which. A request that failed with an unexpected error got status 500, and no line named it or the error, as the server's thread took the exception.

Evidence: test_logs_name_a_request_that_is_given_up_or_fails failed before: the only line of two such requests was requests_unfinished.

Fix: the bridge logs request_given_up (WARNING) and request_failed (ERROR, with the traceback) with the request's id; the answer to the latter carries the id too. An answer given at the end of a drain now says that its connection closes, as the server closes it. The test passes.

--- a/lentilring/http/bridge.py
+++ b/lentilring/http/bridge.py
@@ -3,18 +3,23 @@
 import asyncio
 import threading
 import time
+import traceback
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from concurrent.futures import CancelledError, Future
+from dataclasses import replace
 from http import HTTPStatus
 from typing import Any
 
 from ..outcomes import NotRun, OutcomeUnknown, RefusalReason, UncertaintyReason
+from ..telemetry.log import Log, request_id
 from .messages import HttpRequest, HttpResponse
 from .problems import render_outcome
 
 READ_CHUNK_BYTES = 64 * 1024
 STATUS_LINES = {status.value: f"{status.value} {status.phrase}" for status in HTTPStatus}
 
+log = Log(source="http")
+
 
 class Bridge:
     """Run requests on the event loop and wait for their responses on the server's threads."""
@@ -71,16 +76,22 @@
             return future.result(self._answer_timeout_s)
         except (TimeoutError, CancelledError):
             future.cancel()
-            reason = UncertaintyReason.DEADLINE_EXCEEDED
-        except Exception:
-            # The failure is logged where it happened; a caller never sees a stack trace.
-            reason = UncertaintyReason.INTERNAL
+            unknown = OutcomeUnknown(reason=UncertaintyReason.DEADLINE_EXCEEDED)
+            return replace(render_outcome(unknown, ""), closes_connection=True)
         finally:
             self._running.discard(future)
-        return render_outcome(OutcomeUnknown(reason=reason), "")
 
     async def _run(self, request: HttpRequest) -> HttpResponse:
-        return await self._handle(request)
+        try:
+            return await self._handle(request)
+        except asyncio.CancelledError:
+            log.warning("request_given_up", path=request.path)
+            raise
+        except Exception:
+            log.error("request_failed", path=request.path, traceback=traceback.format_exc())
+            # A caller never sees a stack trace.
+            unknown = OutcomeUnknown(reason=UncertaintyReason.INTERNAL)
+            return render_outcome(unknown, request_id.get())
 
     def _read_body(self, environ: Mapping[str, Any]) -> bytes | NotRun:
         length = environ.get("CONTENT_LENGTH") or ""
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,6 +1,7 @@
 """The callers' HTTP interface on a real CherryPy server: bad input, slow bodies, readiness."""
 
 import asyncio
+import io
 import json
 import socket
 import threading
@@ -19,6 +20,7 @@
 from lentilring.kernel import Kernel
 from lentilring.outcomes import Completed, NotRun, Outcome, RefusalReason
 from lentilring.routing.request import CallerRequest
+from lentilring.telemetry.log import write_logs
 from lentilring.telemetry.metrics import Telemetry
 
 from .virtual_time import run_virtual
@@ -240,6 +242,28 @@
 
         self.serve(scenario)
 
+    def test_logs_name_a_request_that_is_given_up_or_fails(self) -> None:
+        """Guards against a request of which no line tells where it ended."""
+
+        async def scenario(port: int, echo: Echo, readiness: Readiness) -> None:
+            output = io.StringIO()
+            with write_logs(stream=output):
+                echo.failure = ValueError("secret detail")
+                _, failed = await post(port, "/v1/s/d/r", GOOD, {"X-Request-Id": "caller-7"})
+                echo.failure, echo.delay_s = None, 20.0
+                headers = {"X-Request-Id": "caller-8"}
+                waiting = asyncio.ensure_future(post(port, "/v1/s/d/r", GOOD, headers))
+                await asyncio.sleep(0.2)
+                await self.server.drain(deadline_s=0.1)
+                await waiting
+            lines = output.getvalue()
+            self.assertIn("event=request_failed request_id=caller-7 path=/v1/s/d/r", lines)
+            self.assertIn("ValueError: secret detail", lines)
+            self.assertEqual("caller-7", failed["request_id"])
+            self.assertIn("event=request_given_up request_id=caller-8 path=/v1/s/d/r", lines)
+
+        self.serve(scenario)
+
     def test_requests_that_arrived_before_the_stop_are_answered(self) -> None:
         """Guards against a stop that closes connections whose requests wait in the system."""
 
