Name requests that a gateway lost, in both processes

On call, a request over HTTP whose gateway stopped ended as gateway_lost, but no line named the gateway, and the gateway logged nothing of a statement or a transaction's step that its stop cancelled.

Evidence: test_logs_name_a_request_whose_gateway_does_not_answer failed before: none of the three lines was there.

Fix: the caller's proxy logs gateway_call_failed with the gateway and the error; a gateway logs statement_cancelled or step_cancelled with the proxy that sent it. All three carry the request's id. The test passes, and tests/test_transactions.py, test_routing.py and test_pool.py do.

--- a/lentilring/pool/service.py
+++ b/lentilring/pool/service.py
@@ -1,5 +1,6 @@
 """Execution of statements on the backend servers that this proxy is gateway for."""
 
+import asyncio
 import random
 from typing import Protocol
 
@@ -338,7 +339,11 @@
 
     async def _handle_request(self, sender: Sender, request: GatewayRequest) -> GatewayReply:
         request_id.set(request.request_id)
-        reply = await self.execute(request, timeout_s=request.timeout_s)
+        try:
+            reply = await self.execute(request, timeout_s=request.timeout_s)
+        except asyncio.CancelledError:
+            log.warning("statement_cancelled", sender=sender.vm, server=request.server)
+            raise
         if reply.tag is not OutcomeTag.COMPLETED:
             log.debug("statement_refused", sender=sender.vm, reason=reply.reason)
         return reply
--- a/lentilring/routing/dispatch.py
+++ b/lentilring/routing/dispatch.py
@@ -9,6 +9,7 @@
 from ..pool.messages import GatewayReply, GatewayRequest
 from ..pool.replies import refuse, report_unknown
 from ..pool.service import RequestGatewayService
+from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from ..transactions.messages import TransactionRequest
 from ..transactions.service import TransactionService
@@ -21,6 +22,8 @@
 # time-out and membership takes several seconds to detect that a gateway is dead.
 AVOIDANCE_S = 2.0
 
+log = Log(source="routing")
+
 
 class Dispatcher:
     """Call the gateway of this proxy directly and others through the peer transport."""
@@ -103,6 +106,7 @@
             return None
         except (PeerAnswerLost, PeerRejected) as error:
             self._avoid(member.vm)
+            log.warning("gateway_call_failed", gateway=member.vm, error=error)
             return report_unknown(UncertaintyReason.GATEWAY_LOST, str(error))
         if isinstance(answer, GatewayReply):
             return answer
--- a/lentilring/transactions/service.py
+++ b/lentilring/transactions/service.py
@@ -327,4 +327,8 @@
 
     async def _handle_request(self, sender: Sender, request: TransactionRequest) -> GatewayReply:
         request_id.set(request.request_id)
-        return await self.execute(request, timeout_s=request.timeout_s)
+        try:
+            return await self.execute(request, timeout_s=request.timeout_s)
+        except asyncio.CancelledError:
+            log.warning("step_cancelled", sender=sender.vm, step=request.step.name.lower())
+            raise
