Test bodies in parts and slow readers while the HTTP server stops

No fault found: a request whose body is completed during the stop is answered, one whose body stays torn gets 408 "not run" (5 s after its last byte, which REQUEST_TIMEOUT_S bounds, not the body's time of 0.5 s here), an answer of 256 KB in the system's buffers is complete for a caller that reads it after the stop, and a caller that reads 64 MB slowly holds up the stop for 5 s.

--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -27,7 +27,10 @@
 
 MAX_BODY_BYTES = 2048
 BODY_TIMEOUT_S = 0.5
+LARGE_RESULT_BYTES = 256 * 1024
+HUGE_RESULT_BYTES = 64 * 1024 * 1024
 GOOD = b'{"statement": {"op": "get", "key": "a"}}'
+HEAD = f"POST /v1/s/d/r HTTP/1.1\r\nHost: x\r\nContent-Length: {len(GOOD)}\r\n\r\n".encode()
 
 
 class Echo:
@@ -37,13 +40,14 @@
         self.requests: list[CallerRequest] = []
         self.failure: Exception | None = None
         self.delay_s = 0.0
+        self.result = ""
 
     async def handle(self, request: CallerRequest) -> Outcome:
         self.requests.append(request)
         if self.failure is not None:
             raise self.failure
         await asyncio.sleep(self.delay_s)
-        return Completed(result=request.statement)
+        return Completed(result=self.result or request.statement)
 
 
 class LateSet(set[Future[HttpResponse]]):
@@ -264,6 +268,62 @@
 
         self.serve(scenario)
 
+    def test_body_that_arrives_in_parts_during_the_stop_is_answered(self) -> None:
+        """Guards against a stop that cuts a request whose body is on the way."""
+
+        async def scenario(port: int, echo: Echo, readiness: Readiness) -> None:
+            connections = [await asyncio.open_connection("127.0.0.1", port) for _ in range(2)]
+            for _, writer in connections:
+                writer.write(HEAD + GOOD[:10])
+            await asyncio.sleep(0.1)
+            stopping = asyncio.ensure_future(self.server.stop())
+            await asyncio.sleep(0.2)
+            (complete_reader, complete), (torn_reader, _) = connections
+            complete.write(GOOD[10:])
+            answer = await complete_reader.read()
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+            answer = await torn_reader.read()
+            self.assertTrue(answer.startswith(b"HTTP/1.1 408"), answer)
+            self.assertIn(b'"outcome":"not_run"', answer)
+            await stopping
+            self.assertEqual(1, len(echo.requests))
+
+        self.serve(scenario)
+
+    def test_answer_that_is_read_after_the_stop_is_complete(self) -> None:
+        """Guards against an answer in buffers that a stop throws away."""
+
+        async def scenario(port: int, echo: Echo, readiness: Readiness) -> None:
+            echo.result = "x" * LARGE_RESULT_BYTES
+            with socket.create_connection(("127.0.0.1", port)) as late:
+                late.sendall(HEAD + GOOD)
+                await asyncio.sleep(0.3)
+                await self.server.stop()
+                with late.makefile("rb") as response:
+                    answer = await asyncio.to_thread(response.read)
+            self.assertEqual(echo.result, json.loads(answer.split(b"\r\n\r\n")[1])["result"])
+
+        self.serve(scenario)
+
+    def test_slow_reader_delays_a_stop_for_a_limited_time(self) -> None:
+        """Guards against a caller that keeps the process from ending until SIGKILL cuts others."""
+
+        async def scenario(port: int, echo: Echo, readiness: Readiness) -> None:
+            echo.result = "x" * HUGE_RESULT_BYTES
+            with socket.create_connection(("127.0.0.1", port)) as slow:
+                slow.sendall(HEAD + GOOD)
+                await asyncio.sleep(0.3)
+
+                async def read_slowly() -> None:
+                    while await asyncio.to_thread(slow.recv, 65536):
+                        await asyncio.sleep(0.3)
+
+                reading = asyncio.ensure_future(read_slowly())
+                await asyncio.wait_for(asyncio.shield(self.server.stop()), 10)
+                reading.cancel()
+
+        self.serve(scenario)
+
     def test_requests_that_arrived_before_the_stop_are_answered(self) -> None:
         """Guards against a stop that closes connections whose requests wait in the system."""
 
