Remember a commit that is given up as it runs

Callers would see: a commit over HTTP answered outcome_unknown, as a stop or its deadline gave it up, then a rollback of the same transaction answered "completed", or a repeated commit answered not_run/transaction_unknown, although the commit took effect.

Cause: the cancellation left the transaction open, so that a rollback closed its connection and called it rolled back; or, if it came while the commit waited for a majority, it left nothing to answer a repetition with.

Evidence: two tests failed before, 1 of 1 each: test_rollback_after_a_commit_that_was_given_up_promises_nothing (Completed; in a trial the value read afterwards was the committed one) and test_repeated_commit_is_unknown_if_the_first_was_given_up_unconfirmed (NotRun transaction_unknown).

Fix: a cancelled commit closes its transaction and is remembered as commit_unanswered. tests/test_transactions.py passes.

--- a/lentilring/transactions/service.py
+++ b/lentilring/transactions/service.py
@@ -212,7 +212,13 @@
         if request.step is Step.STATEMENT:
             return await self._run_statement(transaction, request, deadline)
         if request.step is Step.COMMIT:
-            reply = await self._commit(transaction, request, deadline)
+            try:
+                reply = await self._commit(transaction, request, deadline)
+            except asyncio.CancelledError:
+                self._close(transaction)
+                unknown = report_unknown(UncertaintyReason.COMMIT_UNANSWERED)
+                self._remember_reply(transaction.id, unknown)
+                raise
             self._remember_reply(transaction.id, reply)
             return reply
         return await self._roll_back(transaction, request, deadline)
--- a/tests/test_transactions.py
+++ b/tests/test_transactions.py
@@ -8,6 +8,7 @@
 from lentilring.standin.sessions import Silence
 from lentilring.transactions.identity import parse_id
 from lentilring.transactions.messages import Step
+from lentilring.transactions.service import TransactionService
 
 from .deployment import GROUP, Deployment
 from .virtual_time import run_virtual
@@ -43,6 +44,53 @@
 
         run_virtual(scenario())
 
+    def test_rollback_after_a_commit_that_was_given_up_promises_nothing(self) -> None:
+        """Guards against 'rolled back' for a commit that a stop gave up as it ran."""
+
+        async def scenario() -> None:
+            deployment = Deployment()
+            await deployment.start()
+            vm = "vm-" + deployment.primary.removeprefix("db-")
+            transaction_id = await _begin(deployment, vm)
+            await deployment.step(vm, Step.STATEMENT, transaction_id, statement=ADD)
+            deployment.backends.servers[deployment.primary_address].settings.statement_time_s = 0.5
+            commit = asyncio.ensure_future(deployment.step(vm, Step.COMMIT, transaction_id))
+            await asyncio.sleep(0.1)
+            commit.cancel()
+            await asyncio.wait({commit})
+            rollback = await deployment.step(vm, Step.ROLLBACK, transaction_id)
+            self.assertIsInstance(rollback, NotRun)
+            repeated = await deployment.step(vm, Step.COMMIT, transaction_id)
+            self.assertIsInstance(repeated, OutcomeUnknown)
+
+        run_virtual(scenario())
+
+    def test_repeated_commit_is_unknown_if_the_first_was_given_up_unconfirmed(self) -> None:
+        """Guards against 'not run' for a commit that ran and was given up before a majority."""
+
+        async def scenario() -> None:
+            deployment = Deployment()
+            await deployment.start()
+            vm = "vm-" + deployment.primary.removeprefix("db-")
+            transaction_id = await _begin(deployment, vm)
+            await deployment.step(vm, Step.STATEMENT, transaction_id, statement=ADD)
+            confirming = asyncio.Event()
+
+            async def wait_for_majority(*_: object) -> None:
+                confirming.set()
+                await asyncio.Event().wait()
+
+            service = deployment.proxies[vm].kernel.find("transactions", TransactionService)
+            service.gateway.confirm = wait_for_majority  # type: ignore[assignment,method-assign]
+            commit = asyncio.ensure_future(deployment.step(vm, Step.COMMIT, transaction_id))
+            await confirming.wait()
+            commit.cancel()
+            await asyncio.wait({commit})
+            repeated = await deployment.step(vm, Step.COMMIT, transaction_id)
+            self.assertIsInstance(repeated, OutcomeUnknown, repeated)
+
+        run_virtual(scenario())
+
     def test_another_account_cannot_use_a_transaction(self) -> None:
         """Guards against a statement of one account that runs in another account's transaction.
 
