--- a/lentilring/kernel.py
+++ b/lentilring/kernel.py
@@ -1,5 +1,6 @@
 """A service registry: services find each other by name and share one life cycle."""
 
+import asyncio
 import logging
 from collections.abc import Awaitable
 from dataclasses import dataclass
@@ -8,6 +9,9 @@
 
 from .errors import LentilringError
 
+# Enough to answer the last requests and to release what other processes wait for.
+LEAST_DRAIN_S = 1.0
+
 T = TypeVar("T")
 logger = logging.getLogger(__name__)
 
@@ -86,22 +90,37 @@
         return cast(T, service)
 
     async def start(self) -> None:
-        """Start all services in the order of registration."""
+        """Start all services in the order of registration; if one fails, stop those begun."""
         self._enter("STARTING")
-        for service in self._managed():
-            await service.start()
+        begun: list[Service] = []
+        try:
+            for service in self._managed():
+                begun.append(service)
+                await service.start()
+        except BaseException:
+            await self._stop(begun)
+            raise
         self._enter("STARTED", event="start")
 
     async def drain(self, *, deadline_s: float) -> None:
-        """Drain all services in reverse order of registration."""
+        """Drain all services in reverse order of registration, within one deadline for all.
+
+        A service whose turn comes late still gets LEAST_DRAIN_S.
+        """
         self._enter("STOPPING", event="graceful")
+        loop = asyncio.get_running_loop()
+        end = loop.time() + deadline_s
         for service in reversed(self._managed()):
-            await service.drain(deadline_s=deadline_s)
+            remaining_s = max(min(LEAST_DRAIN_S, deadline_s), end - loop.time())
+            await _end_safely(service.drain(deadline_s=remaining_s), "drain")
 
     async def stop(self) -> None:
         """Stop all services in reverse order of registration."""
-        for service in reversed(self._managed()):
-            await _stop_safely(service.stop())
+        await self._stop(self._managed())
+
+    async def _stop(self, services: list[Service]) -> None:
+        for service in reversed(services):
+            await _end_safely(service.stop(), "stop")
         if "bus" in self.__dict__:
             self.bus.publish("stop")
         self._enter("STOPPED")
@@ -121,9 +140,14 @@
         return [entry for entry in self._services.values() if isinstance(entry, Service)]
 
 
-async def _stop_safely(stopping: Awaitable[None]) -> None:
-    """Stop a service; log a failure, so that the remaining services still stop."""
+async def _end_safely(ending: Awaitable[None], step: str) -> None:
+    """Drain or stop a service; log a failure, so that the remaining services still end."""
     try:
-        await stopping
+        await ending
+    except asyncio.CancelledError:
+        task = asyncio.current_task()
+        if task is not None and task.cancelling():
+            raise
+        logger.exception("service failed to %s", step)
     except Exception:
-        logger.exception("service failed to stop")
+        logger.exception("service failed to %s", step)
--- a/lentilring/process.py
+++ b/lentilring/process.py
@@ -39,6 +39,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, _log_reload_request)
     kernel = Kernel()
     # Each start of a VM gets a greater incarnation, as long as its clock does not run backwards.
     incarnation = time.time_ns() // 1_000_000
@@ -147,13 +148,18 @@
     )
 
 
+def _log_reload_request() -> None:
+    log.info("settings_changed", detail="settings are read at start only")
+
+
 async def _shut_down(kernel: Kernel, readiness: Readiness, settings: ProxySettings) -> None:
     """Report not ready, let peers choose other gateways, finish running requests, then stop."""
     log.info("shutdown_started", vm=settings.vm)
-    readiness.begin_shutdown()
+    grace_s = min(LEAVING_GRACE_S, settings.drain_timeout_s)
+    readiness.begin_shutdown(grace_s=grace_s)
     kernel.find("membership", MembershipService).leave()
     # Requests on open connections are still served until the load balancer stops sending new ones.
-    await asyncio.sleep(min(LEAVING_GRACE_S, settings.drain_timeout_s))
+    await asyncio.sleep(grace_s)
     await kernel.drain(deadline_s=settings.drain_timeout_s)
     in_flight = kernel.find("routing", RoutingService).in_flight
     running = kernel.find("gateway", RequestGatewayService).running
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -73,8 +73,8 @@
             secret=secret,
             telemetry=telemetry,
         )
+        await kernel.start()
         try:
-            await kernel.start()
             log.info("proxy_started", vm=settings.vm, incarnation=incarnation)
             await stopping.wait()
             log.info("proxy_stopping", vm=settings.vm)
--- a/lentilring/transactions/service.py
+++ b/lentilring/transactions/service.py
@@ -212,7 +212,13 @@
         if request.step is Step.STATEMENT:
             return await self._run_statement(transaction, request, deadline)
         if request.step is Step.COMMIT:
-            reply = await self._commit(transaction, request, deadline)
+            try:
+                reply = await self._commit(transaction, request, deadline)
+            except asyncio.CancelledError:
+                self._close(transaction)
+                unknown = report_unknown(UncertaintyReason.COMMIT_UNANSWERED)
+                self._remember_reply(transaction.id, unknown)
+                raise
             self._remember_reply(transaction.id, reply)
             return reply
         return await self._roll_back(transaction, request, deadline)
@@ -327,4 +333,8 @@
 
     async def _handle_request(self, sender: Sender, request: TransactionRequest) -> GatewayReply:
         request_id.set(request.request_id)
-        return await self.execute(request, timeout_s=request.timeout_s)
+        try:
+            return await self.execute(request, timeout_s=request.timeout_s)
+        except asyncio.CancelledError:
+            log.warning("step_cancelled", sender=sender.vm, step=request.step.name.lower())
+            raise
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,27 +1,36 @@
 """The callers' HTTP interface on a real CherryPy server: bad input, slow bodies, readiness."""
 
 import asyncio
+import io
 import json
 import socket
+import threading
+import time
 from collections.abc import Awaitable, Callable
+from concurrent.futures import Future
 from typing import Any
 
 import testtools
 
 from lentilring.clock import SystemClock
 from lentilring.http.callers import CallerInterface
+from lentilring.http.messages import HttpResponse
 from lentilring.http.readiness import LEAVING_GRACE_S, Readiness
-from lentilring.http.server import HttpServer
+from lentilring.http.server import HttpServer, TimedConnection
 from lentilring.kernel import Kernel
 from lentilring.outcomes import Completed, NotRun, Outcome, RefusalReason
 from lentilring.routing.request import CallerRequest
+from lentilring.telemetry.log import write_logs
 from lentilring.telemetry.metrics import Telemetry
 
 from .virtual_time import run_virtual
 
 MAX_BODY_BYTES = 2048
 BODY_TIMEOUT_S = 0.5
+LARGE_RESULT_BYTES = 256 * 1024
+HUGE_RESULT_BYTES = 64 * 1024 * 1024
 GOOD = b'{"statement": {"op": "get", "key": "a"}}'
+HEAD = f"POST /v1/s/d/r HTTP/1.1\r\nHost: x\r\nContent-Length: {len(GOOD)}\r\n\r\n".encode()
 
 
 class Echo:
@@ -31,13 +40,22 @@
         self.requests: list[CallerRequest] = []
         self.failure: Exception | None = None
         self.delay_s = 0.0
+        self.result = ""
 
     async def handle(self, request: CallerRequest) -> Outcome:
         self.requests.append(request)
         if self.failure is not None:
             raise self.failure
         await asyncio.sleep(self.delay_s)
-        return Completed(result=request.statement)
+        return Completed(result=self.result or request.statement)
+
+
+class LateSet(set[Future[HttpResponse]]):
+    """Add items late, as a thread does that waits for the processor."""
+
+    def add(self, item: Future[HttpResponse], /) -> None:
+        time.sleep(0.5)
+        super().add(item)
 
 
 class HttpTest(testtools.TestCase):
@@ -211,6 +229,144 @@
 
         self.serve(scenario)
 
+    def test_request_that_begins_at_the_end_of_a_drain_is_answered(self) -> None:
+        """Guards against a request that neither a drain nor its end has seen."""
+
+        async def scenario(port: int, echo: Echo, readiness: Readiness) -> None:
+            echo.delay_s = 20.0
+            bridge = self.server._bridge
+            assert bridge is not None
+            bridge._running = LateSet()
+            request = asyncio.ensure_future(post(port, "/v1/s/d/r", GOOD, {}))
+            await asyncio.sleep(0.1)
+            self.assertEqual(1, len(echo.requests))
+            await self.server.drain(deadline_s=0.2)
+            _, content = await asyncio.wait_for(request, 5)
+            self.assertEqual("outcome_unknown", content["outcome"])
+
+        self.serve(scenario)
+
+    def test_logs_name_a_request_that_is_given_up_or_fails(self) -> None:
+        """Guards against a request of which no line tells where it ended."""
+
+        async def scenario(port: int, echo: Echo, readiness: Readiness) -> None:
+            output = io.StringIO()
+            with write_logs(stream=output):
+                echo.failure = ValueError("secret detail")
+                _, failed = await post(port, "/v1/s/d/r", GOOD, {"X-Request-Id": "caller-7"})
+                echo.failure, echo.delay_s = None, 20.0
+                headers = {"X-Request-Id": "caller-8"}
+                waiting = asyncio.ensure_future(post(port, "/v1/s/d/r", GOOD, headers))
+                await asyncio.sleep(0.2)
+                await self.server.drain(deadline_s=0.1)
+                await waiting
+            lines = output.getvalue()
+            self.assertIn("event=request_failed request_id=caller-7 path=/v1/s/d/r", lines)
+            self.assertIn("ValueError: secret detail", lines)
+            self.assertEqual("caller-7", failed["request_id"])
+            self.assertIn("event=request_given_up request_id=caller-8 path=/v1/s/d/r", lines)
+
+        self.serve(scenario)
+
+    def test_body_that_arrives_in_parts_during_the_stop_is_answered(self) -> None:
+        """Guards against a stop that cuts a request whose body is on the way."""
+
+        async def scenario(port: int, echo: Echo, readiness: Readiness) -> None:
+            connections = [await asyncio.open_connection("127.0.0.1", port) for _ in range(2)]
+            for _, writer in connections:
+                writer.write(HEAD + GOOD[:10])
+            await asyncio.sleep(0.1)
+            stopping = asyncio.ensure_future(self.server.stop())
+            await asyncio.sleep(0.2)
+            (complete_reader, complete), (torn_reader, _) = connections
+            complete.write(GOOD[10:])
+            answer = await complete_reader.read()
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+            answer = await torn_reader.read()
+            self.assertTrue(answer.startswith(b"HTTP/1.1 408"), answer)
+            self.assertIn(b'"outcome":"not_run"', answer)
+            await stopping
+            self.assertEqual(1, len(echo.requests))
+
+        self.serve(scenario)
+
+    def test_answer_that_is_read_after_the_stop_is_complete(self) -> None:
+        """Guards against an answer in buffers that a stop throws away."""
+
+        async def scenario(port: int, echo: Echo, readiness: Readiness) -> None:
+            echo.result = "x" * LARGE_RESULT_BYTES
+            with socket.create_connection(("127.0.0.1", port)) as late:
+                late.sendall(HEAD + GOOD)
+                await asyncio.sleep(0.3)
+                await self.server.stop()
+                with late.makefile("rb") as response:
+                    answer = await asyncio.to_thread(response.read)
+            self.assertEqual(echo.result, json.loads(answer.split(b"\r\n\r\n")[1])["result"])
+
+        self.serve(scenario)
+
+    def test_slow_reader_delays_a_stop_for_a_limited_time(self) -> None:
+        """Guards against a caller that keeps the process from ending until SIGKILL cuts others."""
+
+        async def scenario(port: int, echo: Echo, readiness: Readiness) -> None:
+            echo.result = "x" * HUGE_RESULT_BYTES
+            with socket.create_connection(("127.0.0.1", port)) as slow:
+                slow.sendall(HEAD + GOOD)
+                await asyncio.sleep(0.3)
+
+                async def read_slowly() -> None:
+                    while await asyncio.to_thread(slow.recv, 65536):
+                        await asyncio.sleep(0.3)
+
+                reading = asyncio.ensure_future(read_slowly())
+                await asyncio.wait_for(asyncio.shield(self.server.stop()), 10)
+                reading.cancel()
+
+        self.serve(scenario)
+
+    def test_requests_that_arrived_before_the_stop_are_answered(self) -> None:
+        """Guards against a stop that closes connections whose requests wait in the system."""
+
+        async def scenario(port: int, echo: Echo, readiness: Readiness) -> None:
+            connections = [await asyncio.open_connection("127.0.0.1", port) for _ in range(20)]
+            for reader, writer in connections:
+                await exchange(reader, writer, "/v1/s/d/r", GOOD, {})
+            resume = self.pause_connection_thread()
+            # The request of this connection ends the thread's wait.
+            first = asyncio.ensure_future(post(port, "/v1/s/d/r", GOOD, {}))
+            await asyncio.sleep(0.1)
+            requests = [
+                asyncio.ensure_future(exchange(reader, writer, "/v1/s/d/r", GOOD, {}))
+                for reader, writer in connections
+            ]
+            requests += [
+                asyncio.ensure_future(post(port, "/v1/s/d/r", GOOD, {})) for _ in range(20)
+            ]
+            await asyncio.sleep(0.1)
+            stopping = asyncio.ensure_future(self.server.stop())
+            await asyncio.sleep(0.1)
+            resume.set()
+            await stopping
+            answers = await asyncio.gather(first, *requests, return_exceptions=True)
+            unanswered = [answer for answer in answers if isinstance(answer, BaseException)]
+            self.assertEqual([], unanswered)
+
+        self.serve(scenario)
+
+    def pause_connection_thread(self) -> threading.Event:
+        """Hold the thread that hands connections to the workers, as on a busy machine."""
+        resume = threading.Event()
+        server = self.server._server
+        assert server is not None
+        process_conn = server.process_conn
+
+        def wait_and_process(conn: TimedConnection) -> None:
+            resume.wait(10)
+            process_conn(conn)
+
+        server.process_conn = wait_and_process  # type: ignore[method-assign]
+        return resume
+
 
 class ReadinessTest(testtools.TestCase):
     def test_leaving_proxy_serves_for_a_grace_and_then_refuses(self) -> None:
