Announce the end of a session to its caller instead of closing it

Callers that send their next statement as an answer arrives, or whose pool uses an idle session just then, met a closed connection while their proxy was stopping: no answer, and no way to know that a write has not run.

Cause: the end of a TCP connection and a statement can cross, and the protocol has no answer for what arrives after a close. But it allows an error message at any time, on which callers leave. A draining proxy now sends ERROR BUSY on an idle session and behind each refusal of a stop, and keeps the connection until its caller closes it, for 0.5 s at most. A statement that crosses the message has it as its answer, which the proxy completes with READY and does not run. No connection is closed behind an answer any more, so _write_last is gone, and its test makes place for a stricter one: callers that never pause get an answer to each statement. The test of the drain under load accepts this refusal of a BEGIN as the end, and two expectations name the announcement.

--- a/lentilring/sessions/listener.py
+++ b/lentilring/sessions/listener.py
@@ -24,7 +24,7 @@
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .context import SessionContext
-from .router import STOPPING_DETAIL, StatementRouter
+from .router import STOPPING, STOPPING_DETAIL, StatementRouter
 from .session import PreparedNameRewriter, Session
 
 # Callers give up when their session is not open after 2 s; a connection that sends nothing for this
@@ -39,6 +39,8 @@
 KEEPALIVE_PROBES = 3
 # A new session's first statement is usually sent as soon as the caller learns that it is open.
 FIRST_STATEMENT_TIMEOUT_S = 0.5
+# Callers that were asked to leave close their connection within a round trip.
+LEAVE_TIMEOUT_S = 0.5
 BACKLOG = 1024
 # Statements that still run at the end of a stop are given up and answered in this time.
 LAST_ANSWERS_TIMEOUT_S = 0.3
@@ -91,7 +93,7 @@
         self._server: asyncio.Server | None = None
         self._connections: set[SessionConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._closes_after_answers = False
+        self._is_draining = False
         self._is_stopping = False
 
     @property
@@ -121,21 +123,20 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def close_idle(self, *, share: float = 1.0) -> int:
-        """Close a share of the idle connections and return how many were idle."""
+    def begin_drain(self) -> None:
+        """Mark in the log what ends from now on as part of a planned stop."""
+        self._is_draining = True
+        for connection in self._connections:
+            connection.is_draining = True
+
+    def end_idle(self, *, share: float = 1.0) -> int:
+        """Ask the callers of a share of the idle sessions to leave; return how many were idle."""
         idle = [entry for entry in self._connections if entry.is_idle]
         for connection in idle[: int(len(idle) * share + 0.999)]:
-            connection.close()
-        return len(idle)
-
-    def close_after_answers(self) -> None:
-        """Close each connection when its next answer leaves it outside of a transaction.
-
-        This holds for later connections too.
-        """
-        self._closes_after_answers = True
+            connection.announce_end()
         for connection in self._connections:
-            connection.closes_after_answer = True
+            connection.close_if_ignored()
+        return len(idle)
 
     def count_busy(self) -> int:
         """Return the number of connections with a running statement or an open transaction."""
@@ -164,7 +165,7 @@
             telemetry=self._telemetry,
             transaction_idle_s=self._transaction_idle_s(),
         )
-        connection.closes_after_answer = self._closes_after_answers
+        connection.is_draining = self._is_draining
         self._connections.add(connection)
         self._tasks.add(task)
         if self._is_stopping:
@@ -202,18 +203,27 @@
         self._running: asyncio.Task[None] | None = None
         # The newest statement until its answer has been passed to the operating system.
         self._unanswered: Query | None = None
-        self.closes_after_answer = False
+        # When the caller was asked to leave, on the event loop's clock.
+        self._end_announced_at: float | None = None
+        self.is_draining = False
 
     @property
     def is_idle(self) -> bool:
-        """Tell whether no statement is running or expected and no transaction is open."""
+        """Tell whether nothing is running or expected, no transaction open and no end announced."""
+        return (
+            self._is_between_operations
+            and self._end_announced_at is None
+            and asyncio.get_running_loop().time() >= self._expects_statement_until
+        )
+
+    @property
+    def _is_between_operations(self) -> bool:
         session = self._session
         return (
             self._is_reading
             and session is not None
             and session.state is TransactionState.IDLE
             and not self._has_unread_data
-            and asyncio.get_running_loop().time() >= self._expects_statement_until
         )
 
     @property
@@ -222,12 +232,29 @@
         buffer = self._reader._buffer  # type: ignore[attr-defined]
         return bool(buffer) or _holds_received_bytes(self._writer.get_extra_info("socket"))
 
-    def close(self) -> None:
-        """Close the connection."""
-        self._writer.close()
+    def announce_end(self) -> None:
+        """Ask the caller of an idle session to leave."""
+        self._writer.write(self._announce_end())
+
+    def _announce_end(self) -> bytes:
+        """Return the message that asks the caller to leave.
+
+        The protocol allows an error at any time. It also answers a statement that is on its way.
+        """
+        self._end_announced_at = asyncio.get_running_loop().time()
+        return self._codec.encode_failure(STOPPING)
+
+    def close_if_ignored(self) -> None:
+        """Close the connection of a caller that was asked to leave and has done nothing since."""
+        if self._end_announced_at is None or self._has_unread_data:
+            return
+        if asyncio.get_running_loop().time() - self._end_announced_at > LEAVE_TIMEOUT_S:
+            self._writer.close()
 
     def end(self) -> None:
         """Read nothing more, give the running statement up, and close after the last answer."""
+        if self._is_between_operations and self._end_announced_at is None:
+            self.announce_end()
         self._is_ending = True
         self._writer.transport.pause_reading()  # type: ignore[attr-defined]
         self._reader.feed_eof()
@@ -265,9 +292,7 @@
         query, session = self._unanswered, self._session
         if query is None or session is None:
             return
-        self._telemetry.count(
-            "statements_unanswered", stopping=str(self.closes_after_answer).lower()
-        )
+        self._telemetry.count("statements_unanswered", stopping=str(self.is_draining).lower())
         log.warning(
             "statement_unanswered",
             request=query.request_id,
@@ -275,18 +300,10 @@
             transaction=session.transaction_id or "-",
             running=self._running is not None,
             unsent_bytes=self._writer.transport.get_write_buffer_size(),
-            stopping=self.closes_after_answer,
+            stopping=self.is_draining,
             detail=reason,
         )
 
-    def _closes_with_answer(self, session: Session) -> bool:
-        """Tell whether the connection ends with an answer that leaves the session in its state."""
-        return (
-            self.closes_after_answer
-            and session.state is TransactionState.IDLE
-            and not self._has_unread_data
-        )
-
     async def _open_session(self) -> None:
         async with asyncio.timeout(OPEN_TIMEOUT_S):
             message = await self._read_message()
@@ -326,22 +343,33 @@
         if isinstance(message, Query):
             self._unanswered = message
             self._expects_statement_until = 0.0
+            if self._end_announced_at is not None:
+                await self._finish_announced_answer(session, message)
+                return True
             outcome = await self._run_query(session, message)
             answer = self._codec.encode_outcome(outcome, session.state)
-            is_last = self._closes_with_answer(session)
-            await (self._write_last(answer) if is_last else self._write(answer))
+            if outcome == STOPPING:
+                answer += self._announce_end()
+            await self._write(answer)
             self._unanswered = None
-            return not is_last
+            return True
         failure = message.failure if isinstance(message, UnreadableMessage) else Failure.MALFORMED
         detail = message.detail if isinstance(message, UnreadableMessage) else "the session is open"
         failed = Failed(failure=failure, detail=detail)
         log.info("message_rejected", failure=failure, detail=detail)
         if isinstance(message, UnreadableMessage) and message.request_id:
             await self._write(self._codec.encode_outcome(failed, session.state))
-            return not self._closes_with_answer(session)
+            return True
         await self._write(self._codec.encode_failure(failed))
         return False
 
+    async def _finish_announced_answer(self, session: Session, query: Query) -> None:
+        """Complete the answer to a statement that met the announcement of the end."""
+        self._router.log_refusal(session.context, query.request_id, STOPPING)
+        ready = self._codec.encode_ready(session.state, None)
+        await self._write(ready + self._announce_end())
+        self._unanswered = None
+
     async def _run_query(self, session: Session, query: Query) -> StatementOutcome:
         task = self._running = asyncio.current_task()
         assert task is not None
@@ -387,18 +415,6 @@
             self._is_reading = False
         return self._codec.decode(line.removesuffix(self._codec.line_end))
 
-    async def _write_last(self, data: bytes) -> None:
-        """Send an answer and the end of the connection in one segment.
-
-        The end on its own would reach callers that send their next statement at once too late.
-        """
-        client_socket = self._writer.get_extra_info("socket")
-        client_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_CORK, 1)
-        self._writer.write(data)
-        self._writer.write_eof()
-        async with asyncio.timeout(WRITE_TIMEOUT_S):
-            await self._writer.drain()
-
     async def _write(self, data: bytes) -> None:
         self._writer.write(data)
         async with asyncio.timeout(WRITE_TIMEOUT_S):
--- a/lentilring/sessions/readiness.py
+++ b/lentilring/sessions/readiness.py
@@ -14,7 +14,7 @@
 # still arrive.
 BALANCER_REMOVAL_S = 2.2
 POLL_INTERVAL_S = 0.1
-# Idle sessions are closed in steps, so that their callers do not all reconnect at once.
+# Idle sessions end in steps, so that their callers do not all reconnect at once.
 CLOSE_STEPS = 5
 
 log = Log(source="readiness")
@@ -58,7 +58,7 @@
         return ready
 
     async def drain_sessions(self, *, timeout_s: float, transaction_time_s: float) -> None:
-        """Keep serving while new callers still arrive, then close sessions as they become idle.
+        """Keep serving while new callers still arrive, then end sessions as they become idle.
 
         Open transactions may go on for `transaction_time_s`, later only while their statements end
         in time. The kernel closes what is left after `timeout_s` when it stops the listener.
@@ -73,12 +73,12 @@
         self._gateways.begin_stop(schedule)
         self._fleet.leave()
         await self._clock.sleep(min(BALANCER_REMOVAL_S, timeout_s / 2))
-        self._listener.close_after_answers()
+        self._listener.begin_drain()
         for step in range(CLOSE_STEPS):
-            self._listener.close_idle(share=1 / (CLOSE_STEPS - step))
+            self._listener.end_idle(share=1 / (CLOSE_STEPS - step))
             await self._clock.sleep(POLL_INTERVAL_S)
         while self._clock.monotonic() < deadline and self._is_in_use():
-            self._listener.close_idle()
+            self._listener.end_idle()
             await self._clock.sleep(POLL_INTERVAL_S)
         log.info(
             "sessions_drained",
--- a/lentilring/sessions/router.py
+++ b/lentilring/sessions/router.py
@@ -35,6 +35,7 @@
 NO_SERVER_RETRY_S = 0.3
 STALE_CONFIGURATION_RETRY_S = 1.0
 STOPPING_DETAIL = "the proxy is stopping"
+STOPPING = Failed(failure=Failure.OVERLOADED, detail=STOPPING_DETAIL)
 
 log = Log(source="statements")
 
@@ -93,14 +94,14 @@
         """Return what `check_session` does, or that this proxy has no time left for new work."""
         admission = self.check_session(context)
         if isinstance(admission, Admission) and self.is_too_late(admission, StatementKind.READ):
-            return Failed(failure=Failure.OVERLOADED, detail=STOPPING_DETAIL)
+            return STOPPING
         return admission
 
     async def admit(self, context: SessionContext, request_id: str) -> Failed | Admission:
         """Admit one operation if its key and route are valid and its account is within its rate."""
         admission = self.check_new_work(context)
         if isinstance(admission, Failed):
-            self._log_refusal(context, request_id, admission)
+            self.log_refusal(context, request_id, admission)
             return admission
         account = self._catalog.find_account(admission.account)
         if account is None:
@@ -113,7 +114,7 @@
             detail=f"{refused.reason} for account {account.name}",
             retry_after_s=refused.retry_after_s,
         )
-        self._log_refusal(context, request_id, failed)
+        self.log_refusal(context, request_id, failed)
         return failed
 
     async def run_single(
@@ -368,7 +369,8 @@
         )
         return DispatchResult(answer=answer, gateway=self._dispatcher.local)
 
-    def _log_refusal(self, context: SessionContext, request_id: str, failed: Failed) -> None:
+    def log_refusal(self, context: SessionContext, request_id: str, failed: Failed) -> None:
+        """Count and log an operation that is refused."""
         self._telemetry.count("statement_refusals", reason=failed.failure)
         log.info(
             "operation_refused",
--- a/lentilring/soak/callers.py
+++ b/lentilring/soak/callers.py
@@ -130,7 +130,7 @@
     async def run(self) -> None:
         try:
             await self._set_up()
-            while not (self._caller.is_stopping or self._is_withdrawn):
+            while not (self._caller.is_stopping or self._is_withdrawn or self._session.is_ending()):
                 if self._random.random() < LEAVE_SHARE:
                     return
                 await self._run_operation()
--- a/lentilring/soak/stops.py
+++ b/lentilring/soak/stops.py
@@ -226,8 +226,8 @@
     ) -> bool:
         """Send one statement; return False if the operation can't go on. Raise CallerLost."""
         loop = asyncio.get_running_loop()
-        if client.is_closed_by_peer():
-            raise CallerLost(detail="closed between two statements")
+        if client.is_ending():
+            raise CallerLost(detail="ended between two operations")
         statement = SentStatement(
             id=request, text=text, vm=vm, in_transaction=in_transaction, sent_at=loop.time()
         )
