See statements at gateways of removed servers when a proxy stops

A peer's caller got INDOUBT for a write that its server had run and whose gateway could have answered: the drain ended without waiting for it, as the gateway had been closed when its server was removed.

Cause: a closed gateway left the only list that the drain, the end of statements and the count of running ones look at. It now stays in a list of closing gateways while statements run there. The test failed before: no running statement was counted.

--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -107,6 +107,11 @@
         self._failed_commits = 0
         self._unreachable_until = 0.0
 
+    @property
+    def is_busy(self) -> bool:
+        """Tell whether statements wait or run."""
+        return bool(self._attempts)
+
     async def run(self, request: RunStatement) -> RunResult:
         """Run one statement; the failure of its result tells whether it may have taken effect."""
         attempt = Attempt(request=request, deadline=self._clock.monotonic() + request.timeout_s)
--- a/lentilring/gateways/service.py
+++ b/lentilring/gateways/service.py
@@ -64,6 +64,8 @@
         self._clock, self._random, self._telemetry = clock, random, telemetry
         self._fleet = fleet
         self._gateways: dict[str, ServerGateway] = {}
+        # Gateways of servers that were replaced, while statements still run there.
+        self._closing: set[ServerGateway] = set()
         self._histories: dict[str, ProvenPositionHistory] = {}
         self._transaction_gateways: dict[str, ServerGateway] = {}
         self._running_proofs: dict[str, asyncio.Task[bool]] = {}
@@ -105,7 +107,7 @@
         """Give up statements and wait until all have ended; the transport stops after this."""
         tasks = {
             task
-            for gateway in self._gateways.values()
+            for gateway in self._list_busy_gateways()
             for task in gateway.end_statements(only_unsent=only_unsent)
         }
         if tasks:
@@ -126,9 +128,14 @@
     def count_running(self) -> int:
         """Return the number of statements that run or wait at this proxy's gateways."""
         return sum(
-            gateway.slots.running + len(gateway.slots) for gateway in self._gateways.values()
+            gateway.slots.running + len(gateway.slots) for gateway in self._list_busy_gateways()
         )
 
+    def _list_busy_gateways(self) -> list[ServerGateway]:
+        """Return all gateways at which statements may run."""
+        self._closing = {gateway for gateway in self._closing if gateway.is_busy}
+        return [*self._gateways.values(), *self._closing]
+
     async def run(self, request: RunStatement) -> StatementAnswer:
         """Run a statement on a backend server through its gateway here."""
         server = self._catalog.servers.entries.get(request.server)
@@ -286,7 +293,9 @@
                 known.address,
             ):
                 log.info("gateway_closed", server=server, reason="gone" if entry is None else "new")
-                self._gateways.pop(server).close()
+                gateway = self._gateways.pop(server)
+                gateway.close()
+                self._closing.add(gateway)
 
     def _record_transaction(self, gateway: ServerGateway, before: str, after: str) -> None:
         if before and before != after:
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -194,6 +194,34 @@
 
         run(scenario())
 
+    def test_write_at_a_server_that_was_removed_is_answered_before_the_gateway_ends(self) -> None:
+        """Guards against a stop that does not see the statements of a gateway that was closed."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=2) as platform:
+                gateway, own = platform.proxies["vm-0"], platform.proxies["vm-1"]
+                client = await own.open("booking")
+                self.assertIn("COMPLETE", (await client.query("WRITE a 0"))[0])
+                # The write ends after the last poll of the drain, and in time for its answer.
+                platform.group.limit_work(slots=2, choose_work_s=lambda: DRAIN_TIMEOUT_S - 0.03)
+                client.send("QUERY q WRITE a 1")
+                await wait_until(lambda: "q" in platform.group.arrivals, within_s=1.0)
+                server = platform.group.servers[0]
+                platform.register(server, state="draining")
+                await asyncio.sleep(0.1)
+                platform.store.remove("servers", server.id)
+                gateways = find_gateways(gateway)
+                await wait_until(
+                    lambda: server.id not in [entry.id for entry in gateways.list_servers()],
+                    within_s=1.0,
+                )
+                self.assertEqual(1, gateways.count_running())
+                await stop_as_planned(gateway)
+                self.assertIn("COMPLETE", (await client.read_answer())[0])
+                client.close()
+
+        run(scenario())
+
     def test_late_write_of_a_peer_runs_through_another_gateway(self) -> None:
         """Guards against a stopping gateway that takes what it can't answer before its end."""
 
