Judge the exit of processes in the stop series, and let callers reset

The review showed a drain that a caller's reset ended early. The stop series had missed it: its callers never reset a connection and the exit codes were recorded, not judged. Both are part of it now.

--- a/lentilring/cli/load.py
+++ b/lentilring/cli/load.py
@@ -140,7 +140,7 @@
         Path | None, typer.Option(help="Checkout whose proxies run; this one by default.")
     ] = None,
 ) -> None:
-    """Stop proxies in overlapping series; exit with 1 if a statement gets no answer."""
+    """Stop proxies in overlapping series; exit with 1 if one fails or cuts a statement."""
     is_cut = False
     for number in range(seed, seed + seeds):
         logs = folder / f"stops-{number}"
@@ -157,7 +157,7 @@
             )
         )
         _print_stops(result)
-        is_cut = is_cut or bool(result.cut or result.missed)
+        is_cut = is_cut or bool(result.cut or result.missed or result.failed)
     if is_cut:
         raise typer.Exit(ExitCode.FAILURE)
 
@@ -166,7 +166,8 @@
     refused = ", ".join(f"{count} {failure}" for failure, count in result.refused.most_common())
     typer.echo(
         f"seed {result.seed}: {len(result.cut)} cut, {len(result.missed)} missed; "
-        f"{len(result.stops)} stops, longest {result.longest_s:.2f} s, {result.killed} killed; "
+        f"{len(result.stops)} stops, longest {result.longest_s:.2f} s, {result.killed} killed, "
+        f"{result.failed} failed; "
         f"{result.sent} statements, {result.answered} answered; refused: {refused or 'none'}"
     )
     for entry in [*result.cut, *result.missed][:MAX_LISTED]:
--- a/lentilring/soak/stops.py
+++ b/lentilring/soak/stops.py
@@ -25,12 +25,16 @@
 MAX_PAUSE_S = 0.4
 SINGLE_SHARE = 0.4
 MAX_STATEMENTS = 12
+# Share of the operations after which a caller resets its connection.
+RESET_SHARE = 0.03
 OPEN_TIMEOUT_S = 2.0
 ANSWER_TIMEOUT_S = 10.0
 # Times of the operator, in seconds.
 MAX_OVERLAP_S = 1.0
 MAX_STOP_PAUSE_S = 3.0
 CHANGE_INTERVAL_S = 0.7
+# A signal that comes before the program handles it ends a process that has read nothing.
+EXPECTED_EXIT_CODES = (0, -signal.SIGTERM, -signal.SIGINT, -signal.SIGHUP, -signal.SIGKILL)
 # A processor that runs only a part of each period, as under a usage limit.
 PROCESSOR_PERIOD_S = 0.1
 # A stop counts until this long after the grace period.
@@ -63,6 +67,11 @@
     was_killed: bool = False
     exit_code: int = 0
 
+    @property
+    def has_failed(self) -> bool:
+        """Tell whether the process ended by an error of its own."""
+        return self.exit_code not in EXPECTED_EXIT_CODES
+
 
 @dataclass(frozen=True, kw_only=True)
 class CutStatement:
@@ -105,6 +114,11 @@
         """Return the longest time from SIGTERM to the end of a process."""
         return max((stop.ended_at - stop.began_at for stop in self.stops), default=0.0)
 
+    @property
+    def failed(self) -> int:
+        """Return the number of processes that ended by an error of their own."""
+        return sum(stop.has_failed for stop in self.stops)
+
     @property
     def killed(self) -> int:
         """Return the number of processes that outlived their grace period."""
@@ -211,7 +225,7 @@
                 await asyncio.sleep(0.05)
                 continue
             try:
-                while not self.is_over:
+                while not self.is_over and random.random() >= RESET_SHARE:
                     for text, in_transaction in _choose_operation(random):
                         if not await self._send(client, next(ids), text, proxy.vm, in_transaction):
                             break
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -128,6 +128,26 @@
 
         run(scenario())
 
+    def test_transaction_whose_first_statement_is_given_up_does_not_stay_open(self) -> None:
+        """Guards against locks that a transaction holds whose id its proxy never learned."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=2) as platform:
+                gateway, own = platform.proxies["vm-0"], platform.proxies["vm-1"]
+                client = await own.open("booking")
+                self.assertIn("COMPLETE", (await client.query("WRITE a 0"))[0])
+                await client.query("BEGIN")
+                platform.group.limit_work(slots=2, choose_work_s=lambda: SLOW_WORK_S)
+                client.send("QUERY q WRITE a 1")
+                await wait_until(lambda: "q" in platform.group.arrivals, within_s=1.0)
+                await own.stop()
+                self.assertIn("ERROR ABORTED", (await client.read_answer())[0])
+                await asyncio.sleep(2 * SLOW_WORK_S)
+                self.assertEqual(0, find_gateways(gateway).count_transactions())
+                client.close()
+
+        run(scenario())
+
 
 class PeersAtStoppingGatewayTest(TestCase):
     def test_statement_that_waits_at_a_stopping_gateway_runs_through_another(self) -> None:
--- a/tests/test_stop_checks.py
+++ b/tests/test_stop_checks.py
@@ -46,6 +46,12 @@
         self.assertEqual([], check(replace(CUT, vm="vm-1"), {"c1s1": (105.1, inf)}))
         self.assertEqual([], check(replace(CUT, ended_at=107.1), {"c1s1": (105.1, inf)}))
 
+    def test_process_that_ends_by_an_error_is_told_from_a_killed_one(self) -> None:
+        """Guards against a stop that fails without a statement that shows it."""
+        self.assertTrue(replace(STOP, exit_code=1).has_failed)
+        self.assertFalse(STOP.has_failed)
+        self.assertFalse(replace(STOP, exit_code=-9, was_killed=True).has_failed)
+
     def test_old_statement_at_work_late_in_the_grace_period_is_excused(self) -> None:
         """Guards against a stricter rule than the users' own, and against a laxer one."""
         old = replace(CUT, sent_at=102.9)
