--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -11,6 +11,7 @@
 from lentilring.catalog.fleet import FleetService
 from lentilring.catalog.source import ProxyEntry
 from lentilring.clock import BootClock
+from lentilring.gateways.gateway import GATEWAY_STOPPING, ServerGateway
 from lentilring.gateways.messages import EndTransaction
 from lentilring.gateways.probing import PeerProber
 from lentilring.gateways.service import GatewayService
@@ -149,6 +150,25 @@
         run(scenario())
 
 
+class FailingGatewayTest(TestCase):
+    def test_transaction_does_not_outlive_an_unexpected_error(self) -> None:
+        """Guards against a transaction and connection that nobody can use or end any more."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1) as platform:
+                proxy = platform.proxies["vm-0"]
+                client = await proxy.open("booking")
+                await client.query("BEGIN")
+                self.assertIn("COMPLETE", (await client.query("WRITE a 1"))[0])
+                with patch.object(ServerGateway, "_run_steps", side_effect=KeyError("broken")):
+                    self.assertIn("ERROR ABORTED", (await client.query("WRITE a 2"))[0])
+                self.assertEqual(0, find_gateways(proxy).count_transactions())
+                self.assertEqual(0, find_gateways(proxy).count_running())
+                client.close()
+
+        run(scenario())
+
+
 class PeersAtStoppingGatewayTest(TestCase):
     def test_statement_that_waits_at_a_stopping_gateway_runs_through_another(self) -> None:
         """Guards against INDOUBT for a write that never left the queue of a stopped gateway."""
@@ -172,7 +192,8 @@
                 self.assertIn("ERROR ABORTED", (await in_transaction.read_answer())[0])
                 self.assertIn("COMPLETE", (await waiting.read_answer())[0])
                 for client in running:
-                    self.assertIn("ERROR INDOUBT", (await client.read_answer())[0])
+                    answer = await client.read_answer()
+                    self.assertEqual(f"ERROR INDOUBT {GATEWAY_STOPPING}", answer[0])
                 self.assertNotIn("inside", [entry.request_id for entry in platform.group.runs])
                 for client in clients:
                     client.close()
