--- a/tests/test_stop_series.py
+++ b/tests/test_stop_series.py
@@ -11,11 +11,17 @@
 
 from lentilring.soak.deployment import GRACE_S, SoakDeployment, build_deployment
 from lentilring.soak.relay import LinkFault
+from lentilring.soak.stops import run_stop_series
 
 from .prepared import SessionClient, run
 
 # Loopback network of its own, beside those of the soak's seeds.
 NETWORK = "127.15.1"
+SERIES_NETWORK = "127.15.2"
+SERIES_SEED = 1
+SERIES_DURATION_S = 10.0
+# The grace period of the users' deployments.
+SERIES_GRACE_S = 6.0
 CALLERS_PER_PROXY = 8
 # A statement takes this long on a server, so that some run at every moment of a stop.
 SERVER_DELAY_S = 0.06
@@ -105,3 +111,21 @@
         self.assertEqual([], [entry for entry in unanswered if entry in passed_on])
         answered = {entry.request_id.partition("s")[0] for entry in sent if entry.is_answered}
         self.assertEqual(len(callers), len(answered))
+
+    def test_random_series_of_stops_leaves_no_statement_without_an_answer(self) -> None:
+        """Guards against stops that cut statements of callers that never stop sending."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        result = asyncio.run(
+            run_stop_series(
+                seed=SERIES_SEED,
+                duration_s=SERIES_DURATION_S,
+                vms=3,
+                grace_s=SERIES_GRACE_S,
+                folder=Path(folder.name),
+                host_prefix=SERIES_NETWORK,
+            )
+        )
+        self.assertEqual([], [entry.describe() for entry in result.cut])
+        self.assertEqual(0, result.failed)
+        self.assertGreater(result.answered, 0)
