Rank lagging replicas last and run failed reads once more

A "behind" without a known position comes from the gateway and is not counted against the replica. A single read that failed with FAILED runs once more on the next server if replicas may serve it. A refusal after a run does not replace the answer of the run, because "not run" would be false.

--- a/lentilring/sessions/calls.py
+++ b/lentilring/sessions/calls.py
@@ -4,9 +4,11 @@
 from typing import Protocol
 
 from ..configuration.accounts import ClientAccount
+from ..gateways.dispatch import DispatchResult
 from ..gateways.messages import StatementAnswer, StatementKind, TransactionOpening
 from ..outcomes import NotRun
 from ..statements.model import (
+    NOT_RUN,
     Done,
     Failed,
     Failure,
@@ -62,6 +64,32 @@
     return opening is TransactionOpening.NONE or not may_have_run
 
 
+class ReadAttempts:
+    """Decide whether a read goes on to another server, and which answer its caller gets.
+
+    A single read that failed at one server runs once more on another one, because its caller would
+    repeat it. A second failure is probably that of the statement, so it is not repeated again.
+    """
+
+    def __init__(self, opening: TransactionOpening) -> None:
+        self._opening = opening
+        self.last: DispatchResult | None = None
+        self.was_repeated = False
+
+    def add(self, dispatched: DispatchResult) -> bool:
+        """Record the answer of one server; return whether another server may be tried."""
+        failure = dispatched.answer.failure
+        # A refusal of a later server says that nothing ran, which would hide a run at this one.
+        if self.last is None or failure not in NOT_RUN or self.last.answer.failure in NOT_RUN:
+            self.last = dispatched
+        if self.was_repeated and failure not in NOT_RUN:
+            return False
+        if failure == Failure.FAILED and self._opening is TransactionOpening.NONE:
+            self.was_repeated = True
+            return True
+        return may_try_another_server(dispatched.answer, self._opening)
+
+
 def build_outcome(answer: StatementAnswer) -> StatementOutcome:
     """Return the outcome that a gateway's answer stands for."""
     position = Position(term=answer.term, number=answer.number) if answer.term else None
--- a/lentilring/sessions/router.py
+++ b/lentilring/sessions/router.py
@@ -19,8 +19,8 @@
 )
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
-from .calls import AccountRateLimiter, StatementCall, build_outcome, may_try_another_server
-from .choice import ProxyLocation, WaitEstimates, rank_read_servers
+from .calls import AccountRateLimiter, ReadAttempts, StatementCall, build_outcome
+from .choice import FreshnessBound, ProxyLocation, ReplicaLag, WaitEstimates, rank_read_servers
 from .context import ANONYMOUS_ACCOUNT, Admission, SessionContext, SessionTransaction
 
 # Waiting longer for a rate-limit token would cost the caller more time than asking again.
@@ -59,6 +59,7 @@
         self._clock, self._telemetry = clock, telemetry
         self._slot_waits = WaitEstimates(now=clock.monotonic)
         self._failure_penalties = WaitEstimates(now=clock.monotonic, half_life_s=1.0)
+        self._replica_lag = ReplicaLag(now=clock.monotonic)
         self._stop_schedule: StopSchedule | None = None
 
     def begin_stop(self, schedule: StopSchedule) -> None:
@@ -207,25 +208,46 @@
         opening: TransactionOpening,
     ) -> DispatchResult:
         deadline = self._clock.monotonic() + admission.route.statement_timeout_s
-        last = None
-        for server in self._rank_read_servers(admission)[:MAX_READ_ATTEMPTS]:
+        bound = FreshnessBound(
+            max_staleness_s=admission.route.max_staleness_s, position=context.position
+        )
+        attempts = ReadAttempts(opening)
+        for server in self._rank_read_servers(admission, bound)[:MAX_READ_ATTEMPTS]:
             remaining_s = deadline - self._clock.monotonic()
             if remaining_s <= 0:
                 break
+            if attempts.last is not None and attempts.last.answer.failure == Failure.FAILED:
+                self._record_repeat(call, attempts.last, server)
             request = self._build_request(
                 context,
                 admission,
                 call,
                 server.id,
                 opening,
-                min_position=context.position,
-                max_staleness_s=admission.route.max_staleness_s,
+                min_position=bound.position,
+                max_staleness_s=bound.max_staleness_s,
                 timeout_s=remaining_s,
             )
-            last = await self._run_on_server(admission, call, server, request)
-            if not may_try_another_server(last.answer, opening):
-                return last
-        return last or self._refuse(admission, "no server may serve this read")
+            dispatched = await self._run_on_server(admission, call, server, request)
+            self._record_lag(server, bound, dispatched.answer)
+            if not attempts.add(dispatched):
+                break
+        return attempts.last or self._refuse(admission, "no server may serve this read")
+
+    def _record_repeat(
+        self, call: StatementCall, failed: DispatchResult, server: ServerEntry
+    ) -> None:
+        self._telemetry.count("reads_repeated")
+        log.info(
+            "read_repeated", request=call.request_id, failed_at=failed.server, server=server.id
+        )
+
+    def _record_lag(
+        self, server: ServerEntry, bound: FreshnessBound, answer: StatementAnswer
+    ) -> None:
+        # Without the age of a required position, the gateway knew none and did not ask the server.
+        if answer.failure == Failure.BEHIND and answer.age_s is not None:
+            self._replica_lag.record(server.id, bound)
 
     async def _run_on_primary(
         self,
@@ -302,7 +324,7 @@
         self._log_run(admission, call, dispatched, started_at)
         return dispatched
 
-    def _rank_read_servers(self, admission: Admission) -> list[ServerEntry]:
+    def _rank_read_servers(self, admission: Admission, bound: FreshnessBound) -> list[ServerEntry]:
         service = admission.route.service
         return rank_read_servers(
             self._catalog.servers.by_service.get(service, ()),
@@ -311,7 +333,8 @@
             region_of=self._find_region,
             is_usable=lambda server: self._is_allowed(admission, server),
             wait_s=lambda server: self._slot_waits.wait_s(server)
-            + self._failure_penalties.wait_s(server),
+            + self._failure_penalties.wait_s(server)
+            + self._replica_lag.penalty_s(server, bound),
         )
 
     def _is_allowed(self, admission: Admission, server: ServerEntry) -> bool:
