Let the limit of a server's queue change at run time

The number of statements that may be at a server at once was fixed at the slots plus one. The pace of a server that has just started needs a limit that changes, and one that rises has to admit waiting statements without a release. SlotQueue takes the limit as a callable, expects waits by it and admits on request. tests/test_reads.py: 10 passed.

--- a/lentilring/gateways/slots.py
+++ b/lentilring/gateways/slots.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ..clock import Clock
@@ -31,11 +32,15 @@
 
 
 class SlotQueue:
-    """Assign the slots of one server to statements; rank 0 goes first."""
+    """Assign the slots of one server to statements; rank 0 goes first.
 
-    def __init__(self, *, clock: Clock, slots: int) -> None:
+    `limit` returns how many statements may be at the server at once. Call `admit_waiting` after it
+    has risen.
+    """
+
+    def __init__(self, *, clock: Clock, slots: int, limit: Callable[[], int] | None = None) -> None:
         self._clock = clock
-        self.slots = slots
+        self._limit = limit or (lambda: slots + MAX_WAITING_AT_SERVER)
         self.running = 0
         self._queues: dict[int, FairQueue[_Waiter]] = {}
         self._average_cost_s = 0.005
@@ -45,20 +50,21 @@
 
     def expected_wait_s(self, account: str, rank: int) -> float:
         """Estimate the wait of a new statement from those ahead of it and their average cost."""
-        if self.running < self.slots + MAX_WAITING_AT_SERVER and not len(self):
+        limit = max(1, self._limit())
+        if self.running < limit and not len(self):
             return 0.0
         ahead = sum(len(queue) for key, queue in self._queues.items() if key < rank)
         same_rank = self._queues.get(rank)
-        same_rank_s = 0.0 if same_rank is None else same_rank.expected_wait_s(account, self.slots)
+        same_rank_s = 0.0 if same_rank is None else same_rank.expected_wait_s(account, limit)
         # The next slot becomes free after half a statement on average.
-        return same_rank_s + (ahead + 0.5) * self._average_cost_s / self.slots
+        return same_rank_s + (ahead + 0.5) * self._average_cost_s / limit
 
     async def acquire(self, account: str, *, rank: int, patience_s: float) -> SlotRefusal | None:
         """Wait for a slot; return None once it is acquired."""
         queue = self._queues.setdefault(
             rank, FairQueue(capacity_per_account=MAX_QUEUED_PER_ACCOUNT)
         )
-        if self.running < self.slots + MAX_WAITING_AT_SERVER and not len(self):
+        if self.running < self._limit() and not len(self):
             self.running += 1
             queue.charge(account)
             return None
@@ -75,7 +81,7 @@
         self._average_cost_s += 0.1 * (cost_s - self._average_cost_s)
         self._queues[rank].record_cost(account, cost_s)
         self.running -= 1
-        self._admit_next()
+        self.admit_waiting()
 
     async def _wait_for_slot(
         self, queue: FairQueue[_Waiter], account: str, waiter: _Waiter, patience_s: float
@@ -91,15 +97,16 @@
             queue.discard(account, waiter)
             if self._has_slot(waiter):
                 self.running -= 1
-                self._admit_next()
+                self.admit_waiting()
             raise
         return None
 
     def _has_slot(self, waiter: _Waiter) -> bool:
         return waiter.admitted.done() and not waiter.admitted.cancelled()
 
-    def _admit_next(self) -> None:
-        while self.running < self.slots + MAX_WAITING_AT_SERVER:
+    def admit_waiting(self) -> None:
+        """Assign the slots that are free now to waiting statements."""
+        while self.running < self._limit():
             waiter = self._pop()
             if waiter is None:
                 return
--- a/tests/test_reads.py
+++ b/tests/test_reads.py
@@ -157,3 +157,25 @@
             return queue.running
 
         self.assertEqual(0, run_virtual(scenario()))
+
+    def test_waiting_work_is_admitted_when_the_limit_rises(self) -> None:
+        """Guards against statements that wait for a release although the limit has risen."""
+
+        async def scenario() -> tuple[list[int], float]:
+            limit = [1]
+            queue = SlotQueue(clock=LoopClock(), slots=4, limit=lambda: limit[0])
+            running = []
+            for _ in range(5):
+                waiting = asyncio.ensure_future(queue.acquire("a", rank=1, patience_s=1))
+                await asyncio.sleep(0)
+                running.append(queue.running)
+            expected_s = queue.expected_wait_s("a", 1)
+            limit[0] = 3
+            queue.admit_waiting()
+            waiting.cancel()
+            return [*running, queue.running], expected_s
+
+        running, expected_s = run_virtual(scenario())
+        self.assertEqual([1, 1, 1, 1, 1, 3], running)
+        # Four statements wait for one place at the server, each for the initial cost of 5 ms.
+        self.assertGreater(expected_s, 0.02)
