--- a/lentilring/sessions/router.py
+++ b/lentilring/sessions/router.py
@@ -11,7 +11,6 @@
 from ..gateways.stopping import StopSchedule
 from ..kernel import Service
 from ..statements.model import (
-    NOT_RUN,
     Done,
     Failed,
     Failure,
@@ -20,7 +19,13 @@
 )
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
-from .calls import AccountRateLimiter, ReadAttempts, StatementCall, build_outcome
+from .calls import (
+    UNEXECUTED,
+    AccountRateLimiter,
+    ReadAttempts,
+    StatementCall,
+    build_outcome,
+)
 from .choice import FreshnessBound, ProxyLocation, ReplicaLag, WaitEstimates, rank_read_servers
 from .context import (
     ANONYMOUS_ACCOUNT,
@@ -340,7 +345,7 @@
         dispatched = await self._dispatcher.run(server, request)
         answer = dispatched.answer
         if admission.token is not None and not was_begun:
-            admission.token.may_have_run = answer.failure not in NOT_RUN
+            admission.token.may_have_run = answer.failure not in UNEXECUTED
         self._slot_waits.record(server.id, answer.wait_s)
         if answer.failure in (Failure.ABORTED, Failure.TIMED_OUT, Failure.UNCERTAIN):
             self._failure_penalties.record(server.id, admission.route.latency_target_s)
