--- a/lentilring/sessions/calls.py
+++ b/lentilring/sessions/calls.py
@@ -30,8 +30,8 @@
     }
 )
 
-# After these failures no server ran the statement. An aborted one may have run in a transaction that
-# was rolled back.
+# After these failures no server ran the statement. An aborted one may have run in a transaction
+# that was rolled back.
 UNEXECUTED = NOT_RUN - {Failure.ABORTED}
 # After these failures the statement may have run.
 POSSIBLY_RUN = frozenset({Failure.ABORTED, Failure.TIMED_OUT})
