Judge servers by their answers and ask bad ones last for reads

Cause: a server that fails 32% of its statements while its health check is good kept its place in the ranking.

Change: with the setting judges_servers, the gateway judges a server by the share of failed, lost and timed-out answers of the last 2 s. Answers carry the judgement, and a datagram tells all proxies when it changes and every 2 s while the server is bad. Callers' proxies rank the worst bad servers last, at most half of a service's servers, and send one single read of 20 to a bad server first, with a quarter of the route's latency target, so that its recovery is seen. An account whose statements nearly all fail is left out if others are known. Statements are judged where they were sent; refusals, lag and unconfirmed commits do not count.

The settings file's `invariants` with "health" sets judges_servers. The reference page lists the settings of the session proxy now; the rows are checked as those of the other proxy are. The stand-in server can fail all statements.

--- a/lentilring/cli/reference.py
+++ b/lentilring/cli/reference.py
@@ -11,6 +11,7 @@
 import typer
 
 from ..configuration import models
+from ..session_settings import SessionProxySettings
 from ..settings import ProxySettings, format_constraint, has_default, list_settings, read_check
 from .options import name_variable
 
@@ -39,6 +40,12 @@
 The process checks all of them at start and ends with exit code 2 when one is not valid.
 `lentilring-proxy --check` checks them without starting. The source is `lentilring/settings.py`.
 """
+SESSION_INTRODUCTION = """\
+## Settings of the session proxy
+
+`lentilring-sessions` derives these settings from the platform's settings file
+(`lentilring/platform/boot.py`). The source is `lentilring/session_settings.py`.
+"""
 OBJECTS_INTRODUCTION = """\
 ## Configuration objects
 
@@ -57,7 +64,8 @@
 
 def describe_page() -> str:
     """Return the reference page in Markdown."""
-    parts = [INTRODUCTION, _describe_settings(), OBJECTS_INTRODUCTION]
+    parts = [INTRODUCTION, _describe_settings(), SESSION_INTRODUCTION, _describe_session_settings()]
+    parts.append(OBJECTS_INTRODUCTION)
     parts += [_describe_model(f"Object `{kind}`", model) for kind, model in OBJECT_TYPES.items()]
     parts += [_describe_model(title, model) for title, model in PART_TYPES.items()]
     return "\n".join(parts)
@@ -105,6 +113,23 @@
     return _format_table(columns, rows)
 
 
+def _describe_session_settings() -> str:
+    columns = ("setting", "default", "unit", "allowed values", "meaning")
+    rows = []
+    for entry in list_settings(SessionProxySettings):
+        _, description, allowed = read_check(SessionProxySettings, entry.name)
+        rows.append(
+            (
+                f"`{entry.name}`",
+                _format_default(entry),
+                find_unit(entry.name),
+                _format_allowed(allowed),
+                description,
+            )
+        )
+    return _format_table(columns, rows)
+
+
 def _describe_model(title: str, model: type) -> str:
     hints = get_type_hints(model, include_extras=True)
     rows = []
--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -57,6 +57,10 @@
 log = Log(source="gateway")
 
 
+# Is told of each answer of the server, or its loss, and how long it took.
+AnswerObserver = Callable[[Attempt, StatementOutcome | ServerLost, float], None]
+
+
 class ServerGateway:
     """Run statements on one backend server."""
 
@@ -78,6 +82,7 @@
         ensure_leadership: Callable[[], Awaitable[bool]],
         is_first_choice: Callable[[], bool],
         is_too_late: Callable[[StatementKind, float], bool],
+        observe_answer: AnswerObserver,
     ) -> None:
         self.server = server
         self.history = history
@@ -100,6 +105,7 @@
         self._refresh_positions, self._request_sampling = refresh_positions, request_sampling
         self._is_primary, self._ensure_leadership = is_primary, ensure_leadership
         self._is_too_late = is_too_late
+        self._observe_answer = observe_answer
         self._attempts: dict[asyncio.Task[Any], Attempt] = {}
         self._is_ending = False
         self._primary_work_resumed: asyncio.Event | None = None
@@ -292,6 +298,7 @@
         # A statement may have waited long for its slot.
         if (late := self._refuse_late(attempt)) is not None:
             return late
+        began_at = self._clock.monotonic()
         try:
             outcome, state = await self._run_steps(attempt)
         except ServerRefused as error:
@@ -301,6 +308,7 @@
             result = self._fail_statement(attempt, Failure.OVERLOADED, error.detail)
             return replace(result, is_unreachable=attempt.transaction is None)
         except ServerLost as error:
+            self._observe_answer(attempt, error, self._clock.monotonic() - began_at)
             if error.timed_out and is_commit(attempt):
                 self._record_failed_commit()
             return self._fail_statement(
@@ -308,6 +316,7 @@
                 self._classify_lost_answer(attempt, timed_out=error.timed_out),
                 error.detail,
             )
+        self._observe_answer(attempt, outcome, self._clock.monotonic() - began_at)
         return await self._finish(attempt, outcome, state)
 
     async def _run_steps(self, attempt: Attempt) -> tuple[StatementOutcome, TransactionState]:
--- a/lentilring/gateways/gateways.thrift
+++ b/lentilring/gateways/gateways.thrift
@@ -38,6 +38,7 @@
   9: double wait_s,
   10: optional double age_s,
   11: bool is_unreachable,
+  12: optional double bad_share,
 }
 
 struct EndTransaction {
@@ -71,3 +72,8 @@
   1: string server,
   2: i64 term,
 }
+
+struct ServerNotice {
+  1: string server,
+  2: optional double bad_share,
+}
--- a/lentilring/gateways/messages.py
+++ b/lentilring/gateways/messages.py
@@ -77,7 +77,7 @@
     `transaction` is the id of the transaction that stays open. `wait_s` estimates how long the next
     statement waits for a slot. `age_s` is the age of the position that a read had to include.
     `is_unreachable` says that the gateway could not reach the server, or stops, and has not run the
-    statement.
+    statement. `bad_share` is the share of failed answers of a server that its gateway judges bad.
     """
 
     failure: str = ""
@@ -91,6 +91,7 @@
     wait_s: float = 0.0
     age_s: float | None = None
     is_unreachable: bool = False
+    bad_share: float | None = None
 
 
 @message
@@ -154,3 +155,12 @@
 
     server: str
     term: int
+
+
+@message
+@dataclass(frozen=True, kw_only=True)
+class ServerNotice:
+    """Tell a peer that the sender judges a server bad; without `bad_share` it no longer does."""
+
+    server: str
+    bad_share: float | None = None
--- a/lentilring/gateways/service.py
+++ b/lentilring/gateways/service.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from random import Random
 
 from ..catalog.fleet import FleetService
@@ -11,18 +12,20 @@
 from ..clock import SuspensionClock
 from ..kernel import Service
 from ..peers.transport import PeerTransport, Sender
-from ..statements.model import Done, Failed, Failure, Position
+from ..statements.model import Done, Failed, Failure, Position, StatementOutcome
 from ..tasks import start_task
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
-from .attempt import RunResult
+from .attempt import Attempt, RunResult
 from .gateway import ServerGateway
+from .health import ServerJudge, shows_failure
 from .messages import (
     AskPosition,
     EndTransaction,
     LeadNotice,
     ProvenPosition,
     RunStatement,
+    ServerNotice,
     StatementAnswer,
     StatementKind,
     TransactionEnded,
@@ -30,13 +33,16 @@
 from .placement import rank_gateways
 from .positions import ProvenPositionHistory
 from .renewal import LeaseRenewal
-from .server import ServerConnector
+from .server import ServerConnector, ServerLost
 from .stopping import STOPPED, StopSchedule
 
 # A proven position that is older is proved again when somebody asks for it.
 PROOF_REFRESH_AGE_S = 0.15
 DEFAULT_MAX_CONNECTIONS = 4
 TRIM_INTERVAL_S = 0.25
+# Bad servers are announced again at this interval, because datagrams are lost and other proxies
+# forget a judgement that nobody repeats.
+NOTICE_INTERVAL_S = 2.0
 # Statements that still run at the end of a stop may take this long.
 LAST_RUNS_TIMEOUT_S = 0.1
 LAST_ANSWERS_TIMEOUT_S = 0.05
@@ -59,6 +65,7 @@
         clock: SuspensionClock,
         random: Random,
         telemetry: Telemetry,
+        judges_servers: bool = False,
     ) -> None:
         self._catalog, self._connector, self._transport = catalog, connector, transport
         self._clock, self._random, self._telemetry = clock, random, telemetry
@@ -72,13 +79,21 @@
         self._transaction_numbers = itertools.count(1)
         self._transaction_prefix = f"{vm}.{incarnation}."
         self._trim_task: asyncio.Task[None] | None = None
+        self._notice_task: asyncio.Task[None] | None = None
+        self._judges_servers = judges_servers
+        self._judges: dict[str, ServerJudge] = {}
         self._stop_schedule: StopSchedule | None = None
         self._renewal = LeaseRenewal(
             catalog=catalog, connector=connector, clock=clock, telemetry=telemetry
         )
         self.refresh_positions: Callable[[str], Awaitable[None]] = _refresh_nothing
         self.request_sampling: Callable[[str], None] = _ignore_sampling_request
+        # Is called with a server, the VM of its gateway and the share of failed answers, which is
+        # None when the gateway no longer judges the server bad.
+        self.on_judged: Callable[[str, str, float | None], None] = _ignore_judgement
         catalog.subscribe(self._close_replaced_gateways)
+        if judges_servers:
+            telemetry.observe("servers_judged_bad", "1", lambda: len(self._find_bad_servers()))
 
     async def start(self) -> None:
         """Register the handlers of peers' requests and begin to trim pools."""
@@ -86,12 +101,18 @@
         self._transport.handle(EndTransaction, self._handle_end)
         self._transport.handle(AskPosition, self._handle_ask)
         self._transport.handle_datagram(LeadNotice, self._handle_lead_notice)
+        self._transport.handle_datagram(ServerNotice, self._handle_server_notice)
         self._trim_task = start_task("trim_pools", self._trim_pools, telemetry=self._telemetry)
+        if self._judges_servers:
+            self._notice_task = start_task(
+                "announce_bad_servers", self._announce_bad_servers, telemetry=self._telemetry
+            )
 
     async def stop(self) -> None:
         """Answer all statements of peers and close all connections to backend servers."""
-        if self._trim_task is not None:
-            self._trim_task.cancel()
+        for task in (self._trim_task, self._notice_task):
+            if task is not None:
+                task.cancel()
         self._stop_schedule = STOPPED
         await self._end_statements(only_unsent=True, timeout_s=LAST_RUNS_TIMEOUT_S)
         await self._end_statements(only_unsent=False, timeout_s=LAST_ANSWERS_TIMEOUT_S)
@@ -151,7 +172,9 @@
         result = await gateway.run(request)
         self._record_transaction(gateway, request.transaction, result.transaction)
         wait_s = gateway.slots.expected_wait_s(request.account, 1 + request.priority)
-        return build_answer(result, wait_s=wait_s)
+        answer = build_answer(result, wait_s=wait_s)
+        judge = self._judges.get(gateway.server.id)
+        return answer if judge is None else replace(answer, bad_share=judge.bad_share)
 
     async def end_transaction(self, transaction: str) -> bool:
         """Roll a transaction back; False if it is not open here."""
@@ -205,6 +228,56 @@
         for peer in self._fleet.others():
             self._transport.send_datagram(peer.address, notice)
 
+    def _judge_answer(
+        self,
+        server: ServerEntry,
+        attempt: Attempt,
+        answer: StatementOutcome | ServerLost,
+        took_s: float,
+    ) -> None:
+        """Judge a server with a further answer; tell all proxies when the judgement changes."""
+        gateway = self._gateways.get(server.id)
+        # Answers that a stopped server lost say nothing about the one that took its place.
+        if not self._judges_servers or gateway is None or gateway.server is not server:
+            return
+        failed = shows_failure(attempt, answer, took_s=took_s)
+        if failed is None:
+            return
+        judge = self._judges.get(server.id)
+        if judge is None:
+            judge = self._judges[server.id] = ServerJudge(now=self._clock.monotonic)
+        judgement = judge.record(attempt.request.account, has_failed=failed)
+        if judgement is None:
+            return
+        name = "bad" if judgement.is_bad else "good"
+        self._telemetry.count("servers_judged", judged=name)
+        log.warning(
+            "server_judged",
+            service=server.service,
+            server=server.id,
+            judged=name,
+            share=round(judgement.failed_share, 2),
+            answers=judgement.answers,
+        )
+        self._announce_server(server.id, judgement.failed_share if judgement.is_bad else None)
+
+    def _announce_server(self, server: str, bad_share: float | None) -> None:
+        """Tell all proxies, including this one, whether this gateway judges a server bad."""
+        notice = ServerNotice(server=server, bad_share=bad_share)
+        for peer in self._fleet.others():
+            self._transport.send_datagram(peer.address, notice)
+        self.on_judged(server, self._fleet.local.vm, bad_share)
+
+    async def _announce_bad_servers(self) -> None:
+        while True:
+            await self._clock.sleep(NOTICE_INTERVAL_S)
+            for server, bad_share in self._find_bad_servers().items():
+                self._announce_server(server, bad_share)
+
+    def _find_bad_servers(self) -> dict[str, float]:
+        shares = {server: judge.bad_share for server, judge in self._judges.items()}
+        return {server: share for server, share in shares.items() if share is not None}
+
     async def _prove_once(self, server: ServerEntry) -> None:
         """Prove a primary's position; concurrent calls share the proof."""
         task = self._running_proofs.get(server.id)
@@ -253,6 +326,9 @@
                 ensure_leadership=lambda: self._renewal.ensure_lease(server),
                 is_first_choice=lambda: self._is_first_choice(server),
                 is_too_late=self._is_too_late,
+                observe_answer=lambda attempt, answer, took_s: self._judge_answer(
+                    server, attempt, answer, took_s
+                ),
             )
             log.info("gateway_opened", server=server.id, limit=gateway.pool.limit)
         return gateway
@@ -296,6 +372,10 @@
                 gateway = self._gateways.pop(server)
                 gateway.close()
                 self._closing.add(gateway)
+                # A server that starts again is not judged by its earlier answers.
+                judge = self._judges.pop(server, None)
+                if judge is not None and judge.bad_share is not None:
+                    self._announce_server(server, None)
 
     def _record_transaction(self, gateway: ServerGateway, before: str, after: str) -> None:
         if before and before != after:
@@ -324,6 +404,10 @@
                 peer=sender.vm,
             )
 
+    def _handle_server_notice(self, sender: Sender, notice: ServerNotice) -> None:
+        if notice.server in self._catalog.servers.entries:
+            self.on_judged(notice.server, sender.vm, notice.bad_share)
+
     async def _handle_run(self, sender: Sender, request: RunStatement) -> StatementAnswer:
         return await self.run(request)
 
@@ -368,3 +452,7 @@
 
 def _ignore_sampling_request(service: str) -> None:
     """Do nothing; used until a sampler is registered."""
+
+
+def _ignore_judgement(server: str, gateway: str, bad_share: float | None) -> None:
+    """Do nothing; used until a router is registered."""
--- a/lentilring/platform/boot.py
+++ b/lentilring/platform/boot.py
@@ -7,6 +7,7 @@
 
 from ..session_settings import SessionProxySettings, check_settings
 
+HEALTH_INVARIANT = "health"
 BOOT_VARIABLE = "LENTILRING_BOOT"
 METRICS_PORT = 9464
 # File descriptors for files, the store, backend servers and peers; the others serve sessions.
@@ -65,6 +66,8 @@
     cloud_api: _Endpoint
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    # What the platform checks, by name.
+    invariants: tuple[str, ...] = ()
 
 
 def read_boot_file(path: Path) -> SessionProxySettings:
@@ -99,5 +102,6 @@
         "evacuation_grace_s": max(0.0, bounds.evacuate_ms / 1000 - WITHDRAWAL_MARGIN_S),
         "drain_timeout_s": max(0.5, bounds.grace_s - DRAIN_MARGIN_S),
         "transaction_end_time_s": bounds.grace_s / 2,
+        "judges_servers": HEALTH_INVARIANT in boot.invariants,
     }
     return check_settings(values | extra_settings)
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -158,6 +158,7 @@
         clock=clock,
         random=random_source,
         telemetry=telemetry,
+        judges_servers=settings.judges_servers,
     )
     shared_secret = SharedSecret(
         secret=secret,
@@ -196,8 +197,10 @@
         location=ProxyLocation(failure_domain=settings.failure_domain, region=settings.region),
         regions=settings.regions,
         clock=clock,
+        random=random_source,
         telemetry=telemetry,
     )
+    gateways.on_judged = router.record_judgement
     listener = SessionListener(
         address=settings.session_address,
         codec=LineCodec(),
--- a/lentilring/sessions/choice.py
+++ b/lentilring/sessions/choice.py
@@ -4,8 +4,9 @@
 than the round trip to another server. Statements that only the primary can run go to the primary.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
+from random import Random
 
 from ..catalog.model import ServerEntry
 from ..statements.model import Position
@@ -28,6 +29,10 @@
 # Longer than the longest time without a read at such a replica, 2 s, and the pause until the next
 # read of a proxy.
 BEHIND_MEMORY_S = 3.0
+# Three intervals at which gateways repeat that a server is bad.
+JUDGEMENT_MEMORY_S = 6.0
+# Part of the single reads that go to a bad server first, so that its recovery is seen.
+TRIAL_SHARE = 1 / 20
 NO_POSITION = Position(term=0, number=0)
 
 
@@ -57,13 +62,17 @@
     region_of: Callable[[str], str],
     is_usable: Callable[[ServerEntry], bool],
     wait_s: Callable[[str], float],
+    bad: Collection[str] = (),
 ) -> list[ServerEntry]:
-    """Return the servers that may serve a read, sorted by the time that it would take."""
+    """Return the servers that may serve a read, sorted by the time that it would take.
 
-    def cost(server: ServerEntry) -> tuple[float, str]:
+    Bad servers are last.
+    """
+
+    def cost(server: ServerEntry) -> tuple[bool, float, str]:
         penalty_s = PRIMARY_PENALTY_S if primary is not None and server.id == primary.id else 0.0
         round_trip_s = estimate_round_trip_s(location, server, region_of)
-        return round_trip_s + wait_s(server.id) + penalty_s, server.id
+        return server.id in bad, round_trip_s + wait_s(server.id) + penalty_s, server.id
 
     return sorted((server for server in servers if is_usable(server)), key=cost)
 
@@ -139,3 +148,65 @@
         if last is None or not bound.is_within(last.bound):
             return 0.0
         return float(last.penalty_s * 0.5 ** ((self._now() - last.at) / BEHIND_HALF_LIFE_S))
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Report:
+    bad_share: float
+    at: float
+
+
+class ServerJudgements:
+    """Remember which servers their gateways judge bad, until nobody repeats it.
+
+    Each gateway judges by the answers that it receives, so one that knows nothing of a server does
+    not clear what another one reported.
+    """
+
+    def __init__(self, *, now: Callable[[], float]) -> None:
+        self._now = now
+        self._reports: dict[str, dict[str, _Report]] = {}
+
+    def record(self, server: str, gateway: str, bad_share: float | None) -> bool:
+        """Store what a gateway reports; tell whether this makes the server bad or good."""
+        was_bad = self.find_share(server) is not None
+        reports = self._reports.setdefault(server, {})
+        # A share out of range, which only a faulty peer sends, could hide the worst server.
+        if bad_share is None or not 0.0 <= bad_share <= 1.0:
+            reports.pop(gateway, None)
+        else:
+            reports[gateway] = _Report(bad_share=bad_share, at=self._now())
+        return was_bad != (self.find_share(server) is not None)
+
+    def find_share(self, server: str) -> float | None:
+        """Return the share of failed answers of a bad server, None for others."""
+        reports = self._reports.get(server)
+        if not reports:
+            return None
+        oldest = self._now() - JUDGEMENT_MEMORY_S
+        for gateway in [gateway for gateway, report in reports.items() if report.at < oldest]:
+            del reports[gateway]
+        return max((report.bad_share for report in reports.values()), default=None)
+
+    def find_bad(self, servers: Collection[str]) -> frozenset[str]:
+        """Return the servers of a service that count as bad: the worst, at most half of all.
+
+        If more fail at once, the cause is probably not in the servers, and reads that are kept away
+        from all but one would overload it.
+        """
+        shares = {server: self.find_share(server) for server in servers}
+        bad = [(share, server) for server, share in shares.items() if share is not None]
+        return frozenset(server for _, server in sorted(bad, reverse=True)[: len(servers) // 2])
+
+
+def choose_trial(
+    ranked: list[ServerEntry], *, bad: Collection[str], random: Random
+) -> ServerEntry | None:
+    """Return the bad server that a single read tries first, usually none.
+
+    A read that could not run elsewhere is not used as a trial.
+    """
+    candidates = [server for server in ranked if server.id in bad]
+    if not candidates or len(candidates) == len(ranked) or random.random() >= TRIAL_SHARE:
+        return None
+    return random.choice(candidates)
--- a/lentilring/sessions/router.py
+++ b/lentilring/sessions/router.py
@@ -1,6 +1,7 @@
 """The service `statements`: admits operations and finds a backend server for each statement."""
 
 from dataclasses import replace
+from random import Random
 
 from ..catalog.model import Consistency, ServerEntry
 from ..catalog.service import CatalogService
@@ -20,7 +21,15 @@
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .calls import AccountRateLimiter, ReadAttempts, StatementCall, build_outcome
-from .choice import FreshnessBound, ProxyLocation, ReplicaLag, WaitEstimates, rank_read_servers
+from .choice import (
+    FreshnessBound,
+    ProxyLocation,
+    ReplicaLag,
+    ServerJudgements,
+    WaitEstimates,
+    choose_trial,
+    rank_read_servers,
+)
 from .context import ANONYMOUS_ACCOUNT, Admission, SessionContext, SessionTransaction
 
 # Waiting longer for a rate-limit token would cost the caller more time than asking again.
@@ -29,6 +38,9 @@
 # at once.
 SLOT_WAIT_FRACTION = 0.5
 MAX_READ_ATTEMPTS = 4
+# Part of the route's latency objective that a read may spend at a bad server before it runs on
+# another one.
+TRIAL_TIME_FRACTION = 0.25
 # Part of a statement's time that it may wait for a new primary; the rest is left for its run.
 TAKEOVER_WAIT_FRACTION = 0.8
 PRIMARY_POLL_INTERVAL_S = 0.1
@@ -52,20 +64,33 @@
         location: ProxyLocation,
         regions: dict[str, str],
         clock: SuspensionClock,
+        random: Random,
         telemetry: Telemetry,
     ) -> None:
         self._catalog, self._dispatcher, self._limiter = catalog, dispatcher, limiter
         self._location, self._regions = location, regions
-        self._clock, self._telemetry = clock, telemetry
+        self._clock, self._random, self._telemetry = clock, random, telemetry
         self._slot_waits = WaitEstimates(now=clock.monotonic)
         self._failure_penalties = WaitEstimates(now=clock.monotonic, half_life_s=1.0)
         self._replica_lag = ReplicaLag(now=clock.monotonic)
+        self._judgements = ServerJudgements(now=clock.monotonic)
         self._stop_schedule: StopSchedule | None = None
 
     def begin_stop(self, schedule: StopSchedule) -> None:
         """Refuse from now on what could not be answered before the process ends."""
         self._stop_schedule = schedule
 
+    def record_judgement(self, server: str, gateway: str, bad_share: float | None) -> None:
+        """Store what the gateway on a VM reports about a server; None if it is not bad."""
+        if self._judgements.record(server, gateway, bad_share):
+            log.info(
+                "server_judgement_changed",
+                server=server,
+                judged="good" if bad_share is None else "bad",
+                share="-" if bad_share is None else round(bad_share, 2),
+                gateway=gateway,
+            )
+
     def is_too_late(self, admission: Admission, work: StatementKind) -> bool:
         """Tell whether this proxy is stopping and has too little time left for a statement."""
         schedule = self._stop_schedule
@@ -212,7 +237,8 @@
             max_staleness_s=admission.route.max_staleness_s, position=context.position
         )
         attempts = ReadAttempts(opening)
-        for server in self._rank_read_servers(admission, bound)[:MAX_READ_ATTEMPTS]:
+        ranked, trial = self._rank_read_servers(admission, bound, opening)
+        for server in ranked[:MAX_READ_ATTEMPTS]:
             remaining_s = deadline - self._clock.monotonic()
             if remaining_s <= 0:
                 break
@@ -226,7 +252,7 @@
                 opening,
                 min_position=bound.position,
                 max_staleness_s=bound.max_staleness_s,
-                timeout_s=remaining_s,
+                timeout_s=self._find_attempt_s(admission, remaining_s, is_trial=server is trial),
             )
             dispatched = await self._run_on_server(admission, call, server, request)
             self._record_lag(server, bound, dispatched.answer)
@@ -319,15 +345,23 @@
         dispatched = await self._dispatcher.run(server, request)
         answer = dispatched.answer
         self._slot_waits.record(server.id, answer.wait_s)
+        # A failure may come from this proxy instead of the gateway and says nothing then.
+        if answer.bad_share is not None or not answer.failure:
+            self.record_judgement(server.id, dispatched.gateway.vm, answer.bad_share)
         if answer.failure in (Failure.ABORTED, Failure.TIMED_OUT, Failure.UNCERTAIN):
             self._failure_penalties.record(server.id, admission.route.latency_target_s)
         self._log_run(admission, call, dispatched, started_at)
         return dispatched
 
-    def _rank_read_servers(self, admission: Admission, bound: FreshnessBound) -> list[ServerEntry]:
+    def _rank_read_servers(
+        self, admission: Admission, bound: FreshnessBound, opening: TransactionOpening
+    ) -> tuple[list[ServerEntry], ServerEntry | None]:
+        """Return the servers to try in order, and the first if it is a trial of a bad server."""
         service = admission.route.service
-        return rank_read_servers(
-            self._catalog.servers.by_service.get(service, ()),
+        servers = self._catalog.servers.by_service.get(service, ())
+        bad = self._judgements.find_bad([server.id for server in servers])
+        ranked = rank_read_servers(
+            servers,
             primary=self._catalog.find_primary(service),
             location=self._location,
             region_of=self._find_region,
@@ -335,7 +369,20 @@
             wait_s=lambda server: self._slot_waits.wait_s(server)
             + self._failure_penalties.wait_s(server)
             + self._replica_lag.penalty_s(server, bound),
+            bad=bad,
         )
+        if opening is not TransactionOpening.NONE:
+            return ranked, None
+        trial = choose_trial(ranked, bad=bad, random=self._random)
+        if trial is not None:
+            self._telemetry.count("bad_server_trials")
+            ranked.remove(trial)
+            ranked.insert(0, trial)
+        return ranked, trial
+
+    def _find_attempt_s(self, admission: Admission, remaining_s: float, *, is_trial: bool) -> float:
+        trial_s = admission.route.latency_target_s * TRIAL_TIME_FRACTION
+        return min(remaining_s, trial_s) if is_trial else remaining_s
 
     def _is_allowed(self, admission: Admission, server: ServerEntry) -> bool:
         if not self._catalog.accepts_new_work(server):
--- a/lentilring/settings.py
+++ b/lentilring/settings.py
@@ -83,7 +83,9 @@
     description, allowed = "", []
     for check in checks:
         description = getattr(check, "description", None) or description
-        allowed += [format_constraint(entry) for entry in getattr(check, "metadata", [])]
+        # The checks of pydantic are a list, those of msgspec are attributes.
+        constraints = getattr(check, "metadata", [check])
+        allowed += [text for entry in constraints if (text := format_constraint(entry))]
     if isinstance(base, type) and issubclass(base, StrEnum):
         allowed.append(", ".join(base))
     return base, description, "; ".join(allowed)
@@ -104,5 +106,5 @@
         "max_length": "length at most",
         "pattern": "matching",
     }
-    found = [f"{text} {getattr(entry, key)}" for key, text in names.items() if hasattr(entry, key)]
-    return " ".join(found)
+    values = [(text, getattr(entry, key, None)) for key, text in names.items()]
+    return "; ".join(f"{text} {value}" for text, value in values if value is not None)
--- a/lentilring/standin/prepared/servers.py
+++ b/lentilring/standin/prepared/servers.py
@@ -21,6 +21,8 @@
     refuses_connections: bool = False
     lose_answers: int = 0
     busy: bool = False
+    # Answers callers' statements with an error, as a server with a broken disk does.
+    fails: bool = False
     # `receives_nothing` stops replication to a replica; `down` marks a crashed server.
     receives_nothing: bool = False
     down: bool = False
@@ -343,6 +345,8 @@
     def _run_caller(self, request_id: str, text: str, word: str, rest: str) -> str | None:
         if self._server.faults.busy:
             return "BUSY"
+        if self._server.faults.fails:
+            return "FAILED"
         shape = ""
         writes = word == "WRITE"
         if word == "EXECUTE":
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from random import Random
 from types import SimpleNamespace
 from typing import Any
 
@@ -74,7 +75,7 @@
     async def run_at(self, gateway: Any, request: RunStatement) -> DispatchResult:
         return await self.run(SimpleNamespace(id=request.server), request)
 
-    def build_router(self, zone: str = ZONES[1]) -> StatementRouter:
+    def build_router(self, zone: str = ZONES[1], *, seed: int = 1) -> StatementRouter:
         table = build_server_table({server.id: server for server in SERVERS})
         catalog = SimpleNamespace(
             servers=table,
@@ -92,6 +93,7 @@
             location=ProxyLocation(failure_domain=zone, region=REGIONS[zone]),
             regions=REGIONS,
             clock=self,  # type: ignore[arg-type]
+            random=Random(seed),
             telemetry=self.telemetry,
         )
 
