Spread reads over servers whose estimated times overlap

Cause: a proxy sees an answer of a server every one to two seconds, and the estimate of its wait halves every 0.25 s, so all proxies return to a slow server soon after each report. Of servers that are equally far, all proxies chose the first by name.

Change: a read ranks servers by a wait drawn between half the faded report and one and a half times the report, which fades with a half-life of 2 s, plus up to 2 ms. Servers whose ranges do not overlap keep their order, so a clearly nearer server still gets all reads.

Two of the three new tests fail with the exact estimates.

--- a/lentilring/sessions/choice.py
+++ b/lentilring/sessions/choice.py
@@ -2,6 +2,10 @@
 
 A read that replicas may serve goes to the nearest one until the wait in its queue costs more time
 than the round trip to another server. Statements that only the primary can run go to the primary.
+
+Estimates are uncertain: each of about 70 proxies sees an answer of a server every one to two
+seconds and does not know what the others send there. So reads are spread over the servers whose
+estimates overlap.
 """
 
 from collections.abc import Callable, Collection, Iterable
@@ -16,6 +20,15 @@
 SAME_DOMAIN_ROUND_TRIP_S = 0.0005
 SAME_REGION_ROUND_TRIP_S = 0.003
 OTHER_REGION_ROUND_TRIP_S = 0.032
+# Estimates that differ by less are equal. It is less than the difference between round trips within
+# a failure domain and within a region, because bytes between failure domains cost something.
+ROUND_TRIP_PRECISION_S = 0.002
+# A wait is between half and one and a half times the report at first. The bounds fall at different
+# rates, because the queue may have become empty since, or be as long as before: bursts last for
+# 3 to 6 s.
+MIN_WAIT_FACTOR = 0.5
+MAX_WAIT_FACTOR = 1.5
+MAX_WAIT_HALF_LIFE_S = 2.0
 # Keeps reads that replicas can serve away from the primary, whose slots other statements need.
 PRIMARY_PENALTY_S = 0.010
 # Idle servers differ by at most this time, so the penalty ranks a replica that answered "behind"
@@ -90,11 +103,21 @@
 
     def wait_s(self, server: str) -> float:
         """Return the estimated wait at a server, 0 without a report."""
-        report = self._reports.get(server)
-        if report is None:
-            return 0.0
-        wait_s, reported_at = report
-        return float(wait_s * 0.5 ** ((self._now() - reported_at) / self._half_life_s))
+        return self._fade(server, self._half_life_s)
+
+    def draw_wait_s(self, server: str, random: Random) -> float:
+        """Return a random wait between the least and the greatest that the report leaves possible.
+
+        Ranked by such waits, a server is first more often the more its estimate is better, and
+        always if the estimates do not overlap.
+        """
+        least_s = MIN_WAIT_FACTOR * self.wait_s(server)
+        greatest_s = MAX_WAIT_FACTOR * self._fade(server, MAX_WAIT_HALF_LIFE_S)
+        return random.uniform(least_s, greatest_s) + random.uniform(0.0, ROUND_TRIP_PRECISION_S)
+
+    def _fade(self, server: str, half_life_s: float) -> float:
+        wait_s, reported_at = self._reports.get(server, (0.0, 0.0))
+        return float(wait_s * 0.5 ** ((self._now() - reported_at) / half_life_s))
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/lentilring/sessions/router.py
+++ b/lentilring/sessions/router.py
@@ -366,7 +366,7 @@
             location=self._location,
             region_of=self._find_region,
             is_usable=lambda server: self._is_allowed(admission, server),
-            wait_s=lambda server: self._slot_waits.wait_s(server)
+            wait_s=lambda server: self._slot_waits.draw_wait_s(server, self._random)
             + self._failure_penalties.wait_s(server)
             + self._replica_lag.penalty_s(server, bound),
             bad=bad,
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -212,3 +212,43 @@
         asyncio.run(router.run_in_transaction(context, transaction, call))
         asyncio.run(router.run_in_transaction(context, transaction, call))
         self.assertEqual([PRIMARY, PRIMARY, NEAR, NEAR], servers.asked)
+
+
+class SpreadTest(TestCase):
+    def ask(
+        self, admission: Admission, zone: str, report: tuple[str, float] | None, *, age_s: float
+    ) -> dict[str, int]:
+        """Return how many of 70 proxies with the same report of a wait asked each server."""
+        servers = Servers(lambda server, request: DONE)
+        for seed in range(70):
+            router = servers.build_router(zone, seed=seed)
+            servers.now = 0.0
+            if report is not None:
+                router._slot_waits.record(*report)
+            servers.now = age_s
+            run_single(router, admission=admission)
+        return {server: servers.asked.count(server) for server in (PRIMARY, NEAR, FAR)}
+
+    def test_equal_servers_share_the_reads(self) -> None:
+        """Guards against all proxies choosing the first of two servers that are equally far."""
+        replicas = build_admission(allowed_regions=(REGIONS[ZONES[1]], REGIONS[ZONES[2]]))
+        asked = self.ask(replicas, ZONES[0], None, age_s=0.0)
+        self.assertEqual(70, asked[NEAR] + asked[FAR])
+        self.assertTrue(20 <= asked[NEAR] <= 50, asked)
+
+    def test_clearly_nearer_server_gets_all_reads(self) -> None:
+        """Guards against needless bytes between failure domains."""
+        for age_s in (0.0, 1.0, 10.0):
+            asked = self.ask(build_admission(), ZONES[1], (NEAR, 0.015), age_s=age_s)
+            self.assertEqual({PRIMARY: 0, NEAR: 70, FAR: 0}, asked)
+
+    def test_proxies_do_not_all_return_to_a_server_with_a_long_queue(self) -> None:
+        """Guards against reads that move from one server to another and back all at once.
+
+        The exact estimates let all proxies return to a slow server about 0.5 s after each report.
+        """
+        for age_s in (0.6, 1.0, 2.0):
+            asked = self.ask(build_admission(), ZONES[1], (NEAR, 0.1), age_s=age_s)
+            self.assertTrue(10 <= asked[NEAR] <= 60, (age_s, asked))
+        asked = self.ask(build_admission(), ZONES[1], (NEAR, 0.1), age_s=10.0)
+        self.assertEqual(70, asked[NEAR])
