Log trials of bad servers and newly lagging replicas

Cause: the lines of a read did not say why a bad server was asked first, and a replica's penalty left no line. A read that was refused after its failure counted as repeated twice.

Change: `bad_server_tried` with the request, `replica_behind` when a replica's penalty begins or grows, and `read_repeated` only for the server that is asked next. A test covers a server that starts again.

--- a/lentilring/sessions/choice.py
+++ b/lentilring/sessions/choice.py
@@ -153,17 +153,18 @@
         self._now = now
         self._refusals: dict[str, _Refusal] = {}
 
-    def record(self, server: str, bound: FreshnessBound) -> None:
-        """Store that a replica was behind the bound of a read."""
+    def record(self, server: str, bound: FreshnessBound) -> bool:
+        """Store that a replica was behind the bound of a read; tell whether this is new."""
         now, last, penalty_s = self._now(), self._refusals.get(server), BEHIND_PENALTY_S
         if last is not None and now - last.at < BEHIND_HALF_LIFE_S:
             # Keeps the laxer bound, about which the refusal of a stricter one says nothing.
             if bound.is_within(last.bound):
-                return
+                return False
             penalty_s = last.penalty_s
         elif last is not None and now - last.at < BEHIND_MEMORY_S and last.bound.is_within(bound):
             penalty_s = min(2 * last.penalty_s, MAX_BEHIND_PENALTY_S)
         self._refusals[server] = _Refusal(bound=bound, penalty_s=penalty_s, at=now)
+        return True
 
     def penalty_s(self, server: str, bound: FreshnessBound) -> float:
         """Return the time to add to the cost of a read with this bound, 0 without a refusal."""
--- a/lentilring/sessions/router.py
+++ b/lentilring/sessions/router.py
@@ -237,13 +237,17 @@
             max_staleness_s=admission.route.max_staleness_s, position=context.position
         )
         attempts = ReadAttempts(opening)
+        dispatched: DispatchResult | None = None
         ranked, trial = self._rank_read_servers(admission, bound, opening)
         for server in ranked[:MAX_READ_ATTEMPTS]:
             remaining_s = deadline - self._clock.monotonic()
             if remaining_s <= 0:
                 break
-            if attempts.last is not None and attempts.last.answer.failure == Failure.FAILED:
-                self._record_repeat(call, attempts.last, server)
+            if dispatched is not None and dispatched.answer.failure == Failure.FAILED:
+                self._record_repeat(call, dispatched, server)
+            if server is trial:
+                self._telemetry.count("bad_server_trials")
+                log.info("bad_server_tried", request=call.request_id, server=server.id)
             request = self._build_request(
                 context,
                 admission,
@@ -272,8 +276,10 @@
         self, server: ServerEntry, bound: FreshnessBound, answer: StatementAnswer
     ) -> None:
         # Without the age of a required position, the gateway knew none and did not ask the server.
-        if answer.failure == Failure.BEHIND and answer.age_s is not None:
-            self._replica_lag.record(server.id, bound)
+        if answer.failure != Failure.BEHIND or answer.age_s is None:
+            return
+        if self._replica_lag.record(server.id, bound):
+            log.info("replica_behind", service=server.service, server=server.id)
 
     async def _run_on_primary(
         self,
@@ -375,7 +381,6 @@
             return ranked, None
         trial = choose_trial(ranked, bad=bad, random=self._random)
         if trial is not None:
-            self._telemetry.count("bad_server_trials")
             ranked.remove(trial)
             ranked.insert(0, trial)
         return ranked, trial
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -199,6 +199,7 @@
         servers = Servers(lambda server, request: FAILED if server == NEAR else busy)
         self.assertEqual(Failed(failure=Failure.FAILED), run_single(servers.build_router()))
         self.assertEqual([NEAR, FAR, PRIMARY], servers.asked)
+        self.assertEqual(1, servers.telemetry.read("reads_repeated"))
 
     def test_writes_transactions_and_reads_of_the_primary_are_not_repeated(self) -> None:
         """Guards against statements that run twice where that could show."""
--- a/tests/test_server_health.py
+++ b/tests/test_server_health.py
@@ -9,6 +9,7 @@
 from lentilring.gateways.attempt import Attempt
 from lentilring.gateways.health import (
     JUDGEMENT_LIFETIME_S,
+    MIN_ANSWERS,
     RECOVERY_ANSWERS,
     ServerJudge,
     shows_failure,
@@ -226,6 +227,12 @@
         self.assertNotIn(NEAR, servers.asked)
 
 
+def count_bad(routers: list[StatementRouter], server: str) -> int:
+    """Return how many proxies know that a server is bad."""
+    known = [router._judgements.find_share(server) for router in routers]
+    return sum(share is not None for share in known)
+
+
 class MessagesTest(TestCase):
     def test_all_proxies_learn_of_a_bad_server_and_of_its_recovery(self) -> None:
         """Guards against a judgement that only the server's gateway knows."""
@@ -240,28 +247,46 @@
                 replica = platform.group.servers[1]
                 client = await platform.proxies["vm-1"].open("stock")
 
-                def count_bad() -> int:
-                    known = [router._judgements.find_share(replica.id) for router in routers]
-                    return sum(share is not None for share in known)
-
                 replica.faults.fails = True
                 for _ in range(10):
                     answer = await client.query("READ a")
                     self.assertIn("COMPLETE", answer[-2], answer)
-                await wait_until(lambda: count_bad() == 3, within_s=2)
+                await wait_until(lambda: count_bad(routers, replica.id) == 3, within_s=2)
                 telemetry = platform.proxies["vm-1"].telemetry
                 self.assertEqual(1, telemetry.read("servers_judged", judged="bad"))
                 self.assertEqual(1, telemetry.gauges["servers_judged_bad"].measure())
                 replica.faults.fails = False
                 gateways = platform.proxies["vm-1"].kernel.find("gateways", GatewayService)
                 for _ in range(RECOVERY_ANSWERS):
-                    self.assertNotEqual(0, count_bad())
+                    self.assertNotEqual(0, count_bad(routers, replica.id))
                     await gateways.run(build_read(replica.id))
-                await wait_until(lambda: count_bad() == 0, within_s=2)
+                await wait_until(lambda: count_bad(routers, replica.id) == 0, within_s=2)
                 self.assertEqual(1, telemetry.read("servers_judged", judged="good"))
 
         run(scenario())
 
+    def test_server_that_starts_again_is_not_judged_by_its_past(self) -> None:
+        """Guards against a new server that is asked last because of the answers of the old one."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=0) as platform:
+                for index, zone in enumerate(ZONES):
+                    await platform.add_proxy(f"vm-{index}", zone, judges_servers=True)
+                await platform.wait_ready()
+                proxies = platform.proxies.values()
+                routers = [proxy.kernel.find("statements", StatementRouter) for proxy in proxies]
+                replica = platform.group.servers[1]
+                replica.faults.fails = True
+                gateways = platform.proxies["vm-1"].kernel.find("gateways", GatewayService)
+                for _ in range(MIN_ANSWERS):
+                    await gateways.run(build_read(replica.id))
+                await wait_until(lambda: count_bad(routers, replica.id) == 3, within_s=2)
+                replica.started_ms += 1
+                platform.register(replica)
+                await wait_until(lambda: count_bad(routers, replica.id) == 0, within_s=2)
+
+        run(scenario())
+
     def test_platform_that_checks_health_enables_the_judgement(self) -> None:
         """Guards against judgements on platforms that do not ask for them."""
         document = {
