--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from random import Random
 from types import SimpleNamespace
 from typing import Any
 
@@ -74,7 +75,7 @@
     async def run_at(self, gateway: Any, request: RunStatement) -> DispatchResult:
         return await self.run(SimpleNamespace(id=request.server), request)
 
-    def build_router(self, zone: str = ZONES[1]) -> StatementRouter:
+    def build_router(self, zone: str = ZONES[1], *, seed: int = 1) -> StatementRouter:
         table = build_server_table({server.id: server for server in SERVERS})
         catalog = SimpleNamespace(
             servers=table,
@@ -92,6 +93,7 @@
             location=ProxyLocation(failure_domain=zone, region=REGIONS[zone]),
             regions=REGIONS,
             clock=self,  # type: ignore[arg-type]
+            random=Random(seed),
             telemetry=self.telemetry,
         )
 
@@ -197,6 +199,7 @@
         servers = Servers(lambda server, request: FAILED if server == NEAR else busy)
         self.assertEqual(Failed(failure=Failure.FAILED), run_single(servers.build_router()))
         self.assertEqual([NEAR, FAR, PRIMARY], servers.asked)
+        self.assertEqual(1, servers.telemetry.read("reads_repeated"))
 
     def test_writes_transactions_and_reads_of_the_primary_are_not_repeated(self) -> None:
         """Guards against statements that run twice where that could show."""
@@ -210,3 +213,43 @@
         asyncio.run(router.run_in_transaction(context, transaction, call))
         asyncio.run(router.run_in_transaction(context, transaction, call))
         self.assertEqual([PRIMARY, PRIMARY, NEAR, NEAR], servers.asked)
+
+
+class SpreadTest(TestCase):
+    def ask(
+        self, admission: Admission, zone: str, report: tuple[str, float] | None, *, age_s: float
+    ) -> dict[str, int]:
+        """Return how many of 70 proxies with the same report of a wait asked each server."""
+        servers = Servers(lambda server, request: DONE)
+        for seed in range(70):
+            router = servers.build_router(zone, seed=seed)
+            servers.now = 0.0
+            if report is not None:
+                router._slot_waits.record(*report)
+            servers.now = age_s
+            run_single(router, admission=admission)
+        return {server: servers.asked.count(server) for server in (PRIMARY, NEAR, FAR)}
+
+    def test_equal_servers_share_the_reads(self) -> None:
+        """Guards against all proxies choosing the first of two servers that are equally far."""
+        replicas = build_admission(allowed_regions=(REGIONS[ZONES[1]], REGIONS[ZONES[2]]))
+        asked = self.ask(replicas, ZONES[0], None, age_s=0.0)
+        self.assertEqual(70, asked[NEAR] + asked[FAR])
+        self.assertTrue(20 <= asked[NEAR] <= 50, asked)
+
+    def test_clearly_nearer_server_gets_all_reads(self) -> None:
+        """Guards against needless bytes between failure domains."""
+        for age_s in (0.0, 1.0, 10.0):
+            asked = self.ask(build_admission(), ZONES[1], (NEAR, 0.015), age_s=age_s)
+            self.assertEqual({PRIMARY: 0, NEAR: 70, FAR: 0}, asked)
+
+    def test_proxies_do_not_all_return_to_a_server_with_a_long_queue(self) -> None:
+        """Guards against reads that move from one server to another and back all at once.
+
+        The exact estimates let all proxies return to a slow server about 0.5 s after each report.
+        """
+        for age_s in (0.6, 1.0, 2.0):
+            asked = self.ask(build_admission(), ZONES[1], (NEAR, 0.1), age_s=age_s)
+            self.assertTrue(10 <= asked[NEAR] <= 60, (age_s, asked))
+        asked = self.ask(build_admission(), ZONES[1], (NEAR, 0.1), age_s=10.0)
+        self.assertEqual(70, asked[NEAR])
