Report the usage of client accounts to the platform

Some platforms require the requests of each client account to be reported by window. Proxies count their callers' requests; the first proxy by rank collects the counts, records them in the store by a conditional write and sends them under the version of that write as the fencing token.

--- a/lentilring/platform/boot.py
+++ b/lentilring/platform/boot.py
@@ -17,6 +17,7 @@
 DRAIN_MARGIN_S = 1.0
 # Time for the announcement to reach this proxy and for the last statements to reach the server.
 WITHDRAWAL_MARGIN_S = 1.5
+USAGE_DUTY = "usage_report"
 
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 
@@ -45,12 +46,19 @@
     quota_overage: float = 0
     quota_slack: float = 0
     evacuate_ms: float = 5000
+    report_window_s: float = 5
+    usage_late_s: float = 10
+    lease_ms: float = 3000
 
 
 class _Endpoint(_BootStruct):
     address: str
 
 
+class _CloudApi(_Endpoint):
+    duties: list[str] = []
+
+
 class BootFile(_BootStruct):
     """Hold the part of the settings file that lentilring uses."""
 
@@ -62,7 +70,7 @@
     bind_addresses: _Addresses
     internal_port_range: tuple[Port, Port]
     platform: _Endpoint
-    cloud_api: _Endpoint
+    cloud_api: _CloudApi
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
@@ -99,5 +107,8 @@
         "evacuation_grace_s": max(0.0, bounds.evacuate_ms / 1000 - WITHDRAWAL_MARGIN_S),
         "drain_timeout_s": max(0.5, bounds.grace_s - DRAIN_MARGIN_S),
         "transaction_end_time_s": bounds.grace_s / 2,
+        "report_window_s": bounds.report_window_s if USAGE_DUTY in boot.cloud_api.duties else 0.0,
+        "usage_late_s": bounds.usage_late_s,
+        "usage_lease_s": bounds.lease_ms / 1000,
     }
     return check_settings(values | extra_settings)
--- a/lentilring/platform/store.py
+++ b/lentilring/platform/store.py
@@ -22,6 +22,7 @@
     LIMIT_SETTINGS = "limit-settings"
     SECRET = "secret"
     PROMOTION = "promotion"
+    USAGE = "usage"
 
 
 class VmState(StrEnum):
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -9,7 +9,7 @@
 from .catalog.relay import RecordRelay
 from .catalog.service import CatalogService
 from .catalog.source import ProxyEntry
-from .clock import BootClock
+from .clock import BootClock, SuspensionClock
 from .gateways.dispatch import StatementDispatcher
 from .gateways.probing import PeerProber
 from .gateways.sampling import PositionSampler
@@ -24,6 +24,7 @@
 from .platform.records import PlatformRecords, PlatformStore
 from .platform.servers import PlatformServerConnector
 from .platform.statements import LineCodec
+from .platform.usage import PlatformUsage
 from .session_settings import SessionProxySettings
 from .sessions.choice import ProxyLocation
 from .sessions.listener import SessionListener
@@ -34,6 +35,9 @@
 from .takeover.service import TakeoverService
 from .telemetry.log import Log
 from .telemetry.metrics import Telemetry
+from .usage.counts import UsageCounts, Windows
+from .usage.record import UsageRecords
+from .usage.service import UsageReporter
 
 DEPLOYMENT = "lentilring"
 DEFAULT_TRANSACTION_IDLE_S = 3.0
@@ -189,6 +193,14 @@
         clock=clock,
         telemetry=telemetry,
     )
+    usage = _build_usage_reporter(
+        settings,
+        objects=objects,
+        fleet=fleet,
+        transport=transport,
+        clock=clock,
+        telemetry=telemetry,
+    )
     router = StatementRouter(
         catalog=catalog,
         dispatcher=dispatcher,
@@ -197,6 +209,7 @@
         regions=settings.regions,
         clock=clock,
         telemetry=telemetry,
+        usage=None if usage is None else usage.counts,
     )
     listener = SessionListener(
         address=settings.session_address,
@@ -232,6 +245,8 @@
         "dispatcher": dispatcher,
         "positions": sampler,
         "takeover": takeover,
+        # Stops after the sessions, whose last statements count, and before the transport.
+        **({} if usage is None else {"usage": usage}),
         "statements": router,
         "sessions": listener,
         "readiness": readiness,
@@ -242,6 +257,36 @@
     return readiness
 
 
+def _build_usage_reporter(
+    settings: SessionProxySettings,
+    *,
+    objects: ObjectClient,
+    fleet: FleetService,
+    transport: TcpTransport,
+    clock: SuspensionClock,
+    telemetry: Telemetry,
+) -> UsageReporter | None:
+    """Return the service that reports usage, None if reports are not a duty here."""
+    if not settings.report_window_s:
+        return None
+    return UsageReporter(
+        counts=UsageCounts(windows=Windows(length_s=settings.report_window_s, now=time.time)),
+        late_s=settings.usage_late_s,
+        lease_s=settings.usage_lease_s,
+        records=UsageRecords(
+            store=PlatformStore(objects=objects),
+            vm=settings.vm,
+            find_era=lambda: objects.era,
+            clock=clock,
+        ),
+        platform=PlatformUsage(address=settings.promotion_address),
+        fleet=fleet,
+        transport=transport,
+        clock=clock,
+        telemetry=telemetry,
+    )
+
+
 def _describe_local_proxy(settings: SessionProxySettings, incarnation: int) -> ProxyEntry:
     return ProxyEntry(
         vm=settings.vm,
--- a/lentilring/session_settings.py
+++ b/lentilring/session_settings.py
@@ -80,6 +80,26 @@
         float,
         Meta(ge=0, le=300, description="time from SIGTERM for open transactions, in seconds"),
     ] = 3.0
+    report_window_s: Annotated[
+        float,
+        Meta(ge=0, le=3600, description="window of usage reports, in seconds; 0: no reports"),
+    ] = 0.0
+    usage_late_s: Annotated[
+        float,
+        Meta(
+            gt=0,
+            le=3600,
+            description="time from a window's end until its report is due, in seconds",
+        ),
+    ] = 10.0
+    usage_lease_s: Annotated[
+        float,
+        Meta(
+            ge=0,
+            le=600,
+            description="time that a new reporter leaves to the earlier one, in seconds",
+        ),
+    ] = 3.0
     log_level: Annotated[LogLevel, Meta(description="lowest level of logged events")] = (
         LogLevel.INFO
     )
--- a/lentilring/sessions/calls.py
+++ b/lentilring/sessions/calls.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from ..configuration.accounts import ClientAccount
-from ..gateways.messages import StatementAnswer, StatementKind, TransactionOpening
+from ..gateways.messages import RunStatement, StatementAnswer, StatementKind, TransactionOpening
 from ..outcomes import NotRun
 from ..statements.model import (
     Done,
@@ -50,6 +50,16 @@
     prepared: PreparedStatement | None = None
 
 
+class UsageRecorder(Protocol):
+    """Count the requests of client accounts."""
+
+    def record(
+        self, call: StatementCall, request: RunStatement, answer: StatementAnswer, *, age_s: float
+    ) -> None:
+        """Count a run that began `age_s` seconds ago if it counts as a request."""
+        ...
+
+
 def may_try_another_server(answer: StatementAnswer, opening: TransactionOpening) -> bool:
     """Tell whether a read may run on another server after this answer.
 
--- a/lentilring/sessions/router.py
+++ b/lentilring/sessions/router.py
@@ -19,7 +19,13 @@
 )
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
-from .calls import AccountRateLimiter, StatementCall, build_outcome, may_try_another_server
+from .calls import (
+    AccountRateLimiter,
+    StatementCall,
+    UsageRecorder,
+    build_outcome,
+    may_try_another_server,
+)
 from .choice import ProxyLocation, WaitEstimates, rank_read_servers
 from .context import ANONYMOUS_ACCOUNT, Admission, SessionContext, SessionTransaction
 
@@ -53,10 +59,11 @@
         regions: dict[str, str],
         clock: SuspensionClock,
         telemetry: Telemetry,
+        usage: UsageRecorder | None = None,
     ) -> None:
         self._catalog, self._dispatcher, self._limiter = catalog, dispatcher, limiter
         self._location, self._regions = location, regions
-        self._clock, self._telemetry = clock, telemetry
+        self._clock, self._telemetry, self._usage = clock, telemetry, usage
         self._slot_waits = WaitEstimates(now=clock.monotonic)
         self._failure_penalties = WaitEstimates(now=clock.monotonic, half_life_s=1.0)
         self._stop_schedule: StopSchedule | None = None
@@ -176,11 +183,10 @@
         request = self._build_request(
             context, transaction.admission, call, transaction.server, TransactionOpening.NONE
         )
+        request = _assign_transaction(request, transaction.id)
         started_at = self._clock.monotonic()
-        dispatched = await self._dispatcher.run_at(
-            transaction.gateway, _assign_transaction(request, transaction.id)
-        )
-        self._log_run(transaction.admission, call, dispatched, started_at)
+        dispatched = await self._dispatcher.run_at(transaction.gateway, request)
+        self._log_run(transaction.admission, call, request, dispatched, started_at)
         return dispatched
 
     async def _run_outside_transaction(
@@ -299,7 +305,7 @@
         self._slot_waits.record(server.id, answer.wait_s)
         if answer.failure in (Failure.ABORTED, Failure.TIMED_OUT, Failure.UNCERTAIN):
             self._failure_penalties.record(server.id, admission.route.latency_target_s)
-        self._log_run(admission, call, dispatched, started_at)
+        self._log_run(admission, call, request, dispatched, started_at)
         return dispatched
 
     def _rank_read_servers(self, admission: Admission) -> list[ServerEntry]:
@@ -386,11 +392,14 @@
         self,
         admission: Admission,
         call: StatementCall,
+        request: RunStatement,
         dispatched: DispatchResult,
         started_at: float,
     ) -> None:
         answer = dispatched.answer
         duration_s = self._clock.monotonic() - started_at
+        if self._usage is not None:
+            self._usage.record(call, request, answer, age_s=duration_s)
         self._telemetry.count("statements", work=call.work, outcome=answer.failure or "done")
         self._telemetry.record_duration("statement_duration", duration_s, work=call.work)
         log.info(
--- a/lentilring/standin/prepared/store.py
+++ b/lentilring/standin/prepared/store.py
@@ -61,6 +61,7 @@
         self.faults = StoreFaults()
         self.calls: list[tuple[str, str]] = []
         self.promotions: list[tuple[str, str, str, int]] = []
+        self.usage_reports: list[tuple[str, int, int, dict[str, int]]] = []
         self.address = ""
         self._promote = promote
         self._era = 1
@@ -70,6 +71,7 @@
         self._first_event = 0
         self._changed = asyncio.Event()
         self._fences: dict[str, int] = {}
+        self._usage_fence = 0
         self._runner: web.AppRunner | None = None
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
@@ -77,6 +79,7 @@
         application = web.Application(middlewares=[self._add_era])
         application.router.add_route("*", "/objects/{path:.*}", self._answer)
         application.router.add_post("/promote", self._answer_promotion)
+        application.router.add_post("/usage", self._answer_usage)
         self._runner = web.AppRunner(
             application, access_log=None, handle_signals=False, shutdown_timeout=0.1
         )
@@ -239,3 +242,12 @@
         self._fences[service] = token
         accepted = self._promote is not None and self._promote(service, server)
         return web.json_response({}, status=200 if accepted else 409)
+
+    async def _answer_usage(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        holder, token = request.headers["X-Lease-Holder"], int(request.headers["X-Fencing-Token"])
+        if token < self._usage_fence:
+            return web.json_response({}, status=409)
+        self._usage_fence = token
+        self.usage_reports.append((holder, token, body["window-index"], body["counts"]))
+        return web.json_response({})
--- /dev/null
+++ b/lentilring/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Reports of the usage of client accounts to the platform."""
--- a/tests/prepared.py
+++ b/tests/prepared.py
@@ -270,7 +270,11 @@
 
 @asynccontextmanager
 async def run_prepared_platform(
-    *, proxies: int = 3, lag_s: float = 0.0, manifest: dict[str, Any] | None = None
+    *,
+    proxies: int = 3,
+    lag_s: float = 0.0,
+    manifest: dict[str, Any] | None = None,
+    **settings: Any,
 ) -> AsyncIterator[PreparedPlatform]:
     """Start a group of three servers, the store and proxies in three zones."""
     platform = PreparedPlatform(group=ServerGroup(service="rental", zones=ZONES, lag_s=lag_s))
@@ -280,7 +284,7 @@
     platform.register_all()
     try:
         for index in range(proxies):
-            await platform.add_proxy(f"vm-{index}", ZONES[index % len(ZONES)])
+            await platform.add_proxy(f"vm-{index}", ZONES[index % len(ZONES)], **settings)
         await platform.wait_ready()
         yield platform
     finally:
