--- a/lentilring/usage/counts.py
+++ b/lentilring/usage/counts.py
@@ -72,7 +72,7 @@
 
     def add(self, window: int, counts: Mapping[str, int]) -> None:
         """Add counts to a window, or to the next one whose counts have not been given away."""
-        window = max(window, self._newest_given + 1)
+        window = max(min(window, self.windows.find_current()), self._newest_given + 1)
         self._counts.setdefault(window, Counter()).update(counts)
         while len(self._counts) > KEPT_WINDOWS:
             del self._counts[min(self._counts)]
@@ -102,4 +102,4 @@
 
 def unpack_counts(accounts: Iterable[AccountUsage]) -> Counter[str]:
     """Return the counts in a message."""
-    return Counter({entry.account: entry.requests for entry in accounts})
+    return Counter({entry.account: entry.requests for entry in accounts if entry.requests > 0})
--- a/lentilring/usage/record.py
+++ b/lentilring/usage/record.py
@@ -35,9 +35,9 @@
     checked_at: float = 0.0
 
     @property
-    def newest_window(self) -> int | None:
-        """Return the newest recorded window."""
-        return self.reports[-1].window if self.reports else None
+    def newest_window(self) -> int:
+        """Return the newest window that needs no further record; -1 if none is known."""
+        return self.reports[-1].window if self.reports else self.accepted
 
     def find_unsent(self, *, reported: int) -> UsageReport | None:
         """Return the oldest report after window `reported` that the platform may not have."""
--- a/lentilring/usage/service.py
+++ b/lentilring/usage/service.py
@@ -1,6 +1,7 @@
 """The service `usage`: one proxy collects the counts of all and reports them to the platform."""
 
 import asyncio
+from dataclasses import replace
 
 from ..catalog.fleet import FleetService
 from ..clock import SuspensionClock
@@ -31,18 +32,19 @@
 from .reports import ReportResult, UsageReport, UsageService
 
 CHECK_INTERVAL_S = 0.25
-# A reporter that has not asked for a window's counts by then is checked, once a second.
-MISSED_S = 1.5
-RECHECK_INTERVAL_S = 1.0
-# An older record is read again before a call. A new holder waits for this time after its first
-# write, so that no call of the earlier holder follows its own.
-MAX_RECORD_AGE_S = 1.0
+# An older record is read again before a call.
+MAX_RECORD_AGE_S = 0.5
+# A call leaves at most MAX_RECORD_AGE_S and the time to connect (0.5 s) after its record was read.
+# A new holder waits for this time after its first write, so that no such call follows its own.
+LAST_CALL_S = 1.0
 RETRY_S = 0.5
 STORE_RETRY_S = 1.0
 # After failed store calls for this long, another proxy may be able to reach the store.
 STEP_BACK_S = 3.0
 # A report that the platform rejects this often is given up, so that later ones are sent.
 MAX_REJECTIONS = 3
+# After an outage, this many later windows are collected together with the one to report next.
+WINDOWS_AHEAD = 3
 HAND_OVER_TIMEOUT_S = 0.3
 
 log = Log(source="usage")
@@ -78,7 +80,6 @@
             telemetry=telemetry,
         )
         self._first_window = self._windows.find_current()
-        self._newest_asked = self._first_window - 1
         self._reported = -1
         self._held: UsageRecord | None = None
         self._rejections = 0
@@ -96,6 +97,7 @@
         self._transport.handle(AskUsage, self._handle_ask)
         self._transport.handle(AskReporter, self._handle_ask_reporter)
         self._transport.handle(HandOverUsage, self._handle_hand_over)
+        self._transport.handle_datagram(ReporterState, self._handle_state)
         self._tasks = [
             start_task("collect_usage", self._run_collecting, telemetry=self._telemetry),
             start_task("report_usage", self._run_reporting, telemetry=self._telemetry),
@@ -126,17 +128,20 @@
             log.warning("usage_not_handed_over", peer=others[0].vm, detail=error)
 
     async def _handle_ask(self, sender: Sender, request: AskUsage) -> UsageCounted:
-        self._newest_asked = max(self._newest_asked, request.window)
-        self._reported = max(self._reported, request.reported)
-        self._duty.restore(sender.vm)
         counts = self.counts.give(request.window)
         if counts is None:
             return UsageCounted(has_begun=False)
+        self._reported = max(self._reported, min(request.reported, request.window))
+        self._duty.restore(sender.vm)
         return UsageCounted(has_begun=True, accounts=pack_counts(counts))
 
     async def _handle_ask_reporter(self, sender: Sender, request: AskReporter) -> ReporterState:
         return ReporterState(is_reporter=self._duty.is_local())
 
+    def _handle_state(self, sender: Sender, state: ReporterState) -> None:
+        if not state.is_reporter:
+            self._duty.pass_over(sender.vm)
+
     async def _handle_hand_over(self, sender: Sender, request: HandOverUsage) -> UsageTaken:
         for entry in request.windows:
             self.counts.add(entry.window, unpack_counts(entry.accounts))
@@ -146,15 +151,11 @@
         """Collect each window as it ends; check on the reporter if another proxy is it."""
         while True:
             await self._clock.sleep(CHECK_INTERVAL_S)
-            due = self._collector.find_newest_due()
             if self._duty.is_local():
-                self._collector.begin(due)
-                continue
-            self._collector.forget()
-            missed = self._windows.find(self._windows.now() - MISSED_S) - 1
-            if self._fleet.is_synchronized and missed > self._newest_asked:
+                self._collector.begin(self._collector.find_newest_due())
+            else:
+                self._collector.forget()
                 await self._duty.check_reporter()
-                await self._clock.sleep(RECHECK_INTERVAL_S)
 
     async def _run_reporting(self) -> None:
         while True:
@@ -175,9 +176,16 @@
             self._failing_since = now
             log.warning("usage_store_unavailable", detail=error.detail)
         elif now - self._failing_since >= STEP_BACK_S:
-            self._duty.pass_over(self._fleet.local.vm)
+            self._step_back()
         self._held = None
 
+    def _step_back(self) -> None:
+        """Leave the duty to other proxies for a while."""
+        log.warning("usage_reporter_stepped_back")
+        self._duty.pass_over(self._fleet.local.vm)
+        for entry in self._fleet.others():
+            self._transport.send_datagram(entry.address, ReporterState(is_reporter=False))
+
     def _note_success(self) -> None:
         self._failing_since = None
         self._duty.restore(self._fleet.local.vm)
@@ -206,17 +214,20 @@
         is_others = previous.vm not in ("", local_vm)
         if is_others:
             log.info("usage_takeover_begun", holder=previous.vm, version=previous.version)
-            await self._clock.sleep(self._lease_s)
+            await self._clock.sleep(max(self._lease_s - LAST_CALL_S, self._lease_s / 2))
             current = await self._records.read()
             if not self._duty.is_local() or current.version != previous.version:
                 log.info("usage_takeover_ended", holder=current.vm, version=current.version)
                 return None
+        if previous.newest_window < 0:
+            # Reports begin with the window in which the first reporter started.
+            previous = replace(previous, accepted=self._first_window - 1)
         claimed = await self._records.claim(previous)
         if claimed is None:
             return None
         log.info("usage_taken_over", holder=previous.vm or "-", token=claimed.version)
         if is_others:
-            await self._clock.sleep(MAX_RECORD_AGE_S)
+            await self._clock.sleep(LAST_CALL_S)
         self._held = claimed
         return claimed
 
@@ -259,23 +270,26 @@
 
     def _find_next_window(self, held: UsageRecord) -> int | None:
         """Return the oldest window without a record that can be collected now."""
-        newest = held.newest_window
         due = self._collector.find_newest_due()
-        following = self._first_window if newest is None else newest + 1
+        # The store may have returned from a copy without reports that were sent.
+        following = max(held.newest_window, self._reported) + 1
         oldest_kept = due - KEPT_WINDOWS + 1
         if following < oldest_kept:
-            log.error("usage_windows_skipped", first=following, last=oldest_kept - 1)
+            log.warning("usage_windows_skipped", first=following, last=oldest_kept - 1)
             following = oldest_kept
         return following if following <= due else None
 
     async def _record(self, window: int, held: UsageRecord) -> None:
+        due = self._collector.find_newest_due()
+        for later in range(window + 1, min(due, window + WINDOWS_AHEAD) + 1):
+            self._collector.begin(later)
         collected = await self._collector.collect(window)
         if collected is None:
             return
         if not collected.has_begun:
             log.error("usage_clock_differs", window=window)
             self._collector.forget()
-            await self._clock.sleep(RETRY_S)
+            self._step_back()
             return
         report = UsageReport(window=window, counts=collected.counts)
         accepted = max(held.accepted, self._reported)
