--- a/lentilring/sessions/router.py
+++ b/lentilring/sessions/router.py
@@ -25,6 +25,7 @@
     AccountRateLimiter,
     ReadAttempts,
     StatementCall,
+    UsageRecorder,
     build_outcome,
 )
 from .choice import (
@@ -78,10 +79,12 @@
         clock: SuspensionClock,
         random: Random,
         telemetry: Telemetry,
+        usage: UsageRecorder | None = None,
     ) -> None:
         self._catalog, self._dispatcher, self._limiter = catalog, dispatcher, limiter
         self._location, self._regions = location, regions
-        self._clock, self._random, self._telemetry = clock, random, telemetry
+        self._clock, self._random = clock, random
+        self._telemetry, self._usage = telemetry, usage
         self._slot_waits = WaitEstimates(now=clock.monotonic)
         self._failure_penalties = WaitEstimates(now=clock.monotonic, half_life_s=1.0)
         self._replica_lag = ReplicaLag(now=clock.monotonic)
@@ -226,12 +229,11 @@
         request = self._build_request(
             context, transaction.admission, call, transaction.server, TransactionOpening.NONE
         )
+        request = _assign_transaction(request, transaction.id)
         _mark_begun(transaction.admission)
         started_at = self._clock.monotonic()
-        dispatched = await self._dispatcher.run_at(
-            transaction.gateway, _assign_transaction(request, transaction.id)
-        )
-        self._log_run(transaction.admission, call, dispatched, started_at)
+        dispatched = await self._dispatcher.run_at(transaction.gateway, request)
+        self._record_run(transaction.admission, call, request, dispatched, started_at)
         return dispatched
 
     async def _run_outside_transaction(
@@ -384,7 +386,7 @@
             self.record_judgement(server.id, dispatched.gateway.vm, answer.bad_share)
         if answer.failure in (Failure.ABORTED, Failure.TIMED_OUT, Failure.UNCERTAIN):
             self._failure_penalties.record(server.id, admission.route.latency_target_s)
-        self._log_run(admission, call, dispatched, started_at)
+        self._record_run(admission, call, request, dispatched, started_at)
         return dispatched
 
     def _rank_read_servers(
@@ -485,15 +487,18 @@
             manifest_age_s=round(self._catalog.manifest_age_s(), 2),
         )
 
-    def _log_run(
+    def _record_run(
         self,
         admission: Admission,
         call: StatementCall,
+        request: RunStatement,
         dispatched: DispatchResult,
         started_at: float,
     ) -> None:
         answer = dispatched.answer
         duration_s = self._clock.monotonic() - started_at
+        if self._usage is not None:
+            self._usage.record(call, request, answer, age_s=duration_s)
         self._telemetry.count("statements", work=call.work, outcome=answer.failure or "done")
         self._telemetry.record_duration("statement_duration", duration_s, work=call.work)
         log.info(
