Do not wait again for a position that could not be obtained

While a primary did not respond, each read of a replica waited about 0.5 s for it before it was refused. ProvenPositionHistory remembers that a position was missing: reads do not wait for 0.1 s, and then for at most 0.1 s until a position is added again.

--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -1,6 +1,7 @@
 """The gateway of one backend server: its connections, slots and open transactions."""
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import replace
@@ -392,15 +393,25 @@
         if needs_own_lease and not await self._finish_in_time(attempt, self._ensure_leadership()):
             return LEADERSHIP_UNCERTAIN
         if attempt.needs_position and self._find_required_position(attempt) is None:
-            await self._finish_in_time(attempt, self._refresh_positions())
-            if self._find_required_position(attempt) is None:
-                return POSITION_UNKNOWN
+            return await self._wait_for_position(attempt)
         return None
 
-    async def _finish_in_time(self, attempt: Attempt, call: Awaitable[T]) -> T | None:
+    async def _wait_for_position(self, attempt: Attempt) -> Failed | None:
+        allowed_s = self.history.allowed_wait_s(self._clock.boottime())
+        if not allowed_s:
+            return POSITION_UNKNOWN
+        await self._finish_in_time(attempt, self._refresh_positions(), timeout_s=allowed_s)
+        if self._find_required_position(attempt) is None:
+            self.history.record_missing(self._clock.boottime())
+            return POSITION_UNKNOWN
+        return None
+
+    async def _finish_in_time(
+        self, attempt: Attempt, call: Awaitable[T], *, timeout_s: float = math.inf
+    ) -> T | None:
         """Return the result of a call, None if it does not end within the statement's time."""
         try:
-            async with asyncio.timeout(self._remaining_s(attempt)):
+            async with asyncio.timeout(min(timeout_s, self._remaining_s(attempt))):
                 return await call
         except TimeoutError:
             return None
--- a/lentilring/gateways/sampling.py
+++ b/lentilring/gateways/sampling.py
@@ -108,6 +108,7 @@
         if proven is None or proven.term == 0:
             self._telemetry.count("position_samples", result="missing")
             log.info("position_missing", service=service, primary=primary.id)
+            self._gateways.get_history(service).record_missing(self._clock.boottime())
             return
         position = Position(term=proven.term, number=proven.number)
         self._commit_silence_s[service] = proven.commit_silence_s
--- a/tests/test_server_queue.py
+++ b/tests/test_server_queue.py
@@ -10,7 +10,7 @@
 from lentilring.gateways.attempt import RunResult
 from lentilring.gateways.gateway import ServerGateway
 from lentilring.gateways.messages import RunStatement, StatementKind, TransactionOpening
-from lentilring.gateways.positions import ProvenPositionHistory
+from lentilring.gateways.positions import MISSING_RETRY_S, ProvenPositionHistory
 from lentilring.gateways.server import ServerRefused, ServerReply
 from lentilring.statements.model import Done, Failed, Failure, Position, TransactionState
 from lentilring.telemetry.metrics import Telemetry
@@ -248,3 +248,36 @@
             self.assertLess(took_s, 0.25)
 
         run_virtual(scenario())
+
+    def test_position_that_could_not_be_had_is_not_waited_for_again(self) -> None:
+        """Guards against reads that each wait 0.5 s for the same unresponsive primary."""
+
+        async def scenario() -> None:
+            bench = Bench()
+            _, first_s = await bench.time_run(max_staleness_s=0.5)
+            result, second_s = await bench.time_run(max_staleness_s=0.5)
+            self.assertEqual(Failure.BEHIND, find_failure(result))
+            self.assertEqual((SILENCE_S, 0.0, 1), (first_s, second_s, bench.refreshes))
+            await asyncio.sleep(MISSING_RETRY_S + 0.01)
+            result, third_s = await bench.time_run(max_staleness_s=0.5)
+            self.assertEqual(Failure.BEHIND, find_failure(result))
+            self.assertAlmostEqual(MISSING_RETRY_S, third_s)
+
+        run_virtual(scenario())
+
+    def test_primary_that_answers_again_serves_the_next_reads(self) -> None:
+        """Guards against reads that are refused although the primary proves positions again."""
+
+        async def scenario() -> None:
+            bench = Bench()
+            await bench.run(max_staleness_s=0.5)
+
+            async def answer() -> None:
+                await asyncio.sleep(0.024)
+                bench.history.add(POSITION, bench.clock.boottime())
+
+            bench.refresh = answer
+            await asyncio.sleep(MISSING_RETRY_S + 0.01)
+            self.assertIsNone(find_failure(await bench.run(max_staleness_s=0.5)))
+
+        run_virtual(scenario())
