Count statements that wait for a position or a lease when draining

A drain ends when no statement waits or runs at the gateways. Statements that wait for a position or a lease before the queue were not counted since, so that a stop could end before they were answered.

--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -119,6 +119,10 @@
         """Tell whether statements wait or run."""
         return bool(self._attempts)
 
+    def count_statements(self) -> int:
+        """Return the number of statements that wait or run."""
+        return len(self._attempts)
+
     async def run(self, request: RunStatement) -> RunResult:
         """Run one statement; the failure of its result tells whether it may have taken effect."""
         attempt = Attempt(request=request, deadline=self._clock.monotonic() + request.timeout_s)
--- a/lentilring/gateways/service.py
+++ b/lentilring/gateways/service.py
@@ -127,9 +127,7 @@
 
     def count_running(self) -> int:
         """Return the number of statements that run or wait at this proxy's gateways."""
-        return sum(
-            gateway.slots.running + len(gateway.slots) for gateway in self._list_busy_gateways()
-        )
+        return sum(gateway.count_statements() for gateway in self._list_busy_gateways())
 
     def _list_busy_gateways(self) -> list[ServerGateway]:
         """Return all gateways at which statements may run."""
--- a/tests/test_server_queue.py
+++ b/tests/test_server_queue.py
@@ -281,3 +281,16 @@
             self.assertIsNone(find_failure(await bench.run(max_staleness_s=0.5)))
 
         run_virtual(scenario())
+
+    def test_stop_waits_for_reads_that_wait_for_a_position(self) -> None:
+        """Guards against a drain that ends before such reads are answered."""
+
+        async def scenario() -> None:
+            bench = Bench()
+            waiting = start(bench.run(max_staleness_s=0.5))
+            await asyncio.sleep(0)
+            self.assertEqual(1, bench.gateway.count_statements())
+            await waiting
+            self.assertEqual(0, bench.gateway.count_statements())
+
+        run_virtual(scenario())
