Assign a slot only when a connection can be had at once

Statements outside of transactions held a slot while they waited for a connection. When idle transactions held all connections, the statements that end these transactions got no slot. SlotQueue now admits such a statement only while the pool can grant a connection, and the grant is taken in the same step; statements of open transactions need only a slot. The pool calls the queue when a connection is released, closed or given back, and when its limit may have changed. A statement that meets a full server leaves its slot and goes ahead of its account's others; if the pool has closed a connection just before, it keeps its grant. Those that wait are refused at once when the server is unreachable or was replaced. While connections are short, the wait told to callers is at least the time since they ran out.

--- a/lentilring/gateways/attempt.py
+++ b/lentilring/gateways/attempt.py
@@ -6,7 +6,7 @@
 
 from ..statements.model import Failed, Failure, StatementOutcome
 from .messages import RunStatement, StatementKind, TransactionOpening
-from .pool import PooledConnection
+from .pool import ConnectionGrant, PooledConnection
 
 # Fraction of a server's connections that its gateway leaves free for lease renewals, takeovers and
 # other gateways. With only 2 of 16 free, takeovers were refused connections (khaima-ops trouble-1).
@@ -50,6 +50,7 @@
     request: RunStatement
     deadline: float
     transaction: GatewayTransaction | None = None
+    grant: ConnectionGrant | None = None
     connection: PooledConnection | None = None
     position_age_s: float | None = None
     was_sent: bool = False
--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -32,7 +32,7 @@
     needs_primary,
 )
 from .messages import RunStatement, StatementKind, TransactionOpening
-from .pool import CONTROL_TIMEOUT_S, ConnectionPool, PooledConnection, apply_session
+from .pool import CLOSE_DELAY_S, CONTROL_TIMEOUT_S, ConnectionPool, PooledConnection, apply_session
 from .positions import ProvenPositionHistory
 from .server import ServerConnector, ServerLost, ServerRefused, ServerReply, ServerUnreachable
 from .slots import IN_TRANSACTION, SlotQueue, SlotRefusal
@@ -87,7 +87,6 @@
     ) -> None:
         self.server = server
         self.history = history
-        self.slots = SlotQueue(clock=clock, slots=server.slots)
         self.pool = ConnectionPool(
             server=server,
             connector=connector,
@@ -98,6 +97,12 @@
             clock=clock,
             telemetry=telemetry,
         )
+        self.slots = SlotQueue(
+            clock=clock,
+            slots=server.slots,
+            has_connection=lambda: self.pool.is_available,
+        )
+        self.pool.on_available = self.slots.admit_waiting
         self.transactions: dict[str, GatewayTransaction] = {}
         self._clock, self._telemetry = clock, telemetry
         self._make_transaction_id = make_transaction_id
@@ -141,6 +146,7 @@
             self._give_up(attempt, repr(error))
             raise
         finally:
+            self._give_back_grant(attempt)
             del self._attempts[task]
 
     def end_statements(self, *, only_unsent: bool) -> list[asyncio.Task[Any]]:
@@ -164,29 +170,57 @@
                     return build_failed_result(Failure.NOT_PRIMARY, "another server leads now")
             if (refusal := self._refuse_new_work(self.server)) is not None:
                 return RunResult(outcome=refusal)
-            if self._clock.monotonic() < self._unreachable_until:
-                result = build_failed_result(
-                    Failure.OVERLOADED, "the server did not take a connection lately"
-                )
-                return replace(result, is_unreachable=True)
+            if (unreachable := self._refuse_unreachable()) is not None:
+                return unreachable
         if (late := self._refuse_late(attempt)) is not None:
             return late
         if (refusal := await self._obtain_requirements(attempt)) is not None:
             self._record_refusal(attempt, refusal.failure)
             return RunResult(outcome=refusal)
-        rank = IN_TRANSACTION if request.transaction else 1 + request.priority
-        slot_refusal = await self.slots.acquire(
-            request.account, rank=rank, patience_s=min(request.patience_s, request.timeout_s)
-        )
-        if slot_refusal is not None:
-            return self._refuse_without_slot(attempt, slot_refusal)
-        started_at = self._clock.monotonic()
-        try:
-            return await self._run_in_slot(attempt)
-        finally:
-            cost_s = self._clock.monotonic() - started_at
-            self._telemetry.record_duration("slot_duration", cost_s)
-            self.slots.release(request.account, rank=rank, cost_s=cost_s)
+        return await self._run_when_admitted(attempt)
+
+    async def _run_when_admitted(self, attempt: Attempt) -> RunResult:
+        request = attempt.request
+        patience_s = min(request.patience_s, request.timeout_s)
+        waits_until = self._clock.monotonic() + patience_s
+        is_repeated = False
+        while True:
+            holds_connection = attempt.transaction is not None or attempt.grant is not None
+            rank = IN_TRANSACTION if holds_connection else 1 + request.priority
+            slot_refusal = await self.slots.acquire(
+                request.account,
+                rank=rank,
+                patience_s=patience_s,
+                on_admitted=lambda: self._take_connection(attempt),
+                is_repeated=is_repeated,
+            )
+            if slot_refusal is not None:
+                return self._refuse_without_slot(attempt, slot_refusal)
+            started_at = self._clock.monotonic()
+            try:
+                result = await self._run_in_slot(attempt)
+            finally:
+                cost_s = self._clock.monotonic() - started_at
+                self._telemetry.record_duration("slot_duration", cost_s)
+                self.slots.release(request.account, rank=rank, cost_s=cost_s)
+            if result is not None:
+                return result
+            # The server was full.
+            if attempt.grant is not None:
+                await self._clock.sleep(CLOSE_DELAY_S)
+            is_repeated = True
+            patience_s = waits_until - self._clock.monotonic()
+            if patience_s <= 0:
+                return self._refuse_without_connection(attempt)
+
+    def _take_connection(self, attempt: Attempt) -> None:
+        if attempt.transaction is None and attempt.grant is None:
+            attempt.grant = self.pool.grant(attempt.request.account)
+
+    def _give_back_grant(self, attempt: Attempt) -> None:
+        if attempt.grant is not None:
+            self.pool.give_back(attempt.grant)
+            attempt.grant = None
 
     async def end_transaction(self, transaction_id: str) -> bool:
         """Roll a transaction back, after the statement that it runs; return False if not open."""
@@ -267,6 +301,8 @@
         return transaction
 
     def _refuse_without_slot(self, attempt: Attempt, slot_refusal: SlotRefusal) -> RunResult:
+        if slot_refusal.lacks_connection:
+            return self._refuse_without_connection(attempt)
         self._record_refusal(
             attempt,
             "slots",
@@ -285,6 +321,20 @@
             )
         )
 
+    def _refuse_without_connection(self, attempt: Attempt) -> RunResult:
+        self._record_refusal(attempt, "connections", queued=len(self.slots))
+        refused = self.pool.build_refusal()
+        return build_failed_result(refused.failure, refused.detail)
+
+    def _refuse_unreachable(self) -> RunResult | None:
+        """Refuse a statement shortly after the server could not be reached."""
+        if self._clock.monotonic() >= self._unreachable_until:
+            return None
+        result = build_failed_result(
+            Failure.OVERLOADED, "the server did not take a connection lately"
+        )
+        return replace(result, is_unreachable=True)
+
     def _refuse_late(self, attempt: Attempt) -> RunResult | None:
         """Refuse a statement that this proxy could not answer before it stops."""
         if not self._is_too_late(attempt.request.work, self._remaining_s(attempt)):
@@ -307,11 +357,16 @@
             **details,
         )
 
-    async def _run_in_slot(self, attempt: Attempt) -> RunResult:
+    async def _run_in_slot(self, attempt: Attempt) -> RunResult | None:
+        """Run a statement; return None if it did not run because the server is full."""
         # A statement may have waited long for its slot.
         if (late := self._refuse_late(attempt)) is not None:
             return late
+        if attempt.transaction is None and (refused := self._refuse_unreachable()) is not None:
+            return refused
         try:
+            if not await self._open_connection(attempt):
+                return None
             outcome, state = await self._run_steps(attempt)
         except ServerRefused as error:
             return self._fail_statement(attempt, error.failure, error.detail)
@@ -333,7 +388,7 @@
         request = attempt.request
         connection = await self._prepare_connection(attempt)
         if attempt.transaction is None:
-            # The server may have stopped accepting work during the wait for a slot or connection.
+            # The server may have stopped accepting work during the wait for a slot.
             refusal = self._refuse_new_work(self.server)
             if refusal is not None:
                 return refusal, TransactionState.IDLE
@@ -368,15 +423,22 @@
         ended = await connection.session.roll_back(timeout_s=CONTROL_TIMEOUT_S)
         return reply.outcome, ended.state
 
-    async def _prepare_connection(self, attempt: Attempt) -> PooledConnection:
-        request = attempt.request
+    async def _open_connection(self, attempt: Attempt) -> bool:
+        """Get the connection of a statement; return False if the server is full."""
         if attempt.transaction is not None:
-            connection = attempt.transaction.connection
-        else:
-            connection = await self.pool.acquire(
-                request.account, timeout_s=min(request.patience_s, self._remaining_s(attempt))
-            )
-        attempt.connection = connection
+            attempt.connection = attempt.transaction.connection
+            return True
+        grant = attempt.grant
+        assert grant is not None
+        timeout_s = min(attempt.request.patience_s, self._remaining_s(attempt))
+        attempt.connection = await self.pool.open(grant, timeout_s=timeout_s)
+        if grant.is_spent:
+            attempt.grant = None
+        return attempt.connection is not None
+
+    async def _prepare_connection(self, attempt: Attempt) -> PooledConnection:
+        request, connection = attempt.request, attempt.connection
+        assert connection is not None
         prepared = None
         if request.prepared_name:
             prepared = PreparedStatement(
--- a/lentilring/gateways/pool.py
+++ b/lentilring/gateways/pool.py
@@ -47,6 +47,15 @@
     last_used_at: float = 0.0
 
 
+@dataclass(kw_only=True, eq=False)
+class ConnectionGrant:
+    """Hold the right to a connection: an idle one, or to open one. It is used once."""
+
+    account: str
+    connection: PooledConnection | None
+    is_spent: bool = False
+
+
 class ConnectionPool:
     """Open, keep and close connections within a limit."""
 
@@ -68,7 +77,9 @@
         self._idle: dict[str, list[PooledConnection]] = {}
         self._in_use: set[PooledConnection] = set()
         self._opening = 0
-        self._waiters: deque[asyncio.Future[None]] = deque()
+        self._waiters: deque[tuple[str, asyncio.Future[ConnectionGrant]]] = deque()
+        # Called whenever a connection may have become available.
+        self.on_available: Callable[[], None] = _ignore
 
     @property
     def limit(self) -> int:
@@ -85,48 +96,87 @@
         idle = sum(len(entries) for entries in self._idle.values())
         return idle + len(self._in_use) + self._opening
 
+    @property
+    def is_available(self) -> bool:
+        """Tell whether a connection can be granted now; a closed pool grants and then fails."""
+        return self._is_closed or any(self._idle.values()) or self.open_count < self.limit
+
+    def grant(self, account: str) -> ConnectionGrant:
+        """Give the right to a connection of an account; only while `is_available`."""
+        connection = self._acquire_idle(account)
+        if connection is None:
+            if self.open_count >= self.limit:
+                self._close_oldest_idle()
+            self._opening += 1
+        return ConnectionGrant(account=account, connection=connection)
+
+    def give_back(self, grant: ConnectionGrant) -> None:
+        """Take back a grant that is not used; a spent one is ignored."""
+        if grant.is_spent:
+            return
+        grant.is_spent = True
+        if grant.connection is not None:
+            self.release(grant.connection)
+            return
+        self._opening -= 1
+        self._notify()
+
+    async def open(self, grant: ConnectionGrant, *, timeout_s: float) -> PooledConnection | None:
+        """Return the connection of a grant; raise ServerUnreachable or ServerRefused.
+
+        Return None if the server is full. If the grant is not spent then, the server may take a
+        connection after CLOSE_DELAY_S; otherwise one of this pool may become free.
+        """
+        connection = grant.connection
+        if connection is None or connection.session.is_closed:
+            return await self._open_new(grant, timeout_s)
+        grant.is_spent = True
+        return connection
+
     async def acquire(self, account: str, *, timeout_s: float) -> PooledConnection:
         """Return a connection of an account; raise ServerUnreachable or ServerRefused."""
         deadline = self._clock.monotonic() + timeout_s
         while True:
-            idle = self._acquire_idle(account)
-            if idle is not None:
-                return idle
-            if self.open_count < self.limit or self._close_oldest_idle():
-                opened = await self._open(account, max(0.001, deadline - self._clock.monotonic()))
-                if opened is not None:
-                    return opened
+            if self.is_available and not self._waiters:
+                grant = self.grant(account)
             else:
-                await self._wait_for_release(deadline)
+                grant = await self._wait_for_grant(account, deadline)
+            try:
+                while not grant.is_spent:
+                    remaining_s = max(0.001, deadline - self._clock.monotonic())
+                    connection = await self.open(grant, timeout_s=remaining_s)
+                    if connection is not None:
+                        return connection
+                    if not grant.is_spent:
+                        await self._clock.sleep(CLOSE_DELAY_S)
+            finally:
+                self.give_back(grant)
 
     def release(self, connection: PooledConnection) -> None:
         """Take back a connection whose session is outside of a transaction."""
         self._in_use.discard(connection)
         if connection.session.is_closed or self.open_count >= self.limit:
             connection.session.close()
-            self._wake_waiter()
+            self._notify()
             return
         connection.last_used_at = self._clock.monotonic()
         self._idle.setdefault(connection.account, []).append(connection)
-        self._wake_waiter()
+        self._notify()
 
     def discard(self, connection: PooledConnection) -> None:
         """Close a connection."""
         self._in_use.discard(connection)
         connection.session.close()
-        self._wake_waiter()
+        self._notify()
 
     def trim(self) -> None:
         """Close idle connections that another gateway may need."""
         while self.open_count > self.limit and self._close_oldest_idle():
             pass
-        if self._keeps_idle():
-            return
-        oldest = self._clock.monotonic() - STANDBY_IDLE_S
-        for entries in self._idle.values():
-            for connection in [entry for entry in entries if entry.last_used_at < oldest]:
-                entries.remove(connection)
-                connection.session.close()
+        if not self._keeps_idle():
+            self._close_unused()
+        # The limit may have risen.
+        self._notify()
 
     def close(self) -> None:
         """Close all idle connections; those in use are closed when they are released."""
@@ -135,6 +185,14 @@
             for connection in entries:
                 connection.session.close()
         self._idle.clear()
+        self._notify()
+
+    def _close_unused(self) -> None:
+        oldest = self._clock.monotonic() - STANDBY_IDLE_S
+        for entries in self._idle.values():
+            for connection in [entry for entry in entries if entry.last_used_at < oldest]:
+                entries.remove(connection)
+                connection.session.close()
 
     def _acquire_idle(self, account: str) -> PooledConnection | None:
         entries = self._idle.get(account, [])
@@ -156,32 +214,35 @@
         self._telemetry.count("gateway_connections_evicted")
         return True
 
-    async def _open(self, account: str, timeout_s: float) -> PooledConnection | None:
-        """Open a connection; None if the server is full and one of this pool may become free."""
-        self._opening += 1
+    async def _open_new(self, grant: ConnectionGrant, timeout_s: float) -> PooledConnection | None:
+        if self._is_closed:
+            raise ServerUnreachable(server=self.server.id, detail="the server was replaced")
+        if grant.connection is not None:
+            self._in_use.discard(grant.connection)
+            grant.connection = None
+            self._opening += 1
         try:
             session = await self._connector.connect(
-                self.server, account=account, timeout_s=min(timeout_s, CONNECT_TIMEOUT_S)
+                self.server, account=grant.account, timeout_s=min(timeout_s, CONNECT_TIMEOUT_S)
             )
         except ServerRefused as refused:
             if refused.failure is not Failure.CONNECTIONS_EXHAUSTED:
                 raise
-            await self._handle_full_server(refused)
+            self._handle_full_server(grant, refused)
             return None
-        finally:
-            self._opening -= 1
         self._telemetry.count("gateway_connections_opened")
-        connection = PooledConnection(session=session, account=account)
+        grant.is_spent = True
+        self._opening -= 1
+        connection = PooledConnection(session=session, account=grant.account)
         self._in_use.add(connection)
         return connection
 
-    async def _handle_full_server(self, refused: ServerRefused) -> None:
+    def _handle_full_server(self, grant: ConnectionGrant, refused: ServerRefused) -> None:
         """Limit the pool to the connections that it has, as a full server accepts no more.
 
         Raise the refusal if the pool has none.
         """
         if self._clock.monotonic() - self._evicted_at < 2 * CLOSE_DELAY_S:
-            await self._clock.sleep(CLOSE_DELAY_S)
             return
         open_connections = self.open_count - self._opening
         self._telemetry.count("gateway_server_full")
@@ -192,29 +253,45 @@
             raise refused
         self._full_limit = open_connections
         self._full_until = self._clock.monotonic() + FULL_LIMIT_S
+        asyncio.get_running_loop().call_later(FULL_LIMIT_S, self._notify)
+        self.give_back(grant)
 
-    async def _wait_for_release(self, deadline: float) -> None:
-        waiter = asyncio.get_running_loop().create_future()
+    async def _wait_for_grant(self, account: str, deadline: float) -> ConnectionGrant:
+        granted: asyncio.Future[ConnectionGrant] = asyncio.get_running_loop().create_future()
+        waiter = (account, granted)
         self._waiters.append(waiter)
         try:
             async with asyncio.timeout(max(0.0, deadline - self._clock.monotonic())):
-                await waiter
-        except TimeoutError as error:
-            raise ServerRefused(
-                server=self.server.id,
-                failure=Failure.CONNECTIONS_EXHAUSTED,
-                detail=f"all {self.limit} connections are in use",
-            ) from error
+                return await granted
+        except BaseException as error:
+            if granted.done() and not granted.cancelled():
+                self.give_back(granted.result())
+            if isinstance(error, TimeoutError):
+                raise self.build_refusal() from error
+            raise
         finally:
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
 
-    def _wake_waiter(self) -> None:
-        while self._waiters:
-            waiter = self._waiters.popleft()
-            if not waiter.done():
-                waiter.set_result(None)
-                return
+    def build_refusal(self) -> ServerRefused:
+        """Return the refusal of a statement that got no connection."""
+        return ServerRefused(
+            server=self.server.id,
+            failure=Failure.CONNECTIONS_EXHAUSTED,
+            detail=f"all {self.limit} connections are in use",
+        )
+
+    def _notify(self) -> None:
+        """Grant connections to waiting proofs, then let statements take the others."""
+        while self._waiters and self.is_available:
+            account, granted = self._waiters.popleft()
+            if not granted.done():
+                granted.set_result(self.grant(account))
+        self.on_available()
+
+
+def _ignore() -> None:
+    """Do nothing; used until a queue is registered."""
 
 
 async def apply_session(
--- a/lentilring/gateways/slots.py
+++ b/lentilring/gateways/slots.py
@@ -2,7 +2,9 @@
 
 It handles an account that sends many times its usual load while others send their usual load, and
 more work than a server's slots can run. Statements of open transactions come first, because they
-hold a connection; then statements by priority; within a priority, accounts share equally.
+hold a connection; then statements by priority; within a priority, accounts share equally. While
+idle transactions hold all connections, other statements wait without a slot, so that the statements
+that end these transactions get one.
 """
 
 import asyncio
@@ -22,59 +24,99 @@
 @dataclass(kw_only=True, eq=False)
 class _Waiter:
     admitted: asyncio.Future[None]
+    on_admitted: Callable[[], None]
 
 
 @dataclass(frozen=True, kw_only=True)
 class SlotRefusal:
-    """Say that a statement is refused, because it would wait longer than it may."""
+    """Say that a statement is refused, because it would wait longer than it may.
+
+    `lacks_connection` says that a slot was free, but no connection to the server.
+    """
 
     expected_wait_s: float
+    lacks_connection: bool = False
 
 
 class SlotQueue:
     """Assign the slots of one server to statements; rank 0 goes first.
 
-    `limit` returns how many statements may be at the server at once. Call `admit_waiting` after it
-    has risen.
+    `limit` returns how many statements may be at the server at once, `has_connection` whether a
+    statement outside of transactions can have a connection at once; without one it gets no slot.
+    Call `admit_waiting` after one of them has changed.
     """
 
-    def __init__(self, *, clock: Clock, slots: int, limit: Callable[[], int] | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        slots: int,
+        limit: Callable[[], int] | None = None,
+        has_connection: Callable[[], bool] = lambda: True,
+    ) -> None:
         self._clock = clock
         self._limit = limit or (lambda: slots + MAX_WAITING_AT_SERVER)
+        self._has_connection = has_connection
         self.running = 0
         self._queues: dict[int, FairQueue[_Waiter]] = {}
         self._average_cost_s = 0.005
+        self._without_connection_since: float | None = None
 
     def __len__(self) -> int:
         return sum(len(queue) for queue in self._queues.values())
 
     def expected_wait_s(self, account: str, rank: int) -> float:
-        """Estimate the wait of a new statement from those ahead of it and their average cost."""
+        """Estimate the wait of a new statement.
+
+        While no connection is available, one is not expected sooner than the time since statements
+        began to wait for one.
+        """
+        estimated_s = self._estimate_wait_s(account, rank)
+        since = self._without_connection_since
+        if rank == IN_TRANSACTION or since is None or self._has_connection():
+            return estimated_s
+        return max(estimated_s, self._clock.monotonic() - since)
+
+    def _estimate_wait_s(self, account: str, rank: int) -> float:
+        """Estimate the wait for a slot from the statements ahead and their average cost."""
         limit = max(1, self._limit())
-        if self.running < limit and not len(self):
-            return 0.0
         ahead = sum(len(queue) for key, queue in self._queues.items() if key < rank)
         same_rank = self._queues.get(rank)
+        if self.running < limit and not ahead and not same_rank:
+            return 0.0
         same_rank_s = 0.0 if same_rank is None else same_rank.expected_wait_s(account, limit)
         # The next slot becomes free after half a statement on average.
         return same_rank_s + (ahead + 0.5) * self._average_cost_s / limit
 
-    async def acquire(self, account: str, *, rank: int, patience_s: float) -> SlotRefusal | None:
-        """Wait for a slot; return None once it is acquired."""
+    async def acquire(
+        self,
+        account: str,
+        *,
+        rank: int,
+        patience_s: float,
+        on_admitted: Callable[[], None] = lambda: None,
+        is_repeated: bool = False,
+    ) -> SlotRefusal | None:
+        """Wait for a slot; return None once it is acquired.
+
+        `on_admitted` is called in the moment when the slot is assigned. A repeated statement had a
+        slot without running and goes ahead of others of its account.
+        """
         queue = self._queues.setdefault(
             rank, FairQueue(capacity_per_account=MAX_QUEUED_PER_ACCOUNT)
         )
-        if self.running < self._limit() and not len(self):
-            self.running += 1
-            queue.charge(account)
-            return None
-        expected = self.expected_wait_s(account, rank)
+        expected = self._estimate_wait_s(account, rank)
         if expected > patience_s:
             return SlotRefusal(expected_wait_s=expected)
-        waiter = _Waiter(admitted=asyncio.get_running_loop().create_future())
-        if not queue.push(account, waiter):
+        waiter = _Waiter(
+            admitted=asyncio.get_running_loop().create_future(), on_admitted=on_admitted
+        )
+        if not queue.push(account, waiter, is_first=is_repeated):
             return SlotRefusal(expected_wait_s=expected)
-        return await self._wait_for_slot(queue, account, waiter, patience_s)
+        self.admit_waiting()
+        if waiter.admitted.done():
+            return None
+        return await self._wait_for_slot(queue, account, waiter, rank, patience_s)
 
     def release(self, account: str, *, rank: int, cost_s: float) -> None:
         """Release a slot and record for how long it was used."""
@@ -84,7 +126,12 @@
         self.admit_waiting()
 
     async def _wait_for_slot(
-        self, queue: FairQueue[_Waiter], account: str, waiter: _Waiter, patience_s: float
+        self,
+        queue: FairQueue[_Waiter],
+        account: str,
+        waiter: _Waiter,
+        rank: int,
+        patience_s: float,
     ) -> SlotRefusal | None:
         try:
             async with asyncio.timeout(patience_s):
@@ -92,7 +139,12 @@
         except TimeoutError:
             if not self._has_slot(waiter):
                 queue.discard(account, waiter)
-                return SlotRefusal(expected_wait_s=patience_s)
+                return SlotRefusal(
+                    expected_wait_s=patience_s,
+                    lacks_connection=rank != IN_TRANSACTION
+                    and self.running < self._limit()
+                    and not self._has_connection(),
+                )
         except BaseException:
             queue.discard(account, waiter)
             if self._has_slot(waiter):
@@ -109,13 +161,27 @@
         while self.running < self._limit():
             waiter = self._pop()
             if waiter is None:
-                return
+                break
             if not waiter.admitted.done():
                 self.running += 1
                 waiter.admitted.set_result(None)
+                waiter.on_admitted()
+        self._watch_connections()
+
+    def _watch_connections(self) -> None:
+        if self._has_connection():
+            self._without_connection_since = None
+        elif self._without_connection_since is None and self._count_waiting_for_connections():
+            self._without_connection_since = self._clock.monotonic()
+
+    def _count_waiting_for_connections(self) -> int:
+        return sum(len(queue) for rank, queue in self._queues.items() if rank != IN_TRANSACTION)
 
     def _pop(self) -> _Waiter | None:
+        """Remove and return the next statement that can run now."""
         for rank in sorted(self._queues):
+            if rank != IN_TRANSACTION and not self._has_connection():
+                return None
             waiter = self._queues[rank].pop()
             if waiter is not None:
                 return waiter
--- a/lentilring/pool/fairness.py
+++ b/lentilring/pool/fairness.py
@@ -42,14 +42,20 @@
     def __len__(self) -> int:
         return sum(len(queue.entries) for queue in self._queues.values())
 
-    def push(self, account: str, entry: T) -> bool:
-        """Add an entry of an account; return False if the account's queue is full."""
+    def push(self, account: str, entry: T, *, is_first: bool = False) -> bool:
+        """Add an entry of an account; return False if the account's queue is full.
+
+        One that `is_first` goes ahead of the account's other entries.
+        """
         queue = self._queues.setdefault(account, _AccountQueue())
         if len(queue.entries) >= self.capacity_per_account:
             return False
         if not queue.entries:
             queue.start_tag = max(self._virtual_time, queue.finish_tag)
-        queue.entries.append(entry)
+        if is_first:
+            queue.entries.appendleft(entry)
+        else:
+            queue.entries.append(entry)
         return True
 
     def pop(self) -> T | None:
--- a/tests/test_server_queue.py
+++ b/tests/test_server_queue.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from random import Random
 from typing import Any
 
 from testtools import TestCase
@@ -11,7 +12,7 @@
 from lentilring.gateways.gateway import ServerGateway
 from lentilring.gateways.messages import RunStatement, StatementKind, TransactionOpening
 from lentilring.gateways.positions import MISSING_RETRY_S, ProvenPositionHistory
-from lentilring.gateways.server import ServerRefused, ServerReply
+from lentilring.gateways.server import ServerRefused, ServerReply, ServerUnreachable
 from lentilring.statements.model import Done, Failed, Failure, Position, TransactionState
 from lentilring.telemetry.metrics import Telemetry
 
@@ -132,6 +133,17 @@
         result = await self.run(request_id, **others)
         return result, self.clock.monotonic() - began_at
 
+    async def hold_all_connections(self) -> list[str]:
+        """Open as many transactions as the gateway may hold connections."""
+        return [await self.open_transaction() for _ in range(self.gateway.pool.limit)]
+
+    def assert_nothing_is_held(self) -> None:
+        """Check that all slots and connections came back."""
+        pool = self.gateway.pool
+        idle = sum(len(entries) for entries in pool._idle.values())
+        assert (self.gateway.slots.running, pool.open_count - idle) == (0, 0)
+        assert self.server.open_count == idle
+
     async def open_transaction(self) -> str:
         result = await self.run("begin", opening=TransactionOpening.READ_WRITE)
         assert result.transaction, result
@@ -294,3 +306,149 @@
             self.assertEqual(0, bench.gateway.count_statements())
 
         run_virtual(scenario())
+
+
+class ConnectionShortageTest(TestCase):
+    def test_transactions_end_while_others_wait_for_their_connections(self) -> None:
+        """Guards against idle transactions whose commits get no slot.
+
+        In a played day, statements that waited for a connection held all slots while up to 144
+        sessions were idle inside transactions, so that nothing ended before its timeout.
+        """
+
+        async def scenario() -> None:
+            bench = Bench(max_connections=10)
+            transactions = await bench.hold_all_connections()
+            waiting = [start(bench.run(f"w{i}")) for i in range(30)]
+            await asyncio.sleep(0.05)
+            for transaction in transactions:
+                result, took_s = await bench.time_run(
+                    "commit", work=StatementKind.COMMIT, transaction=transaction
+                )
+                self.assertIsNone(find_failure(result))
+                self.assertLess(took_s, 3 * WORK_S)
+            failures = Counter(find_failure(result) for result in await asyncio.gather(*waiting))
+            self.assertEqual({None: 30}, failures)
+            bench.assert_nothing_is_held()
+
+        run_virtual(scenario())
+
+    def test_others_are_refused_when_their_patience_ends(self) -> None:
+        """Guards against statements that wait without a bound for idle transactions."""
+
+        async def scenario() -> None:
+            bench = Bench(max_connections=10)
+            await bench.hold_all_connections()
+            runs = [start(bench.time_run(f"w{i}", patience_s=0.3)) for i in range(20)]
+            for result, took_s in await asyncio.gather(*runs):
+                self.assertEqual(Failure.CONNECTIONS_EXHAUSTED, find_failure(result))
+                self.assertAlmostEqual(0.3, took_s)
+            # Callers that choose among servers learn of the shortage.
+            self.assertGreaterEqual(bench.gateway.slots.expected_wait_s("planner", 2), 0.3)
+
+        run_virtual(scenario())
+
+    def test_limit_that_rises_admits_waiting_statements(self) -> None:
+        """Guards against statements that wait although their gateway may open connections."""
+
+        async def scenario() -> None:
+            bench = Bench()
+            bench.is_first_choice = False
+            await bench.hold_all_connections()
+            waiting = [start(bench.time_run(f"w{i}")) for i in range(3)]
+            await asyncio.sleep(0.1)
+            bench.is_first_choice = True
+            bench.gateway.pool.trim()
+            for result, took_s in await asyncio.gather(*waiting):
+                self.assertIsNone(find_failure(result))
+                self.assertLess(took_s, 0.1 + 3 * WORK_S)
+
+        run_virtual(scenario())
+
+    def test_full_server_serves_all_through_the_connections_it_took(self) -> None:
+        """Guards against statements that keep a slot, or wait forever, at a full server."""
+
+        async def scenario() -> None:
+            bench = Bench(FakeServer(allowed=2))
+            accounts = ["planner", "crew", "medina"]
+            runs = [start(bench.run(f"q{i}", account=accounts[i % 3])) for i in range(30)]
+            failures = Counter(find_failure(result) for result in await asyncio.gather(*runs))
+            self.assertEqual({None: 30}, failures)
+            bench.assert_nothing_is_held()
+
+        run_virtual(scenario())
+
+    def test_unreachable_server_answers_all_waiting_statements_at_once(self) -> None:
+        """Guards against statements that each wait for a connection that cannot be opened."""
+
+        async def scenario() -> None:
+            bench = Bench()
+            bench.server.error = ServerUnreachable(server="s", detail="refused")
+            runs = [start(bench.time_run(f"q{i}", patience_s=1.0)) for i in range(50)]
+            for result, took_s in await asyncio.gather(*runs):
+                self.assertTrue(result.is_unreachable)
+                self.assertLess(took_s, 2 * WORK_S)
+            bench.assert_nothing_is_held()
+
+        run_virtual(scenario())
+
+    def test_statements_at_a_replaced_server_are_answered_at_once(self) -> None:
+        """Guards against statements that wait for connections of a gateway that was closed."""
+
+        async def scenario() -> None:
+            bench = Bench(max_connections=10)
+            await bench.hold_all_connections()
+            waiting = [start(bench.time_run(f"w{i}", patience_s=1.0)) for i in range(10)]
+            await asyncio.sleep(0.05)
+            bench.gateway.close()
+            for result, took_s in await asyncio.gather(*waiting):
+                self.assertTrue(result.is_unreachable)
+                self.assertLess(took_s, 0.1)
+            bench.assert_nothing_is_held()
+
+        run_virtual(scenario())
+
+    def test_cancelled_statements_leave_nothing_behind(self) -> None:
+        """Guards against slots and connections that are lost with their callers.
+
+        Statements of three accounts, transactions among them, are cancelled at random times at a
+        server that allows fewer connections than the gateway asks for and sometimes refuses all.
+        """
+
+        async def scenario(random: Random) -> None:
+            bench = Bench(FakeServer(allowed=3))
+
+            async def call(number: int) -> None:
+                await asyncio.sleep(random.uniform(0.0, 1.0))
+                opening = random.choice([TransactionOpening.NONE, TransactionOpening.READ_WRITE])
+                account = random.choice(["planner", "crew", "medina"])
+                running = start(bench.run(f"q{number}", account=account, opening=opening))
+                await asyncio.sleep(random.choice([random.uniform(0.0, 0.1), 2.0]))
+                running.cancel()
+                (result,) = await asyncio.gather(running, return_exceptions=True)
+                if isinstance(result, RunResult) and result.transaction:
+                    await bench.gateway.end_transaction(result.transaction)
+
+            async def fail() -> None:
+                await asyncio.sleep(random.uniform(0.0, 1.0))
+                bench.server.error = ServerUnreachable(server="s", detail="refused")
+                await asyncio.sleep(0.05)
+                bench.server.error = None
+
+            async def prove() -> None:
+                await asyncio.sleep(random.uniform(0.0, 1.0))
+                proof = start(bench.gateway.prove_leadership("planner"))
+                await asyncio.sleep(random.choice([0.02, 2.0]))
+                proof.cancel()
+                await asyncio.gather(proof, return_exceptions=True)
+
+            calls = [*(call(number) for number in range(200)), *(prove() for _ in range(20))]
+            await asyncio.gather(fail(), *calls)
+            for transaction in list(bench.gateway.transactions):
+                await bench.gateway.end_transaction(transaction)
+            bench.assert_nothing_is_held()
+            await asyncio.sleep(1.0)
+            self.assertIsNone(find_failure(await bench.run("last")))
+
+        for seed in range(20):
+            run_virtual(scenario(Random(seed)))
