Bound the wait for a slot by the time that a statement needs to run

The patience of a route could exceed the time that its timeout leaves: with a target of 1,500 ms and a timeout of 800 ms, statements got a slot after up to 750 ms and timed out at the server. The wait is now at most the timeout less the expected run. RunCosts averages runs by kind (priority of the route and kind of work) instead of over all kinds, which differ by factors of 3 to 5; expected waits add up the costs of the statements that are ahead. Statements that were refused in their slot no longer lower the average.

tests/test_server_queue.py: the 3 new tests fail on the code before (fast work refused, slow work queued in vain for 0.4 s, writes of unknown outcome).

--- a/lentilring/gateways/attempt.py
+++ b/lentilring/gateways/attempt.py
@@ -55,6 +55,11 @@
     position_age_s: float | None = None
     was_sent: bool = False
 
+    @property
+    def kind(self) -> tuple[int, StatementKind]:
+        """Return the kind of statements that are expected to take as long as this one."""
+        return self.request.priority, self.request.work
+
     @property
     def needs_position(self) -> bool:
         """Tell whether the statement must include a position that the primary proved recently."""
--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -181,7 +181,7 @@
 
     async def _run_when_admitted(self, attempt: Attempt) -> RunResult:
         request = attempt.request
-        patience_s = min(request.patience_s, request.timeout_s)
+        patience_s = min(request.patience_s, self._affordable_wait_s(attempt))
         waits_until = self._clock.monotonic() + patience_s
         is_repeated = False
         while True:
@@ -191,6 +191,7 @@
                 request.account,
                 rank=rank,
                 patience_s=patience_s,
+                kind=attempt.kind,
                 on_admitted=lambda: self._take_connection(attempt),
                 is_repeated=is_repeated,
             )
@@ -202,7 +203,13 @@
             finally:
                 cost_s = self._clock.monotonic() - started_at
                 self._telemetry.record_duration("slot_duration", cost_s)
-                self.slots.release(request.account, rank=rank, cost_s=cost_s)
+                self.slots.release(
+                    request.account,
+                    rank=rank,
+                    cost_s=cost_s,
+                    kind=attempt.kind,
+                    has_run=attempt.was_sent,
+                )
             if result is not None:
                 return result
             # The server was full.
@@ -475,9 +482,9 @@
     async def _finish_in_time(
         self, attempt: Attempt, call: Awaitable[T], *, timeout_s: float = math.inf
     ) -> T | None:
-        """Return the result of a call, None if it does not end within the statement's time."""
+        """Return the result of a call, None if it does not end while the statement can wait."""
         try:
-            async with asyncio.timeout(min(timeout_s, self._remaining_s(attempt))):
+            async with asyncio.timeout(min(timeout_s, self._affordable_wait_s(attempt))):
                 return await call
         except TimeoutError:
             return None
@@ -523,6 +530,13 @@
     def _remaining_s(self, attempt: Attempt) -> float:
         return max(0.001, attempt.deadline - self._clock.monotonic())
 
+    def _affordable_wait_s(self, attempt: Attempt) -> float:
+        """Return how long a statement may wait and still run within its timeout.
+
+        The patience of a route may exceed its timeout: one has 750 ms and 800 ms.
+        """
+        return max(0.0, self._remaining_s(attempt) - self.slots.costs.expected_s(attempt.kind))
+
     def _classify_lost_answer(self, attempt: Attempt, *, timed_out: bool) -> Failure:
         """Return the failure to report for a statement whose answer was lost.
 
--- a/lentilring/gateways/slots.py
+++ b/lentilring/gateways/slots.py
@@ -8,11 +8,13 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass
 
 from ..clock import Clock
 from ..pool.fairness import FairQueue
+from .costs import RunCosts
 
 MAX_QUEUED_PER_ACCOUNT = 64
 IN_TRANSACTION = 0
@@ -23,6 +25,7 @@
 
 @dataclass(kw_only=True, eq=False)
 class _Waiter:
+    kind: Hashable
     admitted: asyncio.Future[None]
     on_admitted: Callable[[], None]
 
@@ -43,7 +46,8 @@
 
     `limit` returns how many statements may be at the server at once, `has_connection` whether a
     statement outside of transactions can have a connection at once; without one it gets no slot.
-    Call `admit_waiting` after one of them has changed.
+    Call `admit_waiting` after one of them has changed. Statements of one `kind` are expected to
+    take equally long.
     """
 
     def __init__(
@@ -59,7 +63,8 @@
         self._has_connection = has_connection
         self.running = 0
         self._queues: dict[int, FairQueue[_Waiter]] = {}
-        self._average_cost_s = 0.005
+        self.costs = RunCosts()
+        self._running_kinds: Counter[Hashable] = Counter()
         self._without_connection_since: float | None = None
 
     def __len__(self) -> int:
@@ -78,15 +83,22 @@
         return max(estimated_s, self._clock.monotonic() - since)
 
     def _estimate_wait_s(self, account: str, rank: int) -> float:
-        """Estimate the wait for a slot from the statements ahead and their average cost."""
+        """Estimate the wait for a slot from the statements ahead and their costs by kind."""
         limit = max(1, self._limit())
-        ahead = sum(len(queue) for key, queue in self._queues.items() if key < rank)
+        ahead = [queue for key, queue in self._queues.items() if key < rank and len(queue)]
         same_rank = self._queues.get(rank)
         if self.running < limit and not ahead and not same_rank:
             return 0.0
         same_rank_s = 0.0 if same_rank is None else same_rank.expected_wait_s(account, limit)
-        # The next slot becomes free after half a statement on average.
-        return same_rank_s + (ahead + 0.5) * self._average_cost_s / limit
+        ahead_s = sum(queue.total_cost_s() for queue in ahead)
+        return same_rank_s + (ahead_s + self._next_release_s()) / limit
+
+    def _next_release_s(self) -> float:
+        """Return the time in which one slot becomes free: half a running statement on average."""
+        running_s = sum(
+            count * self.costs.expected_s(kind) for kind, count in self._running_kinds.items()
+        )
+        return 0.5 * running_s / max(1, self.running)
 
     async def acquire(
         self,
@@ -94,6 +106,7 @@
         *,
         rank: int,
         patience_s: float,
+        kind: Hashable = None,
         on_admitted: Callable[[], None] = lambda: None,
         is_repeated: bool = False,
     ) -> SlotRefusal | None:
@@ -102,14 +115,14 @@
         `on_admitted` is called in the moment when the slot is assigned. A repeated statement had a
         slot without running and goes ahead of others of its account.
         """
-        queue = self._queues.setdefault(
-            rank, FairQueue(capacity_per_account=MAX_QUEUED_PER_ACCOUNT)
-        )
+        queue = self._get_queue(rank)
         expected = self._estimate_wait_s(account, rank)
         if expected > patience_s:
             return SlotRefusal(expected_wait_s=expected)
         waiter = _Waiter(
-            admitted=asyncio.get_running_loop().create_future(), on_admitted=on_admitted
+            kind=kind,
+            admitted=asyncio.get_running_loop().create_future(),
+            on_admitted=on_admitted,
         )
         if not queue.push(account, waiter, is_first=is_repeated):
             return SlotRefusal(expected_wait_s=expected)
@@ -118,13 +131,31 @@
             return None
         return await self._wait_for_slot(queue, account, waiter, rank, patience_s)
 
-    def release(self, account: str, *, rank: int, cost_s: float) -> None:
-        """Release a slot and record for how long it was used."""
-        self._average_cost_s += 0.1 * (cost_s - self._average_cost_s)
+    def release(
+        self, account: str, *, rank: int, cost_s: float, kind: Hashable = None, has_run: bool = True
+    ) -> None:
+        """Release a slot and record for how long it was used.
+
+        The cost of a statement that has not run says nothing about its kind.
+        """
+        if has_run:
+            self.costs.record(kind, cost_s)
         self._queues[rank].record_cost(account, cost_s)
+        self._free_slot(kind)
+
+    def _free_slot(self, kind: Hashable) -> None:
         self.running -= 1
+        self._running_kinds[kind] -= 1
         self.admit_waiting()
 
+    def _get_queue(self, rank: int) -> FairQueue[_Waiter]:
+        if rank not in self._queues:
+            self._queues[rank] = FairQueue(
+                capacity_per_account=MAX_QUEUED_PER_ACCOUNT,
+                cost_of=lambda waiter: self.costs.expected_s(waiter.kind),
+            )
+        return self._queues[rank]
+
     async def _wait_for_slot(
         self,
         queue: FairQueue[_Waiter],
@@ -148,8 +179,7 @@
         except BaseException:
             queue.discard(account, waiter)
             if self._has_slot(waiter):
-                self.running -= 1
-                self.admit_waiting()
+                self._free_slot(waiter.kind)
             raise
         return None
 
@@ -164,6 +194,7 @@
                 break
             if not waiter.admitted.done():
                 self.running += 1
+                self._running_kinds[waiter.kind] += 1
                 waiter.admitted.set_result(None)
                 waiter.on_admitted()
         self._watch_connections()
--- a/lentilring/pool/fairness.py
+++ b/lentilring/pool/fairness.py
@@ -6,6 +6,7 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
@@ -31,11 +32,15 @@
     an equal part is served in full, and large accounts share what the others leave idle. Weights by
     configured rate made a small account wait seconds beside a large one (docs/measurements.md).
     An account that was idle starts at the current virtual time, ahead of the backlog of others,
-    and without credit for the time it was idle.
+    and without credit for the time it was idle. Waits are expected by `cost_of` an entry if it is
+    given, by the average cost of the entry's account otherwise.
     """
 
-    def __init__(self, *, capacity_per_account: int) -> None:
+    def __init__(
+        self, *, capacity_per_account: int, cost_of: Callable[[T], float] | None = None
+    ) -> None:
         self.capacity_per_account = capacity_per_account
+        self._cost_of = cost_of
         self._queues: dict[str, _AccountQueue[T]] = {}
         self._virtual_time = 0.0
 
@@ -98,6 +103,15 @@
         if account_queue is None:
             return 0.0
         waiting = [q for name, q in self._queues.items() if q.entries or name == account]
-        total_work_s = sum(len(q.entries) * q.cost_s for q in waiting)
-        by_share_s = len(account_queue.entries) * account_queue.cost_s * len(waiting)
+        total_work_s = sum(self._sum_costs(q) for q in waiting)
+        by_share_s = self._sum_costs(account_queue) * len(waiting)
         return min(by_share_s, total_work_s) / slots
+
+    def total_cost_s(self) -> float:
+        """Return the expected cost of all waiting entries together."""
+        return sum(self._sum_costs(queue) for queue in self._queues.values())
+
+    def _sum_costs(self, queue: _AccountQueue[T]) -> float:
+        if self._cost_of is None:
+            return len(queue.entries) * queue.cost_s
+        return sum(map(self._cost_of, queue.entries))
--- a/tests/test_server_queue.py
+++ b/tests/test_server_queue.py
@@ -12,7 +12,7 @@
 from lentilring.gateways.gateway import ServerGateway
 from lentilring.gateways.messages import RunStatement, StatementKind, TransactionOpening
 from lentilring.gateways.positions import MISSING_RETRY_S, ProvenPositionHistory
-from lentilring.gateways.server import ServerRefused, ServerReply, ServerUnreachable
+from lentilring.gateways.server import ServerLost, ServerRefused, ServerReply, ServerUnreachable
 from lentilring.statements.model import Done, Failed, Failure, Position, TransactionState
 from lentilring.telemetry.metrics import Telemetry
 
@@ -23,6 +23,7 @@
 # A primary that does not answer keeps those who ask it waiting for this long.
 SILENCE_S = 0.5
 POSITION = Position(term=1, number=7)
+SLOW, FAST = "0.2", "0.01"
 
 
 class FakeServer:
@@ -54,9 +55,14 @@
         self._state = TransactionState.IDLE
         server.open_count += 1
 
-    async def run(self, request_id: str, text: str, **_: object) -> ServerReply:
+    async def run(
+        self, request_id: str, text: str, *, timeout_s: float, **_: object
+    ) -> ServerReply:
         self._server.runs.append(request_id)
-        await asyncio.sleep(float(text or WORK_S))
+        work_s = float(text or WORK_S)
+        await asyncio.sleep(min(work_s, timeout_s))
+        if work_s > timeout_s:
+            raise ServerLost(server="s", detail="timed out", timed_out=True)
         return self._answer(TransactionState.IDLE if request_id == "commit" else self._state)
 
     async def begin(self, **_: object) -> ServerReply:
@@ -452,3 +458,62 @@
 
         for seed in range(20):
             run_virtual(scenario(Random(seed)))
+
+
+class MixedWorkTest(TestCase):
+    """Statements of two routes: one kind takes 0.2 s, the other 10 ms."""
+
+    async def learn(self, bench: Bench, **others: Any) -> None:
+        for number in range(40):
+            await bench.run(f"l{number}", **others)
+
+    def start_burst(self, bench: Bench, **others: Any) -> list[asyncio.Future[Any]]:
+        return [start(bench.run(f"b{i}", account=f"a{i % 10}", **others)) for i in range(30)]
+
+    def test_slow_work_waits_behind_a_burst_of_fast_work_that_ends_in_time(self) -> None:
+        """Guards against refusals by an average cost that slow work has raised."""
+
+        async def scenario() -> None:
+            bench = Bench()
+            await self.learn(bench, text=FAST, priority=1)
+            await self.learn(bench, text=SLOW, priority=2)
+            burst = self.start_burst(bench, text=FAST, priority=1)
+            await asyncio.sleep(0)
+            result = await bench.run("slow", text=SLOW, priority=2, patience_s=0.3)
+            self.assertIsNone(find_failure(result))
+            failures = Counter(find_failure(result) for result in await asyncio.gather(*burst))
+            self.assertEqual({None: 30}, failures)
+
+        run_virtual(scenario())
+
+    def test_work_behind_a_burst_of_slow_work_is_refused_at_once(self) -> None:
+        """Guards against waiting in vain because fast work has lowered the average cost."""
+
+        async def scenario() -> None:
+            bench = Bench()
+            await self.learn(bench, text=SLOW, priority=1)
+            await self.learn(bench, text=FAST, priority=2)
+            self.start_burst(bench, text=SLOW, priority=1, patience_s=1.8)
+            await asyncio.sleep(0)
+            result, took_s = await bench.time_run(text=FAST, priority=2, patience_s=0.4)
+            self.assertEqual(Failure.OVERLOADED, find_failure(result))
+            self.assertEqual(0.0, took_s)
+
+        run_virtual(scenario())
+
+    def test_no_statement_gets_a_slot_too_late_to_run(self) -> None:
+        """Guards against writes of unknown outcome that waited for most of their time.
+
+        The route has a target of 1,500 ms, half of which is its patience, and a timeout of 800 ms.
+        """
+
+        async def scenario() -> None:
+            bench = Bench()
+            write = {"text": "0.17", "work": StatementKind.WRITE, "patience_s": 0.75}
+            await self.learn(bench, **write)
+            burst = self.start_burst(bench, **write, timeout_s=0.8)
+            failures = Counter(find_failure(result) for result in await asyncio.gather(*burst))
+            # Three statements run at a time, four times within 0.8 s.
+            self.assertEqual({None: 12, Failure.OVERLOADED: 18}, failures)
+
+        run_virtual(scenario())
