Reserve at most 16 connections of a server

A gateway left 40% of a server's connections to lease renewals, takeovers and other gateways: 23 to 32 of 56 to 80, more than these use, while transactions waited for connections. The reserve is now at most 16. The new test of tests/test_server_connections.py fails on the code before (33 instead of 40 of 56); the file passes (6 tests).

--- a/lentilring/gateways/attempt.py
+++ b/lentilring/gateways/attempt.py
@@ -12,6 +12,9 @@
 # other gateways. With only 2 of 16 free, takeovers were refused connections (khaima-ops trouble-1).
 RESERVED_FRACTION = 0.4
 MIN_RESERVED_CONNECTIONS = 4
+# Leases, a takeover and two connections of each of a few standby gateways need no more. At 56 to 80
+# connections, the fraction alone would leave 23 to 32 unused while transactions wait for them.
+MAX_RESERVED_CONNECTIONS = 16
 STANDBY_GATEWAY_CONNECTIONS = 2
 
 
@@ -68,7 +71,8 @@
 
 def compute_connection_limit(max_connections: int, *, is_first_choice: bool) -> int:
     """Return how many connections to a server a gateway may hold."""
-    reserved = max(MIN_RESERVED_CONNECTIONS, math.ceil(max_connections * RESERVED_FRACTION))
+    fraction = math.ceil(max_connections * RESERVED_FRACTION)
+    reserved = min(MAX_RESERVED_CONNECTIONS, max(MIN_RESERVED_CONNECTIONS, fraction))
     own = max(1, max_connections - reserved)
     return own if is_first_choice else min(own, STANDBY_GATEWAY_CONNECTIONS)
 
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -5,6 +5,7 @@
 from testtools import TestCase
 
 from lentilring.clock import LoopClock
+from lentilring.gateways.attempt import compute_connection_limit
 from lentilring.gateways.pool import STANDBY_IDLE_S, ConnectionPool
 from lentilring.gateways.server import ServerRefused
 from lentilring.statements.model import Failure
@@ -59,6 +60,20 @@
     )
 
 
+class ConnectionLimitTest(TestCase):
+    def test_reserve_grows_with_the_server_up_to_a_bound(self) -> None:
+        """Guards against refused takeovers at small servers, and unused connections at large ones.
+
+        With 2 of 16 connections free, takeovers were refused (khaima-ops trouble-1). With 23 to 32
+        of 56 to 80 free, up to 144 transactions had fewer connections than there were.
+        """
+        limits = {4: 1, 16: 9, 40: 24, 56: 40, 80: 64}
+        for allowed, own in limits.items():
+            self.assertEqual(own, compute_connection_limit(allowed, is_first_choice=True))
+            standby = compute_connection_limit(allowed, is_first_choice=False)
+            self.assertEqual(min(2, own), standby)
+
+
 class PoolTest(TestCase):
     def test_idle_connections_above_a_fallen_limit_are_closed(self) -> None:
         """Guards against a gateway that keeps connections which another one needs."""
