--- a/tests/test_server_queue.py
+++ b/tests/test_server_queue.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from random import Random
 from typing import Any
 
 from testtools import TestCase
@@ -10,8 +11,8 @@
 from lentilring.gateways.attempt import RunResult
 from lentilring.gateways.gateway import ServerGateway
 from lentilring.gateways.messages import RunStatement, StatementKind, TransactionOpening
-from lentilring.gateways.positions import ProvenPositionHistory
-from lentilring.gateways.server import ServerRefused, ServerReply
+from lentilring.gateways.positions import MISSING_RETRY_S, ProvenPositionHistory
+from lentilring.gateways.server import ServerLost, ServerRefused, ServerReply, ServerUnreachable
 from lentilring.statements.model import Done, Failed, Failure, Position, TransactionState
 from lentilring.telemetry.metrics import Telemetry
 
@@ -22,6 +23,7 @@
 # A primary that does not answer keeps those who ask it waiting for this long.
 SILENCE_S = 0.5
 POSITION = Position(term=1, number=7)
+SLOW, FAST = "0.2", "0.01"
 
 
 class FakeServer:
@@ -53,9 +55,14 @@
         self._state = TransactionState.IDLE
         server.open_count += 1
 
-    async def run(self, request_id: str, text: str, **_: object) -> ServerReply:
+    async def run(
+        self, request_id: str, text: str, *, timeout_s: float, **_: object
+    ) -> ServerReply:
         self._server.runs.append(request_id)
-        await asyncio.sleep(float(text or WORK_S))
+        work_s = float(text or WORK_S)
+        await asyncio.sleep(min(work_s, timeout_s))
+        if work_s > timeout_s:
+            raise ServerLost(server="s", detail="timed out", timed_out=True)
         return self._answer(TransactionState.IDLE if request_id == "commit" else self._state)
 
     async def begin(self, **_: object) -> ServerReply:
@@ -102,6 +109,7 @@
             has_leadership=lambda: self.leads,
             is_first_choice=lambda: self.is_first_choice,
             is_too_late=lambda *_: False,
+            observe_answer=lambda *_: None,
         )
 
     async def _tell_leadership(self) -> bool:
@@ -132,6 +140,17 @@
         result = await self.run(request_id, **others)
         return result, self.clock.monotonic() - began_at
 
+    async def hold_all_connections(self) -> list[str]:
+        """Open as many transactions as the gateway may hold connections."""
+        return [await self.open_transaction() for _ in range(self.gateway.pool.limit)]
+
+    def assert_nothing_is_held(self) -> None:
+        """Check that all slots and connections came back."""
+        pool = self.gateway.pool
+        idle = sum(len(entries) for entries in pool._idle.values())
+        assert (self.gateway.slots.running, pool.open_count - idle) == (0, 0)
+        assert self.server.open_count == idle
+
     async def open_transaction(self) -> str:
         result = await self.run("begin", opening=TransactionOpening.READ_WRITE)
         assert result.transaction, result
@@ -248,3 +267,254 @@
             self.assertLess(took_s, 0.25)
 
         run_virtual(scenario())
+
+    def test_position_that_could_not_be_had_is_not_waited_for_again(self) -> None:
+        """Guards against reads that each wait 0.5 s for the same unresponsive primary."""
+
+        async def scenario() -> None:
+            bench = Bench()
+            _, first_s = await bench.time_run(max_staleness_s=0.5)
+            result, second_s = await bench.time_run(max_staleness_s=0.5)
+            self.assertEqual(Failure.BEHIND, find_failure(result))
+            self.assertEqual((SILENCE_S, 0.0, 1), (first_s, second_s, bench.refreshes))
+            await asyncio.sleep(MISSING_RETRY_S + 0.01)
+            result, third_s = await bench.time_run(max_staleness_s=0.5)
+            self.assertEqual(Failure.BEHIND, find_failure(result))
+            self.assertAlmostEqual(MISSING_RETRY_S, third_s)
+
+        run_virtual(scenario())
+
+    def test_primary_that_answers_again_serves_the_next_reads(self) -> None:
+        """Guards against reads that are refused although the primary proves positions again."""
+
+        async def scenario() -> None:
+            bench = Bench()
+            await bench.run(max_staleness_s=0.5)
+
+            async def answer() -> None:
+                await asyncio.sleep(0.024)
+                bench.history.add(POSITION, bench.clock.boottime())
+
+            bench.refresh = answer
+            await asyncio.sleep(MISSING_RETRY_S + 0.01)
+            self.assertIsNone(find_failure(await bench.run(max_staleness_s=0.5)))
+
+        run_virtual(scenario())
+
+    def test_stop_waits_for_reads_that_wait_for_a_position(self) -> None:
+        """Guards against a drain that ends before such reads are answered."""
+
+        async def scenario() -> None:
+            bench = Bench()
+            waiting = start(bench.run(max_staleness_s=0.5))
+            await asyncio.sleep(0)
+            self.assertEqual(1, bench.gateway.count_statements())
+            await waiting
+            self.assertEqual(0, bench.gateway.count_statements())
+
+        run_virtual(scenario())
+
+
+class ConnectionShortageTest(TestCase):
+    def test_transactions_end_while_others_wait_for_their_connections(self) -> None:
+        """Guards against idle transactions whose commits get no slot.
+
+        In a played day, statements that waited for a connection held all slots while up to 144
+        sessions were idle inside transactions, so that nothing ended before its timeout.
+        """
+
+        async def scenario() -> None:
+            bench = Bench(max_connections=10)
+            transactions = await bench.hold_all_connections()
+            waiting = [start(bench.run(f"w{i}")) for i in range(30)]
+            await asyncio.sleep(0.05)
+            for transaction in transactions:
+                result, took_s = await bench.time_run(
+                    "commit", work=StatementKind.COMMIT, transaction=transaction
+                )
+                self.assertIsNone(find_failure(result))
+                self.assertLess(took_s, 3 * WORK_S)
+            failures = Counter(find_failure(result) for result in await asyncio.gather(*waiting))
+            self.assertEqual({None: 30}, failures)
+            bench.assert_nothing_is_held()
+
+        run_virtual(scenario())
+
+    def test_others_are_refused_when_their_patience_ends(self) -> None:
+        """Guards against statements that wait without a bound for idle transactions."""
+
+        async def scenario() -> None:
+            bench = Bench(max_connections=10)
+            await bench.hold_all_connections()
+            runs = [start(bench.time_run(f"w{i}", patience_s=0.3)) for i in range(20)]
+            for result, took_s in await asyncio.gather(*runs):
+                self.assertEqual(Failure.CONNECTIONS_EXHAUSTED, find_failure(result))
+                self.assertAlmostEqual(0.3, took_s)
+            # Callers that choose among servers learn of the shortage.
+            self.assertGreaterEqual(bench.gateway.slots.expected_wait_s("planner", 2), 0.3)
+
+        run_virtual(scenario())
+
+    def test_limit_that_rises_admits_waiting_statements(self) -> None:
+        """Guards against statements that wait although their gateway may open connections."""
+
+        async def scenario() -> None:
+            bench = Bench()
+            bench.is_first_choice = False
+            await bench.hold_all_connections()
+            waiting = [start(bench.time_run(f"w{i}")) for i in range(3)]
+            await asyncio.sleep(0.1)
+            bench.is_first_choice = True
+            bench.gateway.pool.trim()
+            for result, took_s in await asyncio.gather(*waiting):
+                self.assertIsNone(find_failure(result))
+                self.assertLess(took_s, 0.1 + 3 * WORK_S)
+
+        run_virtual(scenario())
+
+    def test_full_server_serves_all_through_the_connections_it_took(self) -> None:
+        """Guards against statements that keep a slot, or wait forever, at a full server."""
+
+        async def scenario() -> None:
+            bench = Bench(FakeServer(allowed=2))
+            accounts = ["planner", "crew", "medina"]
+            runs = [start(bench.run(f"q{i}", account=accounts[i % 3])) for i in range(30)]
+            failures = Counter(find_failure(result) for result in await asyncio.gather(*runs))
+            self.assertEqual({None: 30}, failures)
+            bench.assert_nothing_is_held()
+
+        run_virtual(scenario())
+
+    def test_unreachable_server_answers_all_waiting_statements_at_once(self) -> None:
+        """Guards against statements that each wait for a connection that cannot be opened."""
+
+        async def scenario() -> None:
+            bench = Bench()
+            bench.server.error = ServerUnreachable(server="s", detail="refused")
+            runs = [start(bench.time_run(f"q{i}", patience_s=1.0)) for i in range(50)]
+            for result, took_s in await asyncio.gather(*runs):
+                self.assertTrue(result.is_unreachable)
+                self.assertLess(took_s, 2 * WORK_S)
+            bench.assert_nothing_is_held()
+
+        run_virtual(scenario())
+
+    def test_statements_at_a_replaced_server_are_answered_at_once(self) -> None:
+        """Guards against statements that wait for connections of a gateway that was closed."""
+
+        async def scenario() -> None:
+            bench = Bench(max_connections=10)
+            await bench.hold_all_connections()
+            waiting = [start(bench.time_run(f"w{i}", patience_s=1.0)) for i in range(10)]
+            await asyncio.sleep(0.05)
+            bench.gateway.close()
+            for result, took_s in await asyncio.gather(*waiting):
+                self.assertTrue(result.is_unreachable)
+                self.assertLess(took_s, 0.1)
+            bench.assert_nothing_is_held()
+
+        run_virtual(scenario())
+
+    def test_cancelled_statements_leave_nothing_behind(self) -> None:
+        """Guards against slots and connections that are lost with their callers.
+
+        Statements of three accounts, transactions among them, are cancelled at random times at a
+        server that allows fewer connections than the gateway asks for and sometimes refuses all.
+        """
+
+        async def scenario(random: Random) -> None:
+            bench = Bench(FakeServer(allowed=3))
+
+            async def call(number: int) -> None:
+                await asyncio.sleep(random.uniform(0.0, 1.0))
+                opening = random.choice([TransactionOpening.NONE, TransactionOpening.READ_WRITE])
+                account = random.choice(["planner", "crew", "medina"])
+                running = start(bench.run(f"q{number}", account=account, opening=opening))
+                await asyncio.sleep(random.choice([random.uniform(0.0, 0.1), 2.0]))
+                running.cancel()
+                (result,) = await asyncio.gather(running, return_exceptions=True)
+                if isinstance(result, RunResult) and result.transaction:
+                    await bench.gateway.end_transaction(result.transaction)
+
+            async def fail() -> None:
+                await asyncio.sleep(random.uniform(0.0, 1.0))
+                bench.server.error = ServerUnreachable(server="s", detail="refused")
+                await asyncio.sleep(0.05)
+                bench.server.error = None
+
+            async def prove() -> None:
+                await asyncio.sleep(random.uniform(0.0, 1.0))
+                proof = start(bench.gateway.prove_leadership("planner"))
+                await asyncio.sleep(random.choice([0.02, 2.0]))
+                proof.cancel()
+                await asyncio.gather(proof, return_exceptions=True)
+
+            calls = [*(call(number) for number in range(200)), *(prove() for _ in range(20))]
+            await asyncio.gather(fail(), *calls)
+            for transaction in list(bench.gateway.transactions):
+                await bench.gateway.end_transaction(transaction)
+            bench.assert_nothing_is_held()
+            await asyncio.sleep(1.0)
+            self.assertIsNone(find_failure(await bench.run("last")))
+
+        for seed in range(20):
+            run_virtual(scenario(Random(seed)))
+
+
+class MixedWorkTest(TestCase):
+    """Statements of two routes: one kind takes 0.2 s, the other 10 ms."""
+
+    async def learn(self, bench: Bench, **others: Any) -> None:
+        for number in range(40):
+            await bench.run(f"l{number}", **others)
+
+    def start_burst(self, bench: Bench, **others: Any) -> list[asyncio.Future[Any]]:
+        return [start(bench.run(f"b{i}", account=f"a{i % 10}", **others)) for i in range(30)]
+
+    def test_slow_work_waits_behind_a_burst_of_fast_work_that_ends_in_time(self) -> None:
+        """Guards against refusals by an average cost that slow work has raised."""
+
+        async def scenario() -> None:
+            bench = Bench()
+            await self.learn(bench, text=FAST, priority=1)
+            await self.learn(bench, text=SLOW, priority=2)
+            burst = self.start_burst(bench, text=FAST, priority=1)
+            await asyncio.sleep(0)
+            result = await bench.run("slow", text=SLOW, priority=2, patience_s=0.3)
+            self.assertIsNone(find_failure(result))
+            failures = Counter(find_failure(result) for result in await asyncio.gather(*burst))
+            self.assertEqual({None: 30}, failures)
+
+        run_virtual(scenario())
+
+    def test_work_behind_a_burst_of_slow_work_is_refused_at_once(self) -> None:
+        """Guards against waiting in vain because fast work has lowered the average cost."""
+
+        async def scenario() -> None:
+            bench = Bench()
+            await self.learn(bench, text=SLOW, priority=1)
+            await self.learn(bench, text=FAST, priority=2)
+            self.start_burst(bench, text=SLOW, priority=1, patience_s=1.8)
+            await asyncio.sleep(0)
+            result, took_s = await bench.time_run(text=FAST, priority=2, patience_s=0.4)
+            self.assertEqual(Failure.OVERLOADED, find_failure(result))
+            self.assertEqual(0.0, took_s)
+
+        run_virtual(scenario())
+
+    def test_no_statement_gets_a_slot_too_late_to_run(self) -> None:
+        """Guards against writes of unknown outcome that waited for most of their time.
+
+        The route has a target of 1,500 ms, half of which is its patience, and a timeout of 800 ms.
+        """
+
+        async def scenario() -> None:
+            bench = Bench()
+            write = {"text": "0.17", "work": StatementKind.WRITE, "patience_s": 0.75}
+            await self.learn(bench, **write)
+            burst = self.start_burst(bench, **write, timeout_s=0.8)
+            failures = Counter(find_failure(result) for result in await asyncio.gather(*burst))
+            # Three statements run at a time, four times within 0.8 s.
+            self.assertEqual({None: 12, Failure.OVERLOADED: 18}, failures)
+
+        run_virtual(scenario())
