Keep the queue of a server whose handshake failed once

A connect that timed out refused all waiting statements, also those that an idle connection could run; a slow server answers handshakes late. Only statements that would have to connect are refused now. Refusals in the slot are counted and logged like those before it.

--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -369,8 +369,10 @@
         # A statement may have waited long for its slot.
         if (late := self._refuse_late(attempt)) is not None:
             return late
-        if attempt.transaction is None and (refused := self._refuse_unreachable()) is not None:
-            return refused
+        # An idle connection may still work, and statements of transactions have no grant.
+        must_connect = attempt.grant is not None and attempt.grant.connection is None
+        if must_connect and (unreachable := self._refuse_unreachable()) is not None:
+            return unreachable
         try:
             if not await self._open_connection(attempt):
                 return None
@@ -403,11 +405,13 @@
         if attempt.needs_position:
             after = self._find_required_position(attempt)
             if after is None:
+                self._record_refusal(attempt, POSITION_UNKNOWN.failure)
                 return POSITION_UNKNOWN, TransactionState.IDLE
         if request.opening is not TransactionOpening.NONE or request.proves_lead:
             read_only = request.opening is TransactionOpening.READ_ONLY
             # A primary that was replaced while partitioned still opens read-write transactions.
             if not read_only and not self._has_leadership():
+                self._record_refusal(attempt, LEADERSHIP_UNCERTAIN.failure)
                 return LEADERSHIP_UNCERTAIN, TransactionState.IDLE
             reply = await self._begin_transaction(
                 connection, read_only=read_only, after=after, is_leadership_certain=not read_only
--- a/tests/test_server_queue.py
+++ b/tests/test_server_queue.py
@@ -1,4 +1,4 @@
-"""A server's queue under load: what callers get, on virtual time and without a network."""
+"""A server's queue under load: what callers get, most of it on virtual time without a network."""
 
 import asyncio
 from collections import Counter
@@ -8,7 +8,7 @@
 
 from testtools import TestCase
 
-from lentilring.gateways.attempt import RunResult
+from lentilring.gateways.attempt import RunResult, compute_connection_limit
 from lentilring.gateways.gateway import ServerGateway
 from lentilring.gateways.messages import RunStatement, StatementKind, TransactionOpening
 from lentilring.gateways.positions import MISSING_RETRY_S, ProvenPositionHistory
@@ -16,6 +16,7 @@
 from lentilring.statements.model import Done, Failed, Failure, Position, TransactionState
 from lentilring.telemetry.metrics import Telemetry
 
+from .prepared import SessionClient, build_manifest, build_route, run, run_prepared_platform
 from .test_takeover import build_entry
 from .virtual_time import SuspensibleClock, run_virtual
 
@@ -398,6 +399,21 @@
 
         run_virtual(scenario())
 
+    def test_failed_connect_does_not_refuse_what_an_idle_connection_can_run(self) -> None:
+        """Guards against a queue that is refused because one handshake at a slow server failed."""
+
+        async def scenario() -> None:
+            bench = Bench()
+            await bench.run()
+            bench.server.error = ServerUnreachable(server="s", detail="timed out")
+            runs = [start(bench.run(f"q{i}")) for i in range(12)]
+            failures = Counter(find_failure(result) for result in await asyncio.gather(*runs))
+            # The idle connection runs the first one and those that wait when it is released.
+            self.assertGreater(failures[None], 1)
+            bench.assert_nothing_is_held()
+
+        run_virtual(scenario())
+
     def test_statements_at_a_replaced_server_are_answered_at_once(self) -> None:
         """Guards against statements that wait for connections of a gateway that was closed."""
 
@@ -517,3 +533,77 @@
             self.assertEqual({None: 12, Failure.OVERLOADED: 18}, failures)
 
         run_virtual(scenario())
+
+
+class CallersTest(TestCase):
+    """Whole proxies and servers on loopback."""
+
+    def test_reads_of_replicas_go_on_while_the_primary_is_silent(self) -> None:
+        """Guards against replicas that answer nothing because reads wait for the primary."""
+        manifest = build_manifest()
+        archive = build_route("archive", "bounded_staleness", **{"max-staleness-ms": 10_000})
+        manifest["routes"].append(archive)
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=2, manifest=manifest) as platform:
+                platform.promote_delay_s = 60.0
+                proxy = platform.proxies["vm-1"]
+                loop = asyncio.get_running_loop()
+                clients = [await proxy.open("stock", "crew-key") for _ in range(20)]
+                patient = await proxy.open("archive")
+                self.assertIn("COMPLETE", " ".join(await patient.query("READ a")))
+                platform.group.servers[0].faults.silent = True
+                ends_at = loop.time() + 3.5
+                answers: Counter[str] = Counter()
+                times_s = []
+
+                async def read_until_end(client: SessionClient) -> None:
+                    while loop.time() < ends_at:
+                        answer = " ".join(await client.query("READ a"))
+                        answers["COMPLETE" if "COMPLETE" in answer else answer.split()[1]] += 1
+                        await asyncio.sleep(0.15)
+
+                readers = [start(read_until_end(client)) for client in clients]
+                while loop.time() < ends_at:
+                    began_at = loop.time()
+                    self.assertIn("COMPLETE", " ".join(await patient.query("READ a")))
+                    times_s.append(loop.time() - began_at)
+                    await asyncio.sleep(0.02)
+                await asyncio.gather(*readers)
+                # 0.02 s; 0.6 s when reads held slots while they waited for a position.
+                self.assertLess(max(times_s), 0.4)
+                self.assertEqual({"COMPLETE", "LAGGING"}, answers.keys())
+                for client in [*clients, patient]:
+                    client.close()
+
+        run(scenario())
+
+    def test_idle_transactions_end_while_others_wait_for_connections(self) -> None:
+        """Guards against commits without a slot while idle transactions hold all connections."""
+        manifest = build_manifest()
+        manifest["routes"][0].update({"target-latency-ms": 3000, "timeout-ms": 4000})
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1, manifest=manifest) as platform:
+                proxy = platform.proxies["vm-0"]
+                loop = asyncio.get_running_loop()
+                limit = compute_connection_limit(16, is_first_choice=True)
+                idle = [await proxy.open("booking") for _ in range(limit)]
+                for client in idle:
+                    await client.query("BEGIN")
+                    self.assertIn("COMPLETE", (await client.query("WRITE a 1"))[0])
+                others = [await proxy.open("booking", "crew-key") for _ in range(20)]
+                for client in others:
+                    client.send(f"QUERY q{id(client)} WRITE b 1")
+                await asyncio.sleep(0.1)
+                began_at = loop.time()
+                for client in idle:
+                    self.assertIn("COMPLETE", (await client.query("COMMIT"))[0])
+                # 0.03 s; 1.4 s when statements held slots while they waited for a connection.
+                self.assertLess(loop.time() - began_at, 0.7)
+                for client in others:
+                    self.assertIn("COMPLETE", (await client.read_answer())[0])
+                for client in [*idle, *others]:
+                    client.close()
+
+        run(scenario())
