--- a/tests/test_server_health.py
+++ b/tests/test_server_health.py
@@ -1,11 +1,14 @@
 """Judgement of servers by their answers: the decisions, the load on them, and the messages."""
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from random import Random
 
 import msgspec
 from testtools import TestCase
 
+from lentilring.catalog.fleet import FleetService
 from lentilring.gateways.attempt import Attempt
 from lentilring.gateways.health import (
     JUDGEMENT_LIFETIME_S,
@@ -24,13 +27,19 @@
 from lentilring.sessions.router import StatementRouter
 from lentilring.statements.model import Done, Failed, Failure
 
-from .prepared import ZONES, run, run_prepared_platform, wait_until
+from .prepared import ZONES, PreparedPlatform, run, run_prepared_platform, wait_until
 from .test_choice import DONE, FAR, NEAR, PRIMARY, Servers, build_admission, run_single
 
 
 def build_read(server: str, *, work: StatementKind = StatementKind.READ) -> RunStatement:
     return RunStatement(
-        request_id="q1", server=server, account="planner", work=work, text="READ a", timeout_s=1.0
+        request_id="q1",
+        server=server,
+        account="planner",
+        work=work,
+        text="READ a",
+        patience_s=1.0,
+        timeout_s=1.0,
     )
 
 
@@ -227,6 +236,20 @@
         self.assertNotIn(NEAR, servers.asked)
 
 
+@asynccontextmanager
+async def run_judging_platform() -> AsyncIterator[PreparedPlatform]:
+    """Start three proxies that judge servers and know each other."""
+    async with run_prepared_platform(proxies=0) as platform:
+        for index, zone in enumerate(ZONES):
+            await platform.add_proxy(f"vm-{index}", zone, judges_servers=True)
+        await platform.wait_ready()
+        fleets = [proxy.kernel.find("fleet", FleetService) for proxy in platform.proxies.values()]
+        await wait_until(
+            lambda: all(len(fleet.others()) == len(ZONES) - 1 for fleet in fleets), within_s=5
+        )
+        yield platform
+
+
 def count_bad(routers: list[StatementRouter], server: str) -> int:
     """Return how many proxies know that a server is bad."""
     known = [router._judgements.find_share(server) for router in routers]
@@ -238,21 +261,19 @@
         """Guards against a judgement that only the server's gateway knows."""
 
         async def scenario() -> None:
-            async with run_prepared_platform(proxies=0) as platform:
-                for index, zone in enumerate(ZONES):
-                    await platform.add_proxy(f"vm-{index}", zone, judges_servers=True)
-                await platform.wait_ready()
+            async with run_judging_platform() as platform:
                 proxies = platform.proxies.values()
                 routers = [proxy.kernel.find("statements", StatementRouter) for proxy in proxies]
                 replica = platform.group.servers[1]
                 client = await platform.proxies["vm-1"].open("stock")
 
                 replica.faults.fails = True
-                for _ in range(10):
+                telemetry = platform.proxies["vm-1"].telemetry
+                # Ends with the judgement, so that no trial fails later.
+                while not telemetry.read("servers_judged", judged="bad"):
                     answer = await client.query("READ a")
                     self.assertIn("COMPLETE", answer[-2], answer)
                 await wait_until(lambda: count_bad(routers, replica.id) == 3, within_s=2)
-                telemetry = platform.proxies["vm-1"].telemetry
                 self.assertEqual(1, telemetry.read("servers_judged", judged="bad"))
                 self.assertEqual(1, telemetry.gauges["servers_judged_bad"].measure())
                 replica.faults.fails = False
@@ -269,10 +290,7 @@
         """Guards against a new server that is asked last because of the answers of the old one."""
 
         async def scenario() -> None:
-            async with run_prepared_platform(proxies=0) as platform:
-                for index, zone in enumerate(ZONES):
-                    await platform.add_proxy(f"vm-{index}", zone, judges_servers=True)
-                await platform.wait_ready()
+            async with run_judging_platform() as platform:
                 proxies = platform.proxies.values()
                 routers = [proxy.kernel.find("statements", StatementRouter) for proxy in proxies]
                 replica = platform.group.servers[1]
