Pace the statements of servers that started or can be reached again

With the setting paces_servers, a gateway begins with one statement at a time at a server whose process is new, that refused a connection, lost two answers in a row or refused work, and follows ServerPace from there. The platform's settings file enables it by "health" in "invariants".

--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -31,10 +31,11 @@
     needs_primary,
 )
 from .messages import RunStatement, StatementKind, TransactionOpening
+from .pacing import AnswerOutcome, PaceReason, ServerAnswer, ServerPace, classify_outcome
 from .pool import CONTROL_TIMEOUT_S, ConnectionPool, PooledConnection, apply_session
 from .positions import ProvenPositionHistory
 from .server import ServerConnector, ServerLost, ServerRefused, ServerReply, ServerUnreachable
-from .slots import IN_TRANSACTION, SlotQueue, SlotRefusal
+from .slots import IN_TRANSACTION, MAX_WAITING_AT_SERVER, SlotQueue, SlotRefusal
 
 # Added to the idle timeout, which the caller's proxy enforces itself. After it, only transactions
 # whose proxy has disappeared are still open.
@@ -83,10 +84,12 @@
         has_leadership: Callable[[], bool],
         is_first_choice: Callable[[], bool],
         is_too_late: Callable[[StatementKind, float], bool],
+        is_paced: bool = False,
     ) -> None:
         self.server = server
         self.history = history
-        self.slots = SlotQueue(clock=clock, slots=server.slots)
+        self.pace = ServerPace(max_limit=server.slots + MAX_WAITING_AT_SERVER, is_enabled=is_paced)
+        self.slots = SlotQueue(clock=clock, slots=server.slots, limit=lambda: self.pace.limit)
         self.pool = ConnectionPool(
             server=server,
             connector=connector,
@@ -96,6 +99,7 @@
             keeps_idle=is_first_choice,
             clock=clock,
             telemetry=telemetry,
+            on_full=self._record_full_server,
         )
         self.transactions: dict[str, GatewayTransaction] = {}
         self._clock, self._telemetry = clock, telemetry
@@ -112,6 +116,7 @@
         self._commits_failing_since: float | None = None
         self._failed_commits = 0
         self._unreachable_until = 0.0
+        self._was_paced = False
 
     @property
     def is_busy(self) -> bool:
@@ -170,6 +175,9 @@
             self._record_refusal(attempt, refusal.failure)
             return RunResult(outcome=refusal)
         rank = IN_TRANSACTION if request.transaction else 1 + request.priority
+        if rank != IN_TRANSACTION and self.pace.holds_back(self.slots.running):
+            self.pace.record_wait(self._clock.monotonic())
+            self._telemetry.count("gateway_statements_paced")
         slot_refusal = await self.slots.acquire(
             request.account, rank=rank, patience_s=min(request.patience_s, request.timeout_s)
         )
@@ -245,6 +253,11 @@
             return 0.0
         return self._clock.monotonic() - self._commits_failing_since
 
+    def begin_pace(self, reason: PaceReason) -> None:
+        """Start with one statement at a time."""
+        self.pace.begin(reason, self._clock.monotonic())
+        self._log_pace()
+
     def close(self) -> None:
         """End all transactions and close all connections."""
         for transaction in list(self.transactions.values()):
@@ -306,15 +319,23 @@
         # A statement may have waited long for its slot.
         if (late := self._refuse_late(attempt)) is not None:
             return late
+        started_at = self._clock.monotonic()
         try:
             outcome, state = await self._run_steps(attempt)
         except ServerRefused as error:
+            # The pool tells of refused connections, as it may also be full itself.
+            if error.failure is Failure.OVERLOADED:
+                self._record_answer(attempt, AnswerOutcome.REFUSED, started_at)
             return self._fail_statement(attempt, error.failure, error.detail)
         except ServerUnreachable as error:
             self._unreachable_until = self._clock.monotonic() + UNREACHABLE_REFUSAL_S
+            # The connection of a transaction may have been closed for its own sake.
+            if attempt.transaction is None:
+                self.begin_pace(PaceReason.UNREACHABLE)
             result = self._fail_statement(attempt, Failure.OVERLOADED, error.detail)
             return replace(result, is_unreachable=attempt.transaction is None)
         except ServerLost as error:
+            self._record_answer(attempt, AnswerOutcome.LOST, started_at)
             if error.timed_out and is_commit(attempt):
                 self._record_failed_commit()
             return self._fail_statement(
@@ -342,16 +363,19 @@
             # A primary that was replaced while partitioned still opens read-write transactions.
             if not read_only and not self._has_leadership():
                 return LEADERSHIP_UNCERTAIN, TransactionState.IDLE
+            sent_at = self._clock.monotonic()
             reply = await self._begin_transaction(
                 connection, read_only=read_only, after=after, is_leadership_certain=not read_only
             )
             if not isinstance(reply.outcome, Done):
+                self._record_answer(attempt, classify_outcome(reply.outcome), sent_at)
                 return reply.outcome, reply.state
             after = None
-        attempt.was_sent = True
+        attempt.was_sent, sent_at = True, self._clock.monotonic()
         reply = await connection.session.run(
             request.request_id, request.text, after=after, timeout_s=self._remaining_s(attempt)
         )
+        self._record_answer(attempt, classify_outcome(reply.outcome), sent_at)
         # The position of this answer proves nothing, as replicas commit read-only transactions too.
         if (
             request.work in (StatementKind.WRITE, StatementKind.COMMIT)
@@ -434,6 +458,39 @@
             self._record_proof(reply, sent_at)
         return reply
 
+    def _record_answer(self, attempt: Attempt, outcome: AnswerOutcome, sent_at: float) -> None:
+        """Adapt the pace; the release of the statement's slot then admits what it allows."""
+        request, now = attempt.request, self._clock.monotonic()
+        answer = ServerAnswer(
+            kind=(request.priority, request.work, is_in_transaction(attempt)),
+            duration_s=now - sent_at,
+            outcome=outcome,
+            running=self.slots.running,
+            waiting=len(self.slots),
+        )
+        self.pace.record_answer(answer, now)
+        self._log_pace()
+
+    def _record_full_server(self) -> None:
+        self.pace.record_connection_refusal(self._clock.monotonic())
+
+    def _log_pace(self) -> None:
+        """Log the beginning and the end of a pace."""
+        pace = self.pace
+        if pace.is_paced == self._was_paced:
+            return
+        self._was_paced = pace.is_paced
+        if pace.reason is not None:
+            self._telemetry.count("server_paces", reason=pace.reason)
+        log.info(
+            "server_paced",
+            server=self.server.id,
+            state="ended" if pace.reason is None else "begun",
+            reason=pace.reason or "-",
+            limit=pace.limit,
+            max_limit=pace.max_limit,
+        )
+
     def _record_failed_commit(self) -> None:
         self._failed_commits += 1
         if self._commits_failing_since is None:
--- a/lentilring/gateways/pacing.py
+++ b/lentilring/gateways/pacing.py
@@ -12,6 +12,7 @@
 from math import inf
 
 from ..catalog.model import ServerEntry
+from ..statements.model import Done, Failure, StatementOutcome
 
 # A server's process counts as new for this long after its start or the appearance of its
 # registration; the first statements usually follow within a second, longer in quiet services.
@@ -68,6 +69,15 @@
     OTHER = "other"
 
 
+def classify_outcome(outcome: StatementOutcome) -> AnswerOutcome:
+    """Return what a server's answer to a statement tells about its load."""
+    if isinstance(outcome, Done):
+        return AnswerOutcome.RAN
+    if outcome.failure in (Failure.OVERLOADED, Failure.CONNECTIONS_EXHAUSTED):
+        return AnswerOutcome.REFUSED
+    return AnswerOutcome.OTHER
+
+
 @dataclass(frozen=True, kw_only=True)
 class ServerAnswer:
     """Describe one answer, or a lost one.
--- a/lentilring/gateways/pool.py
+++ b/lentilring/gateways/pool.py
@@ -59,7 +59,9 @@
         keeps_idle: Callable[[], bool],
         clock: Clock,
         telemetry: Telemetry,
+        on_full: Callable[[], None] = lambda: None,
     ) -> None:
+        self._on_full = on_full
         self.server, self._limit, self._keeps_idle = server, limit, keeps_idle
         self._is_closed = False
         self._full_limit, self._full_until = 0, float("-inf")
@@ -185,6 +187,7 @@
             return
         open_connections = self.open_count - self._opening
         self._telemetry.count("gateway_server_full")
+        self._on_full()
         log.info(
             "server_full", server=self.server.id, connections=open_connections, limit=self._limit()
         )
--- a/lentilring/gateways/service.py
+++ b/lentilring/gateways/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import time
 from collections.abc import Awaitable, Callable
 from random import Random
 
@@ -27,6 +28,7 @@
     StatementKind,
     TransactionEnded,
 )
+from .pacing import PaceReason, ProcessStarts
 from .placement import rank_gateways
 from .positions import ProvenPositionHistory
 from .renewal import LeaseRenewal
@@ -59,10 +61,12 @@
         clock: SuspensionClock,
         random: Random,
         telemetry: Telemetry,
+        paces_servers: bool,
     ) -> None:
         self._catalog, self._connector, self._transport = catalog, connector, transport
         self._clock, self._random, self._telemetry = clock, random, telemetry
-        self._fleet = fleet
+        self._fleet, self._paces_servers = fleet, paces_servers
+        self._process_starts = ProcessStarts()
         self._gateways: dict[str, ServerGateway] = {}
         # Gateways of servers that were replaced, while statements still run there.
         self._closing: set[ServerGateway] = set()
@@ -254,8 +258,11 @@
                 has_leadership=lambda: self._renewal.has_lease(server),
                 is_first_choice=lambda: self._is_first_choice(server),
                 is_too_late=self._is_too_late,
+                is_paced=self._paces_servers,
             )
             log.info("gateway_opened", server=server.id, limit=gateway.pool.limit)
+            if self._process_starts.is_new(server, now=self._clock.monotonic(), wall_s=time.time()):
+                gateway.begin_pace(PaceReason.NEW_PROCESS)
         return gateway
 
     def _refuse_new_work(self, server: ServerEntry) -> Failed | None:
@@ -286,6 +293,7 @@
 
     def _close_replaced_gateways(self) -> None:
         """Close the gateways of servers that were removed or that restarted."""
+        self._process_starts.update(self._catalog.servers.entries, self._clock.monotonic())
         for server in list(self._gateways):
             entry = self._catalog.servers.entries.get(server)
             known = self._gateways[server].server
--- a/lentilring/gateways/slots.py
+++ b/lentilring/gateways/slots.py
@@ -35,12 +35,14 @@
     """Assign the slots of one server to statements; rank 0 goes first.
 
     `limit` returns how many statements may be at the server at once. Call `admit_waiting` after it
-    has risen.
+    has risen. Statements of open transactions use all slots in any case: they hold a connection and
+    locks, and a refusal would abort work that the server has already done.
     """
 
     def __init__(self, *, clock: Clock, slots: int, limit: Callable[[], int] | None = None) -> None:
         self._clock = clock
-        self._limit = limit or (lambda: slots + MAX_WAITING_AT_SERVER)
+        self._max_limit = slots + MAX_WAITING_AT_SERVER
+        self._limit = limit or (lambda: self._max_limit)
         self.running = 0
         self._queues: dict[int, FairQueue[_Waiter]] = {}
         self._average_cost_s = 0.005
@@ -50,9 +52,9 @@
 
     def expected_wait_s(self, account: str, rank: int) -> float:
         """Estimate the wait of a new statement from those ahead of it and their average cost."""
-        limit = max(1, self._limit())
-        if self.running < limit and not len(self):
+        if self._has_room(rank):
             return 0.0
+        limit = max(1, self._find_limit(rank))
         ahead = sum(len(queue) for key, queue in self._queues.items() if key < rank)
         same_rank = self._queues.get(rank)
         same_rank_s = 0.0 if same_rank is None else same_rank.expected_wait_s(account, limit)
@@ -64,7 +66,7 @@
         queue = self._queues.setdefault(
             rank, FairQueue(capacity_per_account=MAX_QUEUED_PER_ACCOUNT)
         )
-        if self.running < self._limit() and not len(self):
+        if self._has_room(rank):
             self.running += 1
             queue.charge(account)
             return None
@@ -101,21 +103,30 @@
             raise
         return None
 
+    def _find_limit(self, rank: int) -> int:
+        limit = self._limit()
+        return max(limit, self._max_limit) if rank == IN_TRANSACTION else limit
+
+    def _has_room(self, rank: int) -> bool:
+        """Tell whether a statement of a rank may be sent now, before those that wait."""
+        if any(len(queue) for key, queue in self._queues.items() if key <= rank):
+            return False
+        return self.running < self._find_limit(rank)
+
     def _has_slot(self, waiter: _Waiter) -> bool:
         return waiter.admitted.done() and not waiter.admitted.cancelled()
 
     def admit_waiting(self) -> None:
         """Assign the slots that are free now to waiting statements."""
-        while self.running < self._limit():
-            waiter = self._pop()
-            if waiter is None:
-                return
+        while (waiter := self._pop()) is not None:
             if not waiter.admitted.done():
                 self.running += 1
                 waiter.admitted.set_result(None)
 
     def _pop(self) -> _Waiter | None:
         for rank in sorted(self._queues):
+            if self.running >= self._find_limit(rank):
+                return None
             waiter = self._queues[rank].pop()
             if waiter is not None:
                 return waiter
--- a/lentilring/platform/boot.py
+++ b/lentilring/platform/boot.py
@@ -18,6 +18,9 @@
 # Time for the announcement to reach this proxy and for the last statements to reach the server.
 WITHDRAWAL_MARGIN_S = 1.5
 
+# Entry of `invariants` that asks for servers to be paced.
+HEALTH_INVARIANT = "health"
+
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 
 
@@ -65,6 +68,7 @@
     cloud_api: _Endpoint
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    invariants: list[str] = []
 
 
 def read_boot_file(path: Path) -> SessionProxySettings:
@@ -99,5 +103,6 @@
         "evacuation_grace_s": max(0.0, bounds.evacuate_ms / 1000 - WITHDRAWAL_MARGIN_S),
         "drain_timeout_s": max(0.5, bounds.grace_s - DRAIN_MARGIN_S),
         "transaction_end_time_s": bounds.grace_s / 2,
+        "paces_servers": HEALTH_INVARIANT in boot.invariants,
     }
     return check_settings(values | extra_settings)
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -158,6 +158,7 @@
         clock=clock,
         random=random_source,
         telemetry=telemetry,
+        paces_servers=settings.paces_servers,
     )
     shared_secret = SharedSecret(
         secret=secret,
--- a/lentilring/session_settings.py
+++ b/lentilring/session_settings.py
@@ -80,6 +80,10 @@
         float,
         Meta(ge=0, le=300, description="time from SIGTERM for open transactions, in seconds"),
     ] = 3.0
+    paces_servers: Annotated[
+        bool,
+        Meta(description="whether servers that started or recovered get more work step by step"),
+    ] = False
     log_level: Annotated[LogLevel, Meta(description="lowest level of logged events")] = (
         LogLevel.INFO
     )
