--- a/lentilring/cli/reference.py
+++ b/lentilring/cli/reference.py
@@ -11,6 +11,7 @@
 import typer
 
 from ..configuration import models
+from ..session_settings import SessionProxySettings
 from ..settings import ProxySettings, format_constraint, has_default, list_settings, read_check
 from .options import name_variable
 
@@ -39,6 +40,13 @@
 The process checks all of them at start and ends with exit code 2 when one is not valid.
 `lentilring-proxy --check` checks them without starting. The source is `lentilring/settings.py`.
 """
+SESSION_INTRODUCTION = """\
+## Settings of the session proxy
+
+`lentilring-sessions` reads its settings from the platform's settings file, whose path is in
+`LENTILRING_BOOT`; `lentilring/platform/boot.py` maps its members to the settings below. The source
+is `lentilring/session_settings.py`.
+"""
 OBJECTS_INTRODUCTION = """\
 ## Configuration objects
 
@@ -57,7 +65,8 @@
 
 def describe_page() -> str:
     """Return the reference page in Markdown."""
-    parts = [INTRODUCTION, _describe_settings(), OBJECTS_INTRODUCTION]
+    parts = [INTRODUCTION, _describe_settings(), SESSION_INTRODUCTION]
+    parts += [_describe_session_settings(), OBJECTS_INTRODUCTION]
     parts += [_describe_model(f"Object `{kind}`", model) for kind, model in OBJECT_TYPES.items()]
     parts += [_describe_model(title, model) for title, model in PART_TYPES.items()]
     return "\n".join(parts)
@@ -105,6 +114,28 @@
     return _format_table(columns, rows)
 
 
+def _describe_session_settings() -> str:
+    columns = ("setting", "default", "unit", "allowed values", "meaning")
+    hints = get_type_hints(SessionProxySettings, include_extras=True)
+    rows = []
+    for entry in fields(SessionProxySettings):
+        base, *checks = get_args(hints[entry.name])
+        description = next(check.description for check in checks if check.description)
+        allowed = [format_constraint(check) for check in checks]
+        if isinstance(base, type) and issubclass(base, StrEnum):
+            allowed.append(", ".join(base))
+        rows.append(
+            (
+                f"`{entry.name}`",
+                _format_default(entry),
+                find_unit(entry.name),
+                _format_allowed("; ".join(filter(None, allowed))),
+                description,
+            )
+        )
+    return _format_table(columns, rows)
+
+
 def _describe_model(title: str, model: type) -> str:
     hints = get_type_hints(model, include_extras=True)
     rows = []
--- a/lentilring/settings.py
+++ b/lentilring/settings.py
@@ -95,7 +95,7 @@
 
 
 def format_constraint(entry: object) -> str:
-    """Return one of a field's checks as text; empty for what is no constraint."""
+    """Return the constraints in one of a field's checks as text; empty if it has none."""
     names = {
         "ge": "at least",
         "gt": "above",
@@ -104,5 +104,5 @@
         "max_length": "length at most",
         "pattern": "matching",
     }
-    found = [f"{text} {getattr(entry, key)}" for key, text in names.items() if hasattr(entry, key)]
-    return " ".join(found)
+    values = {text: getattr(entry, key, None) for key, text in names.items()}
+    return "; ".join(f"{text} {value}" for text, value in values.items() if value is not None)
