Estimate waits at a paced server by the limit that it reaches soon

A paced server starts at one statement and reaches its slots after three round trips, but waits were estimated at the present limit. A server that lost answers keeps the low estimate until it answers.

--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -89,7 +89,12 @@
         self.server = server
         self.history = history
         self.pace = ServerPace(max_limit=server.slots + MAX_WAITING_AT_SERVER, is_enabled=is_paced)
-        self.slots = SlotQueue(clock=clock, slots=server.slots, limit=lambda: self.pace.limit)
+        self.slots = SlotQueue(
+            clock=clock,
+            slots=server.slots,
+            limit=lambda: self.pace.limit,
+            expected_limit=lambda: self.pace.expected_limit,
+        )
         self.pool = ConnectionPool(
             server=server,
             connector=connector,
@@ -234,6 +239,8 @@
             self.pool.discard(connection)
             return None
         self.pool.release(connection)
+        self.pace.record_proof(self.slots.running)
+        self.slots.admit_waiting()
         return reply.outcome.position if isinstance(reply.outcome, Done) else None
 
     def pause_primary_work(self) -> None:
--- a/lentilring/gateways/pacing.py
+++ b/lentilring/gateways/pacing.py
@@ -129,6 +129,13 @@
         """Tell whether the limit may be below its maximum."""
         return self.reason is not None
 
+    @property
+    def expected_limit(self) -> int:
+        """Return the limit after a few good answers, as far as the server has answered at all."""
+        if self.reason is PaceReason.ANSWERS_LOST and self._answered_at < self._changed_at:
+            return self.limit
+        return max(self.limit, self._ceiling)
+
     def begin(self, reason: PaceReason, now: float) -> None:
         """Start with one statement at a time."""
         if self._is_enabled:
@@ -142,6 +149,15 @@
         """Take note of a statement that has to wait because of the pace."""
         self._held_back_at = now
 
+    def record_proof(self, running: int) -> None:
+        """Allow one statement more at a server that answers although those sent to it are lost.
+
+        It answered outside of the slots, so it is back; the statements that were sent before may
+        hold the limit until they time out.
+        """
+        if self.is_paced and self._answered_at < self._changed_at:
+            self.limit = min(self.max_limit, max(self.limit, running + 1))
+
     def record_connection_refusal(self, now: float) -> None:
         """Reduce the limit of a paced server that accepts no further connection.
 
--- a/lentilring/gateways/slots.py
+++ b/lentilring/gateways/slots.py
@@ -35,14 +35,24 @@
     """Assign the slots of one server to statements; rank 0 goes first.
 
     `limit` returns how many statements may be at the server at once. Call `admit_waiting` after it
-    has risen. Statements of open transactions use all slots in any case: they hold a connection and
-    locks, and a refusal would abort work that the server has already done.
+    has risen. `expected_limit` returns how many soon may be, for estimates of waits.
+
+    Statements of open transactions use all slots in any case: they hold a connection and locks, and
+    a refusal would abort work that the server has already done.
     """
 
-    def __init__(self, *, clock: Clock, slots: int, limit: Callable[[], int] | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        slots: int,
+        limit: Callable[[], int] | None = None,
+        expected_limit: Callable[[], int] | None = None,
+    ) -> None:
         self._clock = clock
         self._max_limit = slots + MAX_WAITING_AT_SERVER
         self._limit = limit or (lambda: self._max_limit)
+        self._expected_limit = expected_limit or self._limit
         self.running = 0
         self._queues: dict[int, FairQueue[_Waiter]] = {}
         self._average_cost_s = 0.005
@@ -54,7 +64,7 @@
         """Estimate the wait of a new statement from those ahead of it and their average cost."""
         if self._has_room(rank):
             return 0.0
-        limit = max(1, self._find_limit(rank))
+        limit = max(1, self._expected_limit())
         ahead = sum(len(queue) for key, queue in self._queues.items() if key < rank)
         same_rank = self._queues.get(rank)
         same_rank_s = 0.0 if same_rank is None else same_rank.expected_wait_s(account, limit)
--- a/tests/test_paced_gateway.py
+++ b/tests/test_paced_gateway.py
@@ -60,6 +60,19 @@
 
         run_virtual(scenario())
 
+    def test_statements_that_can_run_soon_are_not_refused_at_the_first_limit(self) -> None:
+        """Guards against refusals for a wait that is estimated at one statement at a time."""
+
+        async def scenario() -> None:
+            bench = build_bench()
+            await asyncio.gather(*(bench.run(f"before{number}") for number in range(30)))
+            bench.gateway.begin_pace(PaceReason.UNREACHABLE)
+            # 64 statements of 10 ms take 0.64 s one by one, longer than they wait for a slot.
+            results = await asyncio.gather(*(bench.run(f"q{number}") for number in range(64)))
+            self.assertEqual({None}, {find_failure(result) for result in results})
+
+        run_virtual(scenario())
+
     def test_open_transaction_does_not_wait_for_the_pace(self) -> None:
         """Guards against aborted transactions, whose work the server has already done."""
 
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -262,6 +262,20 @@
         grown = next(at for at, limit in played.limits if at > first and limit >= SLOTS)
         self.assertLess(grown - first, 5 * USUAL_S)
 
+    def test_server_that_proves_its_lead_gets_one_statement_more(self) -> None:
+        """Guards against a server that is back but idle until old statements have timed out."""
+        pace = build_known_pace()
+        play(pace, PlayedServer(loses=lambda now: True), [0.0] * 30, until=0.9)
+        self.assertEqual((1, 1), (pace.limit, pace.expected_limit))
+        pace.record_proof(1)
+        self.assertEqual(2, pace.limit)
+        answer = ServerAnswer(
+            kind="read", duration_s=USUAL_S, outcome=AnswerOutcome.RAN, running=2, waiting=9
+        )
+        pace.record_answer(answer, 1.0)
+        pace.record_proof(2)
+        self.assertEqual((2, FULL), (pace.limit, pace.expected_limit))
+
     def test_lost_answers_of_a_server_that_answers_change_nothing(self) -> None:
         """Guards against a pace that begins because connections broke one by one."""
         pace = build_known_pace()
