--- a/tests/test_paced_gateway.py
+++ b/tests/test_paced_gateway.py
@@ -73,6 +73,21 @@
 
         run_virtual(scenario())
 
+    def test_proof_of_the_lead_admits_a_statement_behind_one_without_an_answer(self) -> None:
+        """Guards against a primary that is back but idle until an old statement has timed out."""
+
+        async def scenario() -> None:
+            bench = build_bench()
+            bench.gateway.begin_pace(PaceReason.UNREACHABLE)
+            tasks = [start(bench.run(f"q{number}", text="0.3")) for number in range(3)]
+            await asyncio.sleep(2 * WORK_S)
+            self.assertEqual(1, count_at_server(bench.gateway))
+            self.assertIsNotNone(await bench.gateway.prove_leadership("planner"))
+            self.assertEqual(2, count_at_server(bench.gateway))
+            await asyncio.gather(*tasks)
+
+        run_virtual(scenario())
+
     def test_open_transaction_does_not_wait_for_the_pace(self) -> None:
         """Guards against aborted transactions, whose work the server has already done."""
 
