--- a/lentilring/cli/reference.py
+++ b/lentilring/cli/reference.py
@@ -43,8 +43,9 @@
 SESSION_INTRODUCTION = """\
 ## Settings of the session proxy
 
-`lentilring-sessions` derives these settings from the platform's settings file
-(`lentilring/platform/boot.py`). The source is `lentilring/session_settings.py`.
+`lentilring-sessions` reads its settings from the platform's settings file, whose path is in
+`LENTILRING_BOOT`; `lentilring/platform/boot.py` maps its members to the settings below. The source
+is `lentilring/session_settings.py`.
 """
 OBJECTS_INTRODUCTION = """\
 ## Configuration objects
--- a/lentilring/gateways/service.py
+++ b/lentilring/gateways/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from random import Random
@@ -30,6 +31,7 @@
     StatementKind,
     TransactionEnded,
 )
+from .pacing import PaceReason, ProcessStarts
 from .placement import rank_gateways
 from .positions import ProvenPositionHistory
 from .renewal import LeaseRenewal
@@ -65,11 +67,13 @@
         clock: SuspensionClock,
         random: Random,
         telemetry: Telemetry,
+        paces_servers: bool = False,
         judges_servers: bool = False,
     ) -> None:
         self._catalog, self._connector, self._transport = catalog, connector, transport
         self._clock, self._random, self._telemetry = clock, random, telemetry
-        self._fleet = fleet
+        self._fleet, self._paces_servers = fleet, paces_servers
+        self._process_starts = ProcessStarts()
         self._gateways: dict[str, ServerGateway] = {}
         # Gateways of servers that were replaced, while statements still run there.
         self._closing: set[ServerGateway] = set()
@@ -328,8 +332,11 @@
                 observe_answer=lambda attempt, answer, took_s: self._judge_answer(
                     server, attempt, answer, took_s
                 ),
+                is_paced=self._paces_servers,
             )
             log.info("gateway_opened", server=server.id, limit=gateway.pool.limit)
+            if self._process_starts.is_new(server, now=self._clock.monotonic(), wall_s=time.time()):
+                gateway.begin_pace(PaceReason.NEW_PROCESS)
         return gateway
 
     def _refuse_new_work(self, server: ServerEntry) -> Failed | None:
@@ -360,6 +367,7 @@
 
     def _close_replaced_gateways(self) -> None:
         """Close the gateways of servers that were removed or that restarted."""
+        self._process_starts.update(self._catalog.servers.entries, self._clock.monotonic())
         for server in list(self._gateways):
             entry = self._catalog.servers.entries.get(server)
             known = self._gateways[server].server
--- a/lentilring/gateways/slots.py
+++ b/lentilring/gateways/slots.py
@@ -46,8 +46,12 @@
 
     `limit` returns how many statements may be at the server at once, `has_connection` whether a
     statement outside of transactions can have a connection at once; without one it gets no slot.
-    Call `admit_waiting` after one of them has changed. Statements of one `kind` are expected to
-    take equally long.
+    Call `admit_waiting` after one of them has changed. `expected_limit` returns the limit that is
+    expected soon, for estimates of waits. Statements of one `kind` are expected to take equally
+    long.
+
+    Statements of open transactions use all slots in any case: they hold a connection and locks, and
+    a refusal would abort work that the server has already done.
     """
 
     def __init__(
@@ -56,10 +60,13 @@
         clock: Clock,
         slots: int,
         limit: Callable[[], int] | None = None,
+        expected_limit: Callable[[], int] | None = None,
         has_connection: Callable[[], bool] = lambda: True,
     ) -> None:
         self._clock = clock
-        self._limit = limit or (lambda: slots + MAX_WAITING_AT_SERVER)
+        self._max_limit = slots + MAX_WAITING_AT_SERVER
+        self._limit = limit or (lambda: self._max_limit)
+        self._expected_limit = expected_limit or self._limit
         self._has_connection = has_connection
         self.running = 0
         self._queues: dict[int, FairQueue[_Waiter]] = {}
@@ -84,11 +91,11 @@
 
     def _estimate_wait_s(self, account: str, rank: int) -> float:
         """Estimate the wait for a slot from the statements ahead and their costs by kind."""
-        limit = max(1, self._limit())
+        if self._has_room(rank):
+            return 0.0
+        limit = max(1, self._expected_limit())
         ahead = [queue for key, queue in self._queues.items() if key < rank and len(queue)]
         same_rank = self._queues.get(rank)
-        if self.running < limit and not ahead and not same_rank:
-            return 0.0
         same_rank_s = 0.0 if same_rank is None else same_rank.expected_wait_s(account, limit)
         ahead_s = sum(queue.total_cost_s() for queue in ahead)
         return same_rank_s + (ahead_s + self._next_release_s()) / limit
@@ -183,15 +190,22 @@
             raise
         return None
 
+    def _find_limit(self, rank: int) -> int:
+        limit = self._limit()
+        return max(limit, self._max_limit) if rank == IN_TRANSACTION else limit
+
+    def _has_room(self, rank: int) -> bool:
+        """Tell whether a statement of a rank may be sent now, before those that wait."""
+        if any(len(queue) for key, queue in self._queues.items() if key <= rank):
+            return False
+        return self.running < self._find_limit(rank)
+
     def _has_slot(self, waiter: _Waiter) -> bool:
         return waiter.admitted.done() and not waiter.admitted.cancelled()
 
     def admit_waiting(self) -> None:
         """Assign the slots that are free now to waiting statements."""
-        while self.running < self._limit():
-            waiter = self._pop()
-            if waiter is None:
-                break
+        while (waiter := self._pop()) is not None:
             if not waiter.admitted.done():
                 self.running += 1
                 self._running_kinds[waiter.kind] += 1
@@ -211,6 +225,8 @@
     def _pop(self) -> _Waiter | None:
         """Remove and return the next statement that can run now."""
         for rank in sorted(self._queues):
+            if self.running >= self._find_limit(rank):
+                return None
             if rank != IN_TRANSACTION and not self._has_connection():
                 return None
             waiter = self._queues[rank].pop()
--- a/lentilring/platform/boot.py
+++ b/lentilring/platform/boot.py
@@ -20,6 +20,9 @@
 WITHDRAWAL_MARGIN_S = 1.5
 USAGE_DUTY = "usage_report"
 
+# Entry of `invariants` that asks for servers to be paced.
+HEALTH_INVARIANT = "health"
+
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 
 
@@ -114,5 +117,6 @@
         "report_window_s": bounds.report_window_s if USAGE_DUTY in boot.cloud_api.duties else 0.0,
         "usage_late_s": bounds.usage_late_s,
         "usage_lease_s": bounds.lease_ms / 1000,
+        "paces_servers": HEALTH_INVARIANT in boot.invariants,
     }
     return check_settings(values | extra_settings)
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -163,6 +163,7 @@
         random=random_source,
         telemetry=telemetry,
         judges_servers=settings.judges_servers,
+        paces_servers=settings.paces_servers,
     )
     shared_secret = SharedSecret(
         secret=secret,
--- a/lentilring/session_settings.py
+++ b/lentilring/session_settings.py
@@ -104,6 +104,10 @@
             description="time that a new reporter leaves to the earlier one, in seconds",
         ),
     ] = 3.0
+    paces_servers: Annotated[
+        bool,
+        Meta(description="whether servers that started or recovered get more work step by step"),
+    ] = False
     log_level: Annotated[LogLevel, Meta(description="lowest level of logged events")] = (
         LogLevel.INFO
     )
--- a/lentilring/settings.py
+++ b/lentilring/settings.py
@@ -97,7 +97,7 @@
 
 
 def format_constraint(entry: object) -> str:
-    """Return one of a field's checks as text; empty for what is no constraint."""
+    """Return the constraints in one of a field's checks as text; empty if it has none."""
     names = {
         "ge": "at least",
         "gt": "above",
