--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from itertools import pairwise
 from random import Random
 from typing import Any
 
@@ -281,10 +282,53 @@
             self.assertEqual(1, len({call.token for call in calls}))
             self.assertGreater(len(calls), 3)
             self.assertLess(len(calls), 10)
+            answered = [call.at for call in calls if call.result is not ReportResult.ACCEPTED]
+            for first, second in pairwise(answered):
+                self.assertGreaterEqual(second - first, 0.5)
             self.assertEqual([0, 1, 2, 3], sorted(fleet.platform.list_accepted()))
 
         self.play(scenario)
 
+    def test_refused_token_is_not_used_again(self) -> None:
+        """Guards against a second call with a token that the platform has refused.
+
+        The record is still the reporter's, so its next token comes from another write.
+        """
+
+        async def scenario(fleet: UsageFleet) -> None:
+            fleet.serve_all()
+            fleet.platform.fence = 4
+            await fleet.run_until(9.0)
+            results = [call.result for call in fleet.platform.calls]
+            self.assertEqual([ReportResult.FENCED] * 2 + [ReportResult.ACCEPTED], results)
+            self.check_window(fleet, 0, 4, by=0)
+
+        self.play(scenario)
+
+    def test_rejected_report_does_not_hold_up_later_ones(self) -> None:
+        """Guards against a window that the platform never accepts and that blocks all others."""
+
+        async def scenario(fleet: UsageFleet) -> None:
+            fleet.platform.rejected_windows = {0}
+            await fleet.run_until(12.0)
+            self.assertEqual([1], sorted(fleet.platform.list_accepted()))
+
+        self.play(scenario)
+
+    def test_reporter_with_a_wrong_clock_does_not_report_the_future(self) -> None:
+        """Guards against a record of windows to come, which keeps the true ones from reports."""
+
+        async def scenario(fleet: UsageFleet) -> None:
+            await fleet.run_until(8.0)
+            fleet.proxies[0].clock_error_s = 40.0
+            fleet.serve_all()
+            await fleet.run_until(60.0)
+            accepted = fleet.platform.list_accepted()
+            self.assertEqual(list(range(11)), sorted(accepted))
+            self.assertEqual({"planner": 3}, accepted[1].counts)
+
+        self.play(scenario)
+
     def test_restart_of_all_proxies_never_reports_other_counts(self) -> None:
         """Guards against a second report of a window whose counts the processes have lost.
 
--- a/tests/usage_fleet.py
+++ b/tests/usage_fleet.py
@@ -72,17 +72,20 @@
         self.calls: list[Call] = []
         self.is_silent, self.late_s, self.busy_calls = False, 3.0, 0
         self.late_calls = 0
-        self._fence = 0
+        self.rejected_windows: set[int] = set()
+        self.fence = 0
 
     def execute(self, report: UsageReport, holder: str, token: int) -> ReportResult:
         result = ReportResult.ACCEPTED
-        if token < self._fence:
+        if token < self.fence:
             result = ReportResult.FENCED
+        elif report.window - FIRST_WINDOW in self.rejected_windows:
+            result = ReportResult.REJECTED
         elif self.busy_calls > 0:
             self.busy_calls -= 1
             result = ReportResult.BUSY
         else:
-            self._fence = token
+            self.fence = token
         call = Call(
             at=asyncio.get_running_loop().time(),
             holder=holder,
@@ -165,6 +168,7 @@
     """One process; it is also its own view of the fleet."""
 
     is_synchronized = True
+    clock_error_s = 0.0
 
     def __init__(self, *, fleet: "UsageFleet", entry: ProxyEntry) -> None:
         self.fleet, self.local, self.gate = fleet, entry, Gate()
@@ -178,7 +182,7 @@
         self._paused_at = 0.0
         windows = Windows(
             length_s=WINDOW_S,
-            now=lambda: FIRST_WINDOW * WINDOW_S + asyncio.get_running_loop().time(),
+            now=self.read_time,
         )
         self.counts = UsageCounts(windows=windows)
         self.service = UsageReporter(
@@ -195,6 +199,10 @@
             telemetry=self.telemetry,
         )
 
+    def read_time(self) -> float:
+        """Return the seconds since the start of 1970 by this VM's clock."""
+        return FIRST_WINDOW * WINDOW_S + self.clock.boottime() + self.clock_error_s
+
     def others(self) -> tuple[ProxyEntry, ...]:
         return tuple(entry for vm, entry in self.fleet.entries.items() if vm != self.local.vm)
 
