--- a/lentilring/cli/reference.py
+++ b/lentilring/cli/reference.py
@@ -9,8 +9,10 @@
 from typing import Annotated, Any, Union, get_args, get_origin, get_type_hints
 
 import typer
+from msgspec import Meta
 
 from ..configuration import models
+from ..session_settings import SessionProxySettings
 from ..settings import ProxySettings, format_constraint, has_default, list_settings, read_check
 from .options import name_variable
 
@@ -39,6 +41,12 @@
 The process checks all of them at start and ends with exit code 2 when one is not valid.
 `lentilring-proxy --check` checks them without starting. The source is `lentilring/settings.py`.
 """
+SESSIONS_INTRODUCTION = """\
+## Settings of the session proxy
+
+`lentilring-sessions` reads them from the platform's settings file (`lentilring/platform/boot.py`)
+and checks all of them at start. The source is `lentilring/session_settings.py`.
+"""
 OBJECTS_INTRODUCTION = """\
 ## Configuration objects
 
@@ -57,7 +65,13 @@
 
 def describe_page() -> str:
     """Return the reference page in Markdown."""
-    parts = [INTRODUCTION, _describe_settings(), OBJECTS_INTRODUCTION]
+    parts = [
+        INTRODUCTION,
+        _describe_settings(),
+        SESSIONS_INTRODUCTION,
+        _describe_session_settings(),
+        OBJECTS_INTRODUCTION,
+    ]
     parts += [_describe_model(f"Object `{kind}`", model) for kind, model in OBJECT_TYPES.items()]
     parts += [_describe_model(title, model) for title, model in PART_TYPES.items()]
     return "\n".join(parts)
@@ -105,6 +119,33 @@
     return _format_table(columns, rows)
 
 
+def _describe_session_settings() -> str:
+    hints = get_type_hints(SessionProxySettings, include_extras=True)
+    rows = []
+    for entry in list_settings(SessionProxySettings):
+        checks = [check for check in get_args(hints[entry.name])[1:] if isinstance(check, Meta)]
+        description = next((check.description for check in checks if check.description), "")
+        allowed = "; ".join(filter(None, map(_format_meta, checks)))
+        if isinstance(entry.default, StrEnum):
+            allowed = ", ".join(type(entry.default))
+        rows.append(
+            (
+                f"`{entry.name}`",
+                _format_default(entry),
+                find_unit(entry.name),
+                _format_allowed(allowed),
+                description,
+            )
+        )
+    return _format_table(("setting", "default", "unit", "allowed values", "meaning"), rows)
+
+
+def _format_meta(check: Meta) -> str:
+    names = {"ge": "at least", "gt": "above", "le": "at most", "pattern": "matching"}
+    values = {text: getattr(check, key) for key, text in names.items()}
+    return "; ".join(f"{text} {value}" for text, value in values.items() if value is not None)
+
+
 def _describe_model(title: str, model: type) -> str:
     hints = get_type_hints(model, include_extras=True)
     rows = []
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -7,6 +7,7 @@
 
 from lentilring.cli.reference import OBJECT_TYPES, PART_TYPES, describe_page
 from lentilring.configuration.models import PARSERS
+from lentilring.session_settings import SessionProxySettings
 from lentilring.settings import ProxySettings
 
 PAGE = Path(__file__).parent.parent / "docs" / "configuration.md"
@@ -27,6 +28,8 @@
         page = describe_page()
         for setting in fields(ProxySettings):
             self.assertIn(f"| `--{setting.name.replace('_', '-')}` |", page)
+        for setting in fields(SessionProxySettings):
+            self.assertIn(f"| `{setting.name}` |", page)
         for model in (*OBJECT_TYPES.values(), *PART_TYPES.values()):
             for field in fields(model):
                 self.assertIn(f"| `{field.name}` |", page)
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -276,19 +276,28 @@
             fleet.serve_all()
             fleet.platform.is_silent = True
             await fleet.run_until(14.0)
-            fleet.platform.is_silent, fleet.platform.busy_calls = False, 2
+            fleet.platform.is_silent = False
             await fleet.run_until(22.0)
             calls = [call for call in fleet.platform.calls if call.window == 0]
             self.assertEqual(1, len({call.token for call in calls}))
             self.assertGreater(len(calls), 3)
             self.assertLess(len(calls), 10)
-            answered = [call.at for call in calls if call.result is not ReportResult.ACCEPTED]
-            for first, second in pairwise(answered):
-                self.assertGreaterEqual(second - first, 0.5)
             self.assertEqual([0, 1, 2, 3], sorted(fleet.platform.list_accepted()))
 
         self.play(scenario)
 
+    def test_busy_platform_is_asked_again_after_a_pause(self) -> None:
+        """Guards against repeats that keep the platform over its rate of calls."""
+
+        async def scenario(fleet: UsageFleet) -> None:
+            fleet.platform.busy_calls = 3
+            await fleet.run_until(9.0)
+            times = [call.at for call in fleet.platform.calls]
+            self.assertEqual(4, len(times))
+            self.assertTrue(all(later - first >= 0.5 for first, later in pairwise(times)), times)
+
+        self.play(scenario)
+
     def test_refused_token_is_not_used_again(self) -> None:
         """Guards against a second call with a token that the platform has refused.
 
