Check the reporter only after it had time to start

Proxies checked the reporter as soon as they knew the fleet. When all processes start together, it may not listen yet, and was suspected and passed over.

--- a/lentilring/session_settings.py
+++ b/lentilring/session_settings.py
@@ -30,7 +30,9 @@
     peer_address: Annotated[Address, Meta(description="ip:port for peers, TCP and UDP")]
     metrics_address: Annotated[Address, Meta(description="ip:port of the metrics")]
     store_address: Annotated[Address, Meta(description="ip:port of the platform's store")]
-    promotion_address: Annotated[Address, Meta(description="ip:port of the promotion and usage services")]
+    promotion_address: Annotated[
+        Address, Meta(description="ip:port of the promotion and usage services")
+    ]
     weight: Annotated[
         float, Meta(gt=0, le=1024, description="processor share relative to other VMs")
     ] = 1.0
--- a/lentilring/usage/duty.py
+++ b/lentilring/usage/duty.py
@@ -1,7 +1,5 @@
 """Which proxy reports usage, and how the others notice that it does not."""
 
-import math
-
 from ..catalog.fleet import FleetService
 from ..catalog.source import ProxyEntry
 from ..clock import Clock
@@ -30,7 +28,7 @@
     def __init__(self, *, fleet: FleetService, transport: PeerTransport, clock: Clock) -> None:
         self._fleet, self._transport, self._clock = fleet, transport, clock
         self._passed_over_until: dict[str, float] = {}
-        self._checked_at = -math.inf
+        self._checked_at = clock.monotonic()
 
     def is_local(self) -> bool:
         """Tell whether this proxy reports."""
