--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -21,9 +21,11 @@
 from lentilring.kernel import ServiceNotFound
 from lentilring.peers.tcp import TcpTransport
 from lentilring.platform.boot import BootFile, build_settings
+from lentilring.platform.usage import PlatformUsage
 from lentilring.sessions.calls import StatementCall
 from lentilring.sessions.context import ANONYMOUS_ACCOUNT
 from lentilring.standin.objects import LocalStore, ObjectTable
+from lentilring.standin.prepared.store import PreparedStore
 from lentilring.statements.model import Failure
 from lentilring.usage.counts import UsageCounts, Windows, is_request
 from lentilring.usage.messages import AskUsage
@@ -467,6 +469,25 @@
         self.assertEqual(0, absent.report_window_s)
 
 
+class PlatformCallTest(TestCase):
+    def test_statuses_of_the_platform_are_told_apart(self) -> None:
+        """Guards against a refused token, or a call without an answer, that passes for accepted."""
+
+        async def scenario() -> None:
+            store = PreparedStore()
+            await store.start()
+            platform = PlatformUsage(address=store.address)
+            report = UsageReport(window=353445120, counts={"bode960": 412})
+            results = [await platform.send(report, holder="vm-a", token=t) for t in (5, 4)]
+            await store.stop()
+            results.append(await platform.send(report, holder="vm-a", token=6))
+            expected = [ReportResult.ACCEPTED, ReportResult.FENCED, ReportResult.UNKNOWN]
+            self.assertEqual(expected, results)
+            self.assertEqual([("vm-a", 5, 353445120, {"bode960": 412})], store.usage_reports)
+
+        run(scenario())
+
+
 class ProcessTest(TestCase):
     def test_statements_of_all_proxies_reach_the_platform(self) -> None:
         """Guards against faults in the wiring: router, messages between proxies, store and call."""
