Let proofs use one connection beyond a gateway's limit

While idle transactions held all connections that a gateway may hold to a primary, it could not prove the primary's position, and the replicas refused reads as behind. The new test fails without it.

--- a/lentilring/cli/reference.py
+++ b/lentilring/cli/reference.py
@@ -9,7 +9,6 @@
 from typing import Annotated, Any, Union, get_args, get_origin, get_type_hints
 
 import typer
-from msgspec import Meta
 
 from ..configuration import models
 from ..session_settings import SessionProxySettings
--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -43,6 +43,9 @@
 IDLE_TIMEOUT_MARGIN_S = 1.0
 # Proving that a server is the primary takes no slot, so a slower answer counts as a missing one.
 PROOF_TIMEOUT_S = 0.35
+# Connections beyond the pool's limit that proofs may use. Without a proof, replicas serve no reads
+# while idle transactions hold all connections to the primary.
+PROOF_CONNECTIONS = 1
 # New statements are refused for this long after the server could not be reached, since they would
 # wait in vain. Proofs still try to connect; the first that succeeds ends this early.
 UNREACHABLE_REFUSAL_S = 0.4
@@ -270,7 +273,9 @@
         if not await self._ensure_leadership():
             return None
         try:
-            connection = await self.pool.acquire(account, timeout_s=PROOF_TIMEOUT_S)
+            connection = await self.pool.acquire(
+                account, timeout_s=PROOF_TIMEOUT_S, beyond_limit=PROOF_CONNECTIONS
+            )
         except (ServerUnreachable, ServerRefused):
             return None
         self._unreachable_until = 0.0
--- a/lentilring/gateways/pool.py
+++ b/lentilring/gateways/pool.py
@@ -79,7 +79,7 @@
         self._idle: dict[str, list[PooledConnection]] = {}
         self._in_use: set[PooledConnection] = set()
         self._opening = 0
-        self._waiters: deque[tuple[str, asyncio.Future[ConnectionGrant]]] = deque()
+        self._waiters: deque[tuple[str, int, asyncio.Future[ConnectionGrant]]] = deque()
         # Called whenever a connection may have become available.
         self.on_available: Callable[[], None] = _ignore
 
@@ -103,6 +103,11 @@
         """Tell whether a connection can be granted now; a closed pool grants and then fails."""
         return self._is_closed or any(self._idle.values()) or self.open_count < self.limit
 
+    def _has_room(self, beyond_limit: int) -> bool:
+        is_known_full = self._clock.monotonic() < self._full_until
+        allowed = self.limit + (0 if is_known_full else beyond_limit)
+        return self.is_available or self.open_count < allowed
+
     def grant(self, account: str) -> ConnectionGrant:
         """Give the right to a connection of an account; only while `is_available`."""
         connection = self._acquire_idle(account)
@@ -135,14 +140,19 @@
         grant.is_spent = True
         return connection
 
-    async def acquire(self, account: str, *, timeout_s: float) -> PooledConnection:
-        """Return a connection of an account; raise ServerUnreachable or ServerRefused."""
+    async def acquire(
+        self, account: str, *, timeout_s: float, beyond_limit: int = 0
+    ) -> PooledConnection:
+        """Return a connection of an account; raise ServerUnreachable or ServerRefused.
+
+        `beyond_limit` connections more than the limit allows may be open for it.
+        """
         deadline = self._clock.monotonic() + timeout_s
         while True:
-            if self.is_available and not self._waiters:
+            if self._has_room(beyond_limit) and not self._waiters:
                 grant = self.grant(account)
             else:
-                grant = await self._wait_for_grant(account, deadline)
+                grant = await self._wait_for_grant(account, deadline, beyond_limit)
             try:
                 while not grant.is_spent:
                     remaining_s = max(0.001, deadline - self._clock.monotonic())
@@ -259,9 +269,11 @@
         asyncio.get_running_loop().call_later(FULL_LIMIT_S, self._notify)
         self.give_back(grant)
 
-    async def _wait_for_grant(self, account: str, deadline: float) -> ConnectionGrant:
+    async def _wait_for_grant(
+        self, account: str, deadline: float, beyond_limit: int
+    ) -> ConnectionGrant:
         granted: asyncio.Future[ConnectionGrant] = asyncio.get_running_loop().create_future()
-        waiter = (account, granted)
+        waiter = (account, beyond_limit, granted)
         self._waiters.append(waiter)
         try:
             async with asyncio.timeout(max(0.0, deadline - self._clock.monotonic())):
@@ -286,8 +298,8 @@
 
     def _notify(self) -> None:
         """Grant connections to waiting proofs, then let statements take the others."""
-        while self._waiters and self.is_available:
-            account, granted = self._waiters.popleft()
+        while self._waiters and self._has_room(self._waiters[0][1]):
+            account, _, granted = self._waiters.popleft()
             if not granted.done():
                 granted.set_result(self.grant(account))
         self.on_available()
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -135,6 +135,19 @@
         # Each of the first concurrent statements may be refused; later ones open no connection.
         self.assertLessEqual(refused, 30)
 
+    def test_proof_gets_a_connection_while_transactions_hold_all(self) -> None:
+        """Guards against replicas without proven positions while idle transactions hold all."""
+
+        async def scenario() -> int:
+            pool = build_pool(FakeConnector(allowed=9), limit=[2])
+            for _ in range(2):
+                await pool.acquire("planner", timeout_s=1)
+            proof = await pool.acquire("planner", timeout_s=1, beyond_limit=1)
+            pool.release(proof)
+            return pool.open_count
+
+        self.assertEqual(2, run_virtual(scenario()))
+
     def test_full_server_that_took_nothing_refuses_at_once(self) -> None:
         """Guards against waiting for connections that this gateway does not have."""
 
