Bound what clients of the statement protocol hold and keep waiting

asyncio's streams buffered up to 2 MiB for each connection, also of messages sent ahead; sessions kept values and prepared statements of any size; a message that began had no time limit; and connections without a session or halfway in a message kept their place when all were taken.

A budget of bytes for all connections together is derived from memory-mb; above it the connection that holds most is closed. Connections are read 4 KiB at a time, and reading stops behind the message under way. A message has 30 s, and when all sessions are in use, a connection without a session or long halfway in a message makes room. The limits on opening a session and reading an answer, which were constants, are settings.

--- a/lentilring/cli/reference.py
+++ b/lentilring/cli/reference.py
@@ -11,6 +11,7 @@
 import typer
 
 from ..configuration import models
+from ..session_settings import SessionProxySettings
 from ..settings import ProxySettings, format_constraint, has_default, list_settings, read_check
 from .options import name_variable
 
@@ -39,6 +40,15 @@
 The process checks all of them at start and ends with exit code 2 when one is not valid.
 `lentilring-proxy --check` checks them without starting. The source is `lentilring/settings.py`.
 """
+SESSIONS_INTRODUCTION = """\
+## Settings of the session proxy
+
+`lentilring-sessions` derives its settings from the settings file that `LENTILRING_BOOT` names
+(`lentilring/platform/boot.py`): for example `max_sessions` from `max-fds` in `limits`, and
+`connection_bytes` from `memory-mb` and `max_sessions`. Settings that the file does not determine
+have the defaults below; `docs/design/client-limits.md` describes the limits on clients. The source
+is `lentilring/session_settings.py`.
+"""
 OBJECTS_INTRODUCTION = """\
 ## Configuration objects
 
@@ -57,7 +67,8 @@
 
 def describe_page() -> str:
     """Return the reference page in Markdown."""
-    parts = [INTRODUCTION, _describe_settings(), OBJECTS_INTRODUCTION]
+    parts = [INTRODUCTION, _describe_settings()]
+    parts += [SESSIONS_INTRODUCTION, _describe_session_settings(), OBJECTS_INTRODUCTION]
     parts += [_describe_model(f"Object `{kind}`", model) for kind, model in OBJECT_TYPES.items()]
     parts += [_describe_model(title, model) for title, model in PART_TYPES.items()]
     return "\n".join(parts)
@@ -105,6 +116,22 @@
     return _format_table(columns, rows)
 
 
+def _describe_session_settings() -> str:
+    rows = []
+    for entry in list_settings(SessionProxySettings):
+        _, description, allowed = read_check(SessionProxySettings, entry.name)
+        rows.append(
+            (
+                f"`{entry.name}`",
+                _format_default(entry),
+                find_unit(entry.name),
+                _format_allowed(allowed),
+                description,
+            )
+        )
+    return _format_table(("setting", "default", "unit", "allowed values", "meaning"), rows)
+
+
 def _describe_model(title: str, model: type) -> str:
     hints = get_type_hints(model, include_extras=True)
     rows = []
--- a/lentilring/platform/boot.py
+++ b/lentilring/platform/boot.py
@@ -11,6 +11,15 @@
 METRICS_PORT = 9464
 # File descriptors for files, the store, backend servers and peers; the others serve sessions.
 RESERVED_DESCRIPTORS = 600
+# The program without sessions, which has 35 MB right after its start.
+PROGRAM_BYTES = 60_000_000
+# An idle session with its task and buffers, of which 7 KB were measured, and the kernel's socket.
+SESSION_BYTES = 16_000
+# Part of the remaining memory that connections may hold: the rest is for copies that exist while a
+# message is handled, for memory that the allocator keeps, and for answers of servers and peers.
+CONNECTION_SHARE = 0.5
+# Enough for one message of the greatest size in the widest text, with its copies.
+MIN_CONNECTION_BYTES = 12_000_000
 # The proxy refuses an unconfirmed configuration this long before the platform's own bound ends.
 CONFIGURATION_AGE_MARGIN_S = 2.0
 # Part of the grace period after draining, for the last answers, all services' stop and the exit.
@@ -34,6 +43,7 @@
     cpu_share: float = 1.0
     cpu_speed_factor: float = 1.0
     max_fds: int = 4096
+    memory_mb: float = 200
 
 
 class _Bounds(_BootStruct):
@@ -75,6 +85,7 @@
 def build_settings(boot: BootFile, **extra_settings: Any) -> SessionProxySettings:
     """Return the settings of the proxy; `extra_settings` are fields that the file does not set."""
     limits, bounds = boot.limits, boot.bounds
+    max_sessions = max(16, limits.max_fds - RESERVED_DESCRIPTORS)
     values = {
         "vm": boot.node_name,
         "failure_domain": boot.zone,
@@ -87,7 +98,8 @@
         "store_address": boot.platform.address,
         "promotion_address": boot.cloud_api.address,
         "weight": limits.cpu_share * limits.cpu_speed_factor,
-        "max_sessions": max(16, limits.max_fds - RESERVED_DESCRIPTORS),
+        "max_sessions": max_sessions,
+        "connection_bytes": derive_connection_bytes(limits.memory_mb, max_sessions),
         "max_configuration_age_s": max(
             1.0, (bounds.config_apply_ms + bounds.outer_ms) / 1000 - CONFIGURATION_AGE_MARGIN_S
         ),
@@ -101,3 +113,9 @@
         "transaction_end_time_s": bounds.grace_s / 2,
     }
     return check_settings(values | extra_settings)
+
+
+def derive_connection_bytes(memory_mb: float, max_sessions: int) -> int:
+    """Return the bytes that all connections may hold together on a VM with this much memory."""
+    free_bytes = memory_mb * 1e6 - PROGRAM_BYTES - max_sessions * SESSION_BYTES
+    return max(MIN_CONNECTION_BYTES, int(free_bytes * CONNECTION_SHARE))
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -5,6 +5,7 @@
 import signal
 import time
 
+from .byte_budget import ByteBudget
 from .catalog.fleet import FleetService
 from .catalog.relay import RecordRelay
 from .catalog.service import CatalogService
@@ -26,6 +27,7 @@
 from .platform.statements import LineCodec
 from .session_settings import SessionProxySettings
 from .sessions.choice import ProxyLocation
+from .sessions.client_limits import ClientLimits
 from .sessions.listener import SessionListener
 from .sessions.readiness import SessionReadiness
 from .sessions.router import StatementRouter
@@ -203,7 +205,14 @@
         codec=LineCodec(),
         router=router,
         telemetry=telemetry,
-        max_sessions=settings.max_sessions,
+        limits=ClientLimits(
+            max_sessions=settings.max_sessions,
+            open_timeout_s=settings.open_timeout_s,
+            message_timeout_s=settings.message_timeout_s,
+            answer_timeout_s=settings.answer_timeout_s,
+            room_message_s=settings.room_message_s,
+        ),
+        budget=ByteBudget(limit_bytes=settings.connection_bytes),
         transaction_idle_s=lambda: _read_transaction_idle_s(catalog),
     )
     readiness = SessionReadiness(
--- a/lentilring/session_settings.py
+++ b/lentilring/session_settings.py
@@ -38,6 +38,36 @@
         int,
         Meta(ge=1, le=1_000_000, description="open sessions at a time; further ones are closed"),
     ] = 2000
+    connection_bytes: Annotated[
+        int,
+        Meta(
+            ge=4 * 1024 * 1024,
+            le=1 << 40,
+            description="bytes held for all connections together; above them the one that holds"
+            " most is closed",
+        ),
+    ] = 40_000_000
+    open_timeout_s: Annotated[
+        float,
+        Meta(gt=0, le=3600, description="time for a connection to open its session, in seconds"),
+    ] = 10.0
+    message_timeout_s: Annotated[
+        float,
+        Meta(gt=0, le=3600, description="time for a message to arrive whole, in seconds"),
+    ] = 30.0
+    answer_timeout_s: Annotated[
+        float,
+        Meta(gt=0, le=3600, description="time for an answer to be read, in seconds"),
+    ] = 5.0
+    room_message_s: Annotated[
+        float,
+        Meta(
+            gt=0,
+            le=3600,
+            description="time after which an incomplete message makes room for a new session when"
+            " all are in use, in seconds",
+        ),
+    ] = 5.0
     max_configuration_age_s: Annotated[
         float,
         Meta(
--- a/lentilring/sessions/context.py
+++ b/lentilring/sessions/context.py
@@ -1,5 +1,6 @@
 """The state that a proxy keeps for one caller's session."""
 
+import sys
 from dataclasses import dataclass, field
 
 from ..catalog.model import DatabaseRoute
@@ -46,6 +47,12 @@
         """Return the session's values in the form of a gateway request."""
         return tuple(SessionValue(name=name, value=value) for name, value in self.values.items())
 
+    def measure_bytes(self) -> int:
+        """Return the memory that the session's values and prepared statements take."""
+        texts = [*self.values, *self.values.values(), *self.prepared]
+        texts += [prepared.shape for prepared in self.prepared.values()]
+        return sum(map(sys.getsizeof, texts))
+
     def record_commit(self, position: Position | None) -> None:
         """Raise the position that later reads of this session must include."""
         if position is not None and (self.position is None or position > self.position):
--- a/lentilring/sessions/listener.py
+++ b/lentilring/sessions/listener.py
@@ -3,35 +3,43 @@
 import asyncio
 import os
 import socket
+import sys
 import traceback
 from collections.abc import Callable
 from typing import Protocol
 
+from ..byte_budget import ByteBudget
 from ..gateways.stopping import STOPPED
 from ..kernel import Service
 from ..statements.model import (
     ClientMessage,
     CloseSession,
+    Deallocate,
     Failed,
     Failure,
     OpenSession,
     Position,
+    Prepare,
     Query,
+    SetValue,
     StatementOutcome,
     TransactionState,
     UnreadableMessage,
 )
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
+from .client_limits import (
+    ClientLimit,
+    ClientLimits,
+    ClientWait,
+    choose_for_room,
+    choose_overdue,
+)
 from .context import SessionContext
+from .reading import READ_LIMIT_BYTES, MessageReader, MessageTooLong, ReceivingProtocol
 from .router import STOPPING, STOPPING_DETAIL, StatementRouter
 from .session import PreparedNameRewriter, Session
 
-# Callers give up when their session is not open after 2 s; a connection that sends nothing for this
-# long is closed.
-OPEN_TIMEOUT_S = 10.0
-# The connection of a caller that does not read is closed, so that its answers do not accumulate.
-WRITE_TIMEOUT_S = 5.0
 # A connection is closed when its remote end stops acknowledging data or keep-alive probes.
 USER_TIMEOUT_MS = 5000
 KEEPALIVE_IDLE_S = 5
@@ -42,6 +50,11 @@
 # Callers that were asked to leave close their connection within a round trip.
 LEAVE_TIMEOUT_S = 0.5
 BACKLOG = 1024
+# How often connections are checked for messages and sessions that take too long.
+CHECK_INTERVAL_S = 0.5
+# While a statement runs, its bytes are in the request to the gateway, in the frame around it and in
+# the buffer of the connection that carries the frame.
+RUNNING_COPIES = 3
 # Statements that still run at the end of a stop are given up and answered in this time.
 LAST_ANSWERS_TIMEOUT_S = 0.3
 ERROR_DETAIL = "internal error"
@@ -84,15 +97,19 @@
         codec: SessionCodec,
         router: StatementRouter,
         telemetry: Telemetry,
-        max_sessions: int,
+        limits: ClientLimits,
+        budget: ByteBudget["SessionConnection"],
         transaction_idle_s: Callable[[], float],
     ) -> None:
         self._address, self._codec, self._router = address, codec, router
-        self._telemetry, self._max_sessions = telemetry, max_sessions
+        self._telemetry, self._limits, self._budget = telemetry, limits, budget
         self._transaction_idle_s = transaction_idle_s
         self._server: asyncio.Server | None = None
         self._connections: set[SessionConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._check_timer: asyncio.TimerHandle | None = None
+        # Connections that were refused since the last check, for one line in the log.
+        self._rejected = 0
         self._is_draining = False
         self._is_stopping = False
 
@@ -104,10 +121,12 @@
     async def start(self) -> None:
         """Start to listen."""
         host, _, port = self._address.rpartition(":")
-        self._server = await asyncio.start_server(
-            self._accept, host, int(port), limit=self._codec.max_line_bytes, backlog=BACKLOG
+        self._server = await asyncio.get_running_loop().create_server(
+            self._make_protocol, host, int(port), backlog=BACKLOG
         )
         self._telemetry.observe("sessions", "1", lambda: len(self._connections))
+        self._telemetry.observe("connection_bytes", "By", lambda: self._budget.total_bytes)
+        self._check_later()
         log.info("listening", address=self._address)
 
     async def stop(self) -> None:
@@ -116,6 +135,8 @@
         self._router.begin_stop(STOPPED)
         if self._server is not None:
             self._server.close()
+        if self._check_timer is not None:
+            self._check_timer.cancel()
         for connection in list(self._connections):
             connection.end()
         await self._wait_for_last_answers()
@@ -149,11 +170,63 @@
         while self._tasks and loop.time() < deadline:
             await asyncio.wait(self._tasks, timeout=deadline - loop.time())
 
+    def _check_later(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._check_timer = loop.call_later(CHECK_INTERVAL_S, self._close_overdue)
+
+    def _close_overdue(self) -> None:
+        """Close the connections whose clients have taken too long."""
+        for connection, limit in choose_overdue(self._list_waits(), self._limits):
+            self._close(connection, limit)
+        if self._rejected:
+            log.warning(
+                "sessions_rejected", count=self._rejected, max_sessions=self._limits.max_sessions
+            )
+            self._rejected = 0
+        self._check_later()
+
+    def _list_waits(self) -> list[ClientWait["SessionConnection"]]:
+        now = asyncio.get_running_loop().time()
+        return [connection.describe_wait(now) for connection in self._connections]
+
+    def _make_room(self) -> bool:
+        """Close a connection for a new one if one keeps its place without using it."""
+        connection = choose_for_room(self._list_waits(), self._limits)
+        if connection is None:
+            return False
+        self._close(connection, ClientLimit.MAX_SESSIONS)
+        return True
+
+    def _close(
+        self, connection: "SessionConnection", limit: ClientLimit, **details: object
+    ) -> None:
+        # Other connections take its place and its bytes before its task has ended.
+        self._connections.discard(connection)
+        self._budget.release(connection)
+        connection.close_for(limit, **details)
+
+    def _account(self, connection: "SessionConnection") -> None:
+        """Count what a connection holds; close those that hold most when it is too much."""
+        if connection.is_closed:
+            return
+        for excess in self._budget.hold(connection, connection.held_bytes):
+            self._close(
+                excess.holder,
+                ClientLimit.CONNECTION_BYTES,
+                total=excess.total_bytes,
+                allowed=self._budget.limit_bytes,
+            )
+
+    def _make_protocol(self) -> ReceivingProtocol:
+        reader = asyncio.StreamReader(limit=READ_LIMIT_BYTES)
+        return ReceivingProtocol(reader, self._accept)
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
-        if len(self._connections) >= self._max_sessions:
+        if len(self._connections) >= self._limits.max_sessions and not self._make_room():
             self._telemetry.count("sessions_rejected", reason="too_many")
+            self._rejected += 1
             writer.close()
             return
         _set_socket_options(writer.get_extra_info("socket"))
@@ -163,7 +236,9 @@
             codec=self._codec,
             router=self._router,
             telemetry=self._telemetry,
+            answer_timeout_s=self._limits.answer_timeout_s,
             transaction_idle_s=self._transaction_idle_s(),
+            account=self._account,
         )
         connection.is_draining = self._is_draining
         self._connections.add(connection)
@@ -173,6 +248,7 @@
         try:
             await connection.serve()
         finally:
+            self._budget.release(connection)
             self._connections.discard(connection)
             self._tasks.discard(task)
 
@@ -188,15 +264,31 @@
         codec: SessionCodec,
         router: StatementRouter,
         telemetry: Telemetry,
+        answer_timeout_s: float,
         transaction_idle_s: float,
+        account: Callable[["SessionConnection"], None],
     ) -> None:
         self._reader, self._writer, self._codec = reader, writer, codec
         # drain() then waits for the whole answer, which the end of the process would cut otherwise.
         writer.transport.set_write_buffer_limits(high=0)
-        self._telemetry = telemetry
+        protocol = writer.transport.get_protocol()
+        assert isinstance(protocol, ReceivingProtocol)
+        self._protocol = protocol
+        protocol.on_received = self._note_received
+        self._messages = MessageReader(
+            reader=reader,
+            transport=writer.transport,  # type: ignore[arg-type]
+            line_end=codec.line_end,
+            max_bytes=codec.max_line_bytes,
+        )
+        self._telemetry, self._account = telemetry, account
+        self._answer_timeout_s = answer_timeout_s
         self._router, self._transaction_idle_s = router, transaction_idle_s
         self._session: Session | None = None
-        self._is_reading = False
+        self._accepted_at = asyncio.get_running_loop().time()
+        self._running_bytes = self._session_bytes = 0
+        # Set when the connection is closed because its client met a limit.
+        self._met_limit: ClientLimit | None = None
         self._is_ending = False
         # Until this time on the event loop's clock, the first statement is expected.
         self._expects_statement_until = 0.0
@@ -220,7 +312,7 @@
     def _is_between_operations(self) -> bool:
         session = self._session
         return (
-            self._is_reading
+            self._messages.is_reading
             and session is not None
             and session.state is TransactionState.IDLE
             and not self._has_unread_data
@@ -229,8 +321,55 @@
     @property
     def _has_unread_data(self) -> bool:
         """Tell whether bytes have arrived, also if the event loop has not read them yet."""
-        buffer = self._reader._buffer  # type: ignore[attr-defined]
-        return bool(buffer) or _holds_received_bytes(self._writer.get_extra_info("socket"))
+        return bool(self._messages.held_bytes) or _holds_received_bytes(
+            self._writer.get_extra_info("socket")
+        )
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes of received messages, the running one, the session and its answers."""
+        return (
+            self._messages.held_bytes
+            + self._running_bytes
+            + self._session_bytes
+            + self._writer.transport.get_write_buffer_size()
+        )
+
+    @property
+    def is_closed(self) -> bool:
+        """Tell whether the connection is being closed because of a limit."""
+        return self._met_limit is not None
+
+    def describe_wait(self, now: float) -> ClientWait["SessionConnection"]:
+        """Return what is waited for at a time of the event loop's clock."""
+        began_at = self._messages.began_at
+        return ClientWait(
+            client=self,
+            unopened_s=now - self._accepted_at if self._session is None else None,
+            incomplete_s=None if began_at is None else now - began_at,
+        )
+
+    def close_for(self, limit: ClientLimit, **details: object) -> None:
+        """Close the connection at once because its client met a limit; log it with details."""
+        if self._met_limit is not None:
+            return
+        self._met_limit = limit
+        self._telemetry.count("connections_closed", limit=limit)
+        log.info(
+            "connection_closed",
+            limit=limit,
+            remote=self._writer.get_extra_info("peername"),
+            database="-" if self._session is None else self._session.context.database,
+            held=self.held_bytes,
+            **details,
+        )
+        self._writer.transport.abort()
+        if self._running is not None:
+            self._running.cancel()
+
+    def _note_received(self) -> None:
+        self._messages.note_received()
+        self._account(self)
 
     def announce_end(self) -> None:
         """Ask the caller of an idle session to leave."""
@@ -256,8 +395,7 @@
         if self._is_between_operations and self._end_announced_at is None:
             self.announce_end()
         self._is_ending = True
-        self._writer.transport.pause_reading()  # type: ignore[attr-defined]
-        self._reader.feed_eof()
+        self._messages.end()
         if self._running is not None:
             self._running.cancel()
 
@@ -285,6 +423,8 @@
             self._report_unanswered(reason)
             if self._session is not None:
                 self._session.abandon()
+            # Otherwise a cycle of references keeps the session until the next garbage collection.
+            self._protocol.on_received = None
             self._writer.close()
 
     def _report_unanswered(self, reason: str) -> None:
@@ -305,8 +445,7 @@
         )
 
     async def _open_session(self) -> None:
-        async with asyncio.timeout(OPEN_TIMEOUT_S):
-            message = await self._read_message()
+        message = await self._read_message()
         if not isinstance(message, OpenSession):
             failure = (
                 message.failure if isinstance(message, UnreadableMessage) else Failure.MALFORMED
@@ -346,11 +485,7 @@
             if self._end_announced_at is not None:
                 await self._finish_announced_answer(session, message)
                 return True
-            outcome = await self._run_query(session, message)
-            answer = self._codec.encode_outcome(outcome, session.state)
-            if outcome == STOPPING:
-                answer += self._announce_end()
-            await self._write(answer)
+            await self._write(await self._build_answer(session, message))
             self._unanswered = None
             return True
         failure = message.failure if isinstance(message, UnreadableMessage) else Failure.MALFORMED
@@ -363,6 +498,16 @@
         await self._write(self._codec.encode_failure(failed))
         return False
 
+    async def _build_answer(self, session: Session, query: Query) -> bytes:
+        """Run a statement and return its answer, which is then its only copy here."""
+        outcome = await self._run_query(session, query)
+        if isinstance(query.statement, (SetValue, Prepare, Deallocate)):
+            self._session_bytes = session.context.measure_bytes()
+        answer = self._codec.encode_outcome(outcome, session.state)
+        if outcome == STOPPING:
+            answer += self._announce_end()
+        return answer
+
     async def _finish_announced_answer(self, session: Session, query: Query) -> None:
         """Complete the answer to a statement that met the announcement of the end."""
         self._router.log_refusal(session.context, query.request_id, STOPPING)
@@ -402,23 +547,35 @@
         return session.fail_unfinished(query, ERROR_DETAIL)
 
     async def _read_message(self) -> ClientMessage | None:
-        self._is_reading = True
-        try:
-            line = await self._reader.readuntil(self._codec.line_end)
-        except asyncio.LimitOverrunError:
+        line = await self._messages.read()
+        if line is None:
+            return None
+        if isinstance(line, MessageTooLong):
             return UnreadableMessage(
                 request_id="", failure=Failure.TOO_LARGE, detail="line too long"
             )
-        except asyncio.IncompleteReadError:
+        if self.is_closed:
             return None
-        finally:
-            self._is_reading = False
-        return self._codec.decode(line.removesuffix(self._codec.line_end))
+        message = self._codec.decode(line)
+        if isinstance(message, Query):
+            # The copies that decoding makes in between are those of one message at a time.
+            self._running_bytes = sys.getsizeof(message.text) + RUNNING_COPIES * len(line)
+            self._account(self)
+        return None if self.is_closed else message
 
     async def _write(self, data: bytes) -> None:
         self._writer.write(data)
-        async with asyncio.timeout(WRITE_TIMEOUT_S):
-            await self._writer.drain()
+        # The transport keeps what is left to send.
+        del data
+        self._account(self)
+        try:
+            async with asyncio.timeout(self._answer_timeout_s):
+                await self._writer.drain()
+        except TimeoutError:
+            self.close_for(ClientLimit.ANSWER_TIMEOUT)
+            raise
+        self._running_bytes = 0
+        self._account(self)
 
 
 def _holds_received_bytes(client_socket: socket.socket) -> bool:
--- a/lentilring/settings.py
+++ b/lentilring/settings.py
@@ -83,7 +83,9 @@
     description, allowed = "", []
     for check in checks:
         description = getattr(check, "description", None) or description
-        allowed += [format_constraint(entry) for entry in getattr(check, "metadata", [])]
+        # pydantic's fields list their checks; msgspec's are checks themselves.
+        found = [format_constraint(entry) for entry in getattr(check, "metadata", [check])]
+        allowed += list(filter(None, found))
     if isinstance(base, type) and issubclass(base, StrEnum):
         allowed.append(", ".join(base))
     return base, description, "; ".join(allowed)
@@ -104,5 +106,9 @@
         "max_length": "length at most",
         "pattern": "matching",
     }
-    found = [f"{text} {getattr(entry, key)}" for key, text in names.items() if hasattr(entry, key)]
-    return " ".join(found)
+    found = [
+        f"{text} {getattr(entry, key)}"
+        for key, text in names.items()
+        if getattr(entry, key, None) is not None
+    ]
+    return "; ".join(found)
