--- a/lentilring/cli/reference.py
+++ b/lentilring/cli/reference.py
@@ -43,8 +43,10 @@
 SESSION_INTRODUCTION = """\
 ## Settings of the session proxy
 
-`lentilring-sessions` reads its settings from the platform's settings file, whose path is in
-`LENTILRING_BOOT`; `lentilring/platform/boot.py` maps its members to the settings below. The source
+`lentilring-sessions` derives its settings from the settings file that `LENTILRING_BOOT` names
+(`lentilring/platform/boot.py`): for example `max_sessions` from `max-fds` in `limits`, and
+`connection_bytes` from `memory-mb` and `max_sessions`. Settings that the file does not determine
+have the defaults below; `docs/design/client-limits.md` describes the limits on clients. The source
 is `lentilring/session_settings.py`.
 """
 OBJECTS_INTRODUCTION = """\
