Ask for a promotion again if it is not answered

The call is now repeated after 0.5 s, up to three times, with the same token, which has the effect of one call; whether the server already leads is looked for meanwhile. A refusal after an unanswered call leaves the result open, so that replicas do not receive again while that call may still be executed.

The test against processes fails before: the next call came with another token after the takeover had been given up.

--- a/lentilring/standin/prepared/store.py
+++ b/lentilring/standin/prepared/store.py
@@ -11,6 +11,7 @@
 
 MAX_PAGE = 500
 DEFAULT_WAIT_MS = 1000
+IGNORED_CALL_S = 10.0
 ERA_HEADER = "Store-Era"
 
 
@@ -18,11 +19,13 @@
 class StoreFaults:
     """Hold the fault switches; `lose_answers` counts changes that take effect unanswered.
 
+    `ignored_promotions` counts promotions that are neither executed nor answered in time.
     Lists that need not be newest name `old_revision` as theirs.
     """
 
     down: bool = False
     lose_answers: int = 0
+    ignored_promotions: int = 0
     refused_hosts: set[str] = field(default_factory=set)
     old_revision: int | None = None
 
@@ -237,6 +240,10 @@
         token = int(request.headers["X-Fencing-Token"])
         service, server = body["service"], body["id"]
         self.promotions.append((service, server, request.headers["X-Lease-Holder"], token))
+        if self.faults.ignored_promotions > 0:
+            self.faults.ignored_promotions -= 1
+            await asyncio.sleep(IGNORED_CALL_S)
+            return web.json_response({}, status=503)
         if token < self._fences.get(service, 0):
             return web.json_response({}, status=409)
         self._fences[service] = token
--- a/lentilring/takeover/service.py
+++ b/lentilring/takeover/service.py
@@ -19,7 +19,8 @@
 from ..tasks import start_task
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
-from .authority import PromotionAuthority, PromotionIntent, PromotionResult, PromotionService
+from .asking import MAX_ASKING_S, NOT_PROMOTED, RepeatedPromotion
+from .authority import PromotionAuthority, PromotionIntent, PromotionService
 from .reasons import (
     PLANNED,
     RANK_DELAY_S,
@@ -79,7 +80,8 @@
     ) -> None:
         self._catalog, self._fleet, self._gateways = catalog, fleet, gateways
         self._sampler, self._connector = sampler, connector
-        self._authority, self._promotion = authority, promotion
+        self._authority = authority
+        self._promotion = RepeatedPromotion(promotion=promotion, clock=clock)
         self._clock, self._telemetry = clock, telemetry
         self._upkeep = CopyUpkeep(
             catalog=catalog,
@@ -434,16 +436,28 @@
             received=choice.received,
             token=claimed.version,
         )
-        result = await self._promotion.promote(
-            service=takeover.service,
-            server=choice.server.id,
-            holder=self._fleet.local.vm,
-            token=claimed.version,
+        leading = asyncio.ensure_future(self._wait_for_leadership(choice.server))
+        asking = asyncio.ensure_future(
+            self._promotion.ask(
+                service=takeover.service,
+                server=choice.server.id,
+                holder=self._fleet.local.vm,
+                token=claimed.version,
+            )
         )
-        self._telemetry.count("promotions", result=result)
-        if result in (PromotionResult.REFUSED, PromotionResult.BUSY):
-            return False
-        if await self._wait_for_leadership(choice.server):
+        try:
+            # The promotion may take effect although its answer is lost.
+            await asyncio.wait({leading, asking}, return_when=asyncio.FIRST_COMPLETED)
+            if asking.done():
+                result = asking.result()
+                self._telemetry.count("promotions", result=result)
+                if result in NOT_PROMOTED:
+                    return False
+            has_lead = await leading
+        finally:
+            leading.cancel()
+            asking.cancel()
+        if has_lead:
             self._gateways.announce_leader(takeover.service)
             await self._authority.mark_completed(
                 takeover.service, previous=claimed, leader=choice.server.id
@@ -460,7 +474,7 @@
 
     async def _wait_for_leadership(self, server: ServerEntry) -> bool:
         """Wait until a promoted server proves that it is the primary."""
-        end = self._clock.monotonic() + LEADERSHIP_TIMEOUT_S
+        end = self._clock.monotonic() + MAX_ASKING_S + LEADERSHIP_TIMEOUT_S
         while self._clock.monotonic() < end:
             await self._clock.sleep(LEADERSHIP_POLL_S)
             if await self._gateways.prove_leadership(server):
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -606,6 +606,21 @@
 
         run(scenario())
 
+    def test_promotion_without_an_answer_is_asked_for_again_with_its_token(self) -> None:
+        """Guards against a service without a primary because the platform ignored one call."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform() as prepared:
+                client = await prepared.proxies["vm-0"].open("booking")
+                await client.query("WRITE a 1")
+                prepared.store.faults.ignored_promotions = 2
+                await prepared.group.servers[0].stop()
+                await wait_until(lambda: prepared.group.term == 2, within_s=8)
+                self.assertEqual(3, len(prepared.store.promotions))
+                self.assertEqual(1, len({token for *_, token in prepared.store.promotions}))
+
+        run(scenario())
+
     def test_silent_replica_prevents_a_promotion_until_it_answers(self) -> None:
         """Guards against a promotion while a replica that acknowledged a commit is silent."""
 
