Keep the answer of a primary's read whose rollback fails

A read of the primary runs in a transaction of the gateway, which is rolled back after the answer. If the connection broke in between, the caller got "not run" (or an aborted read), the token went back and the read was not counted, although it had run; the server also counted as unreachable for 0.4 s.

The new test failed with OVERLOADED and is_unreachable before this change and passes with it, as do the other tests of tests/test_server_queue.py.

--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -471,7 +471,12 @@
             self._commits_failing_since, self._failed_commits = None, 0
         if not request.proves_lead:
             return reply.outcome, reply.state
-        ended = await connection.session.roll_back(timeout_s=CONTROL_TIMEOUT_S)
+        try:
+            ended = await connection.session.roll_back(timeout_s=CONTROL_TIMEOUT_S)
+        except (ServerLost, ServerUnreachable):
+            # The read has run and its answer is complete; closing the connection rolls back.
+            connection.session.close()
+            return reply.outcome, TransactionState.FAILED
         return reply.outcome, ended.state
 
     async def _open_connection(self, attempt: Attempt) -> bool:
--- a/tests/test_server_queue.py
+++ b/tests/test_server_queue.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from random import Random
 from typing import Any
+from unittest.mock import patch
 
 from testtools import TestCase
 
@@ -316,6 +317,31 @@
         run_virtual(scenario())
 
 
+class ReadOfPrimaryTest(TestCase):
+    def test_answer_is_kept_when_the_connection_breaks_after_it(self) -> None:
+        """Guards against "not run" for a read that ran.
+
+        The gateway opens a transaction for a read of the primary and rolls it back after the
+        answer.
+        """
+        errors = [
+            ServerUnreachable(server="s", detail="the connection is closed"),
+            ServerLost(server="s", detail="timed out", timed_out=True),
+        ]
+
+        async def scenario(error: Exception) -> None:
+            bench = Bench()
+            with patch.object(FakeSession, "roll_back", side_effect=error):
+                result = await bench.run("read", proves_lead=True)
+            self.assertEqual(["read"], bench.server.runs)
+            self.assertIsNone(find_failure(result), result)
+            self.assertIsNone(find_failure(await bench.run("next")))
+            bench.assert_nothing_is_held()
+
+        for error in errors:
+            run_virtual(scenario(error))
+
+
 class ConnectionShortageTest(TestCase):
     def test_transactions_end_while_others_wait_for_their_connections(self) -> None:
         """Guards against idle transactions whose commits get no slot.
