Refuse no reads because another one had no time to wait for a position

A read that had less time left than a position takes recorded the position as missing. All reads of the service at this proxy were then refused as "behind" for 0.1 s without asking the primary.

The new test got BEHIND for a read with 2 s left after one with 10 ms left; it passes with this change, as do the other tests of tests/test_server_queue.py.

--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -34,7 +34,7 @@
 from .messages import RunStatement, StatementKind, TransactionOpening
 from .pacing import AnswerOutcome, PaceReason, ServerAnswer, ServerPace, classify_outcome
 from .pool import CLOSE_DELAY_S, CONTROL_TIMEOUT_S, ConnectionPool, PooledConnection, apply_session
-from .positions import ProvenPositionHistory
+from .positions import MISSING_RETRY_S, ProvenPositionHistory
 from .server import ServerConnector, ServerLost, ServerRefused, ServerReply, ServerUnreachable
 from .slots import IN_TRANSACTION, MAX_WAITING_AT_SERVER, SlotQueue, SlotRefusal
 
@@ -522,9 +522,13 @@
         allowed_s = self.history.allowed_wait_s(self._clock.boottime())
         if not allowed_s:
             return POSITION_UNKNOWN
+        has_time = self._affordable_wait_s(attempt) >= MISSING_RETRY_S
         await self._finish_in_time(attempt, self._refresh_positions(), timeout_s=allowed_s)
         if self._find_required_position(attempt) is None:
-            self.history.record_missing(self._clock.boottime())
+            # A read that had little time left shows nothing about the primary, and all gateways of
+            # the service in this process would refuse reads for it.
+            if has_time:
+                self.history.record_missing(self._clock.boottime())
             return POSITION_UNKNOWN
         return None
 
--- a/tests/test_server_queue.py
+++ b/tests/test_server_queue.py
@@ -303,6 +303,26 @@
 
         run_virtual(scenario())
 
+    def test_read_without_time_to_wait_does_not_refuse_others(self) -> None:
+        """Guards against reads that are refused because another one had little time left.
+
+        The positions are those of all gateways of a service in a process.
+        """
+
+        async def scenario() -> None:
+            bench = Bench()
+
+            async def answer() -> None:
+                await asyncio.sleep(0.024)
+                bench.history.add(POSITION, bench.clock.boottime())
+
+            bench.refresh = answer
+            result = await bench.run("short", max_staleness_s=0.5, timeout_s=0.01)
+            self.assertEqual(Failure.BEHIND, find_failure(result))
+            self.assertIsNone(find_failure(await bench.run("long", max_staleness_s=0.5)))
+
+        run_virtual(scenario())
+
     def test_stop_waits_for_reads_that_wait_for_a_position(self) -> None:
         """Guards against a drain that ends before such reads are answered."""
 
