Report no age for a position that became too old in the queue

A read whose position expired while it waited for a slot was answered "behind" with the age of that position. Callers took this for lag of the replica, which was not asked, and ranked it last for up to 2 s.

The new test got the age of the expired position; it passes with this change. tests/test_server_queue.py: 25 passed.

--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -549,6 +549,9 @@
         now = self._clock.boottime()
         sample = self.history.find(max_staleness_s=request.max_staleness_s or 0.0, now=now)
         if sample is None:
+            # The age of a position that was found before the queue would say that the server was
+            # asked for it.
+            attempt.position_age_s = None
             return None
         attempt.position_age_s = now - sample.taken_at
         session_position = Position(term=request.after_term, number=request.after_number)
--- a/tests/test_server_queue.py
+++ b/tests/test_server_queue.py
@@ -303,6 +303,24 @@
 
         run_virtual(scenario())
 
+    def test_position_that_became_too_old_in_the_queue_has_no_age(self) -> None:
+        """Guards against a silent primary that passes for the lag of a replica.
+
+        An answer "behind" with an age says that the server was asked and lacks that position.
+        """
+
+        async def scenario() -> None:
+            bench = Bench()
+            bench.history.add(POSITION, bench.clock.boottime())
+            for number in range(3):
+                start(bench.run(f"slow{number}", text="0.3"))
+            await asyncio.sleep(0)
+            result = await bench.run("read", max_staleness_s=0.4)
+            self.assertEqual(Failure.BEHIND, find_failure(result))
+            self.assertIsNone(result.position_age_s)
+
+        run_virtual(scenario())
+
     def test_read_without_time_to_wait_does_not_refuse_others(self) -> None:
         """Guards against reads that are refused because another one had little time left.
 
