--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -34,7 +34,7 @@
 from .messages import RunStatement, StatementKind, TransactionOpening
 from .pacing import AnswerOutcome, PaceReason, ServerAnswer, ServerPace, classify_outcome
 from .pool import CLOSE_DELAY_S, CONTROL_TIMEOUT_S, ConnectionPool, PooledConnection, apply_session
-from .positions import ProvenPositionHistory
+from .positions import MISSING_RETRY_S, ProvenPositionHistory
 from .server import ServerConnector, ServerLost, ServerRefused, ServerReply, ServerUnreachable
 from .slots import IN_TRANSACTION, MAX_WAITING_AT_SERVER, SlotQueue, SlotRefusal
 
@@ -476,7 +476,12 @@
             self._commits_failing_since, self._failed_commits = None, 0
         if not request.proves_lead:
             return reply.outcome, reply.state
-        ended = await connection.session.roll_back(timeout_s=CONTROL_TIMEOUT_S)
+        try:
+            ended = await connection.session.roll_back(timeout_s=CONTROL_TIMEOUT_S)
+        except (ServerLost, ServerUnreachable):
+            # The read has run and its answer is complete; closing the connection rolls back.
+            connection.session.close()
+            return reply.outcome, TransactionState.FAILED
         return reply.outcome, ended.state
 
     async def _open_connection(self, attempt: Attempt) -> bool:
@@ -522,9 +527,13 @@
         allowed_s = self.history.allowed_wait_s(self._clock.boottime())
         if not allowed_s:
             return POSITION_UNKNOWN
+        has_time = self._affordable_wait_s(attempt) >= MISSING_RETRY_S
         await self._finish_in_time(attempt, self._refresh_positions(), timeout_s=allowed_s)
         if self._find_required_position(attempt) is None:
-            self.history.record_missing(self._clock.boottime())
+            # A read that had little time left shows nothing about the primary, and all gateways of
+            # the service in this process would refuse reads for it.
+            if has_time:
+                self.history.record_missing(self._clock.boottime())
             return POSITION_UNKNOWN
         return None
 
@@ -545,6 +554,9 @@
         now = self._clock.boottime()
         sample = self.history.find(max_staleness_s=request.max_staleness_s or 0.0, now=now)
         if sample is None:
+            # The age of a position that was found before the queue would say that the server was
+            # asked for it.
+            attempt.position_age_s = None
             return None
         attempt.position_age_s = now - sample.taken_at
         session_position = Position(term=request.after_term, number=request.after_number)
--- a/tests/test_server_queue.py
+++ b/tests/test_server_queue.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from random import Random
 from typing import Any
+from unittest.mock import patch
 
 from testtools import TestCase
 
@@ -302,6 +303,44 @@
 
         run_virtual(scenario())
 
+    def test_position_that_became_too_old_in_the_queue_has_no_age(self) -> None:
+        """Guards against a silent primary that passes for the lag of a replica.
+
+        An answer "behind" with an age says that the server was asked and lacks that position.
+        """
+
+        async def scenario() -> None:
+            bench = Bench()
+            bench.history.add(POSITION, bench.clock.boottime())
+            for number in range(3):
+                start(bench.run(f"slow{number}", text="0.3"))
+            await asyncio.sleep(0)
+            result = await bench.run("read", max_staleness_s=0.4)
+            self.assertEqual(Failure.BEHIND, find_failure(result))
+            self.assertIsNone(result.position_age_s)
+
+        run_virtual(scenario())
+
+    def test_read_without_time_to_wait_does_not_refuse_others(self) -> None:
+        """Guards against reads that are refused because another one had little time left.
+
+        The positions are those of all gateways of a service in a process.
+        """
+
+        async def scenario() -> None:
+            bench = Bench()
+
+            async def answer() -> None:
+                await asyncio.sleep(0.024)
+                bench.history.add(POSITION, bench.clock.boottime())
+
+            bench.refresh = answer
+            result = await bench.run("short", max_staleness_s=0.5, timeout_s=0.01)
+            self.assertEqual(Failure.BEHIND, find_failure(result))
+            self.assertIsNone(find_failure(await bench.run("long", max_staleness_s=0.5)))
+
+        run_virtual(scenario())
+
     def test_stop_waits_for_reads_that_wait_for_a_position(self) -> None:
         """Guards against a drain that ends before such reads are answered."""
 
@@ -316,6 +355,31 @@
         run_virtual(scenario())
 
 
+class ReadOfPrimaryTest(TestCase):
+    def test_answer_is_kept_when_the_connection_breaks_after_it(self) -> None:
+        """Guards against "not run" for a read that ran.
+
+        The gateway opens a transaction for a read of the primary and rolls it back after the
+        answer.
+        """
+        errors = [
+            ServerUnreachable(server="s", detail="the connection is closed"),
+            ServerLost(server="s", detail="timed out", timed_out=True),
+        ]
+
+        async def scenario(error: Exception) -> None:
+            bench = Bench()
+            with patch.object(FakeSession, "roll_back", side_effect=error):
+                result = await bench.run("read", proves_lead=True)
+            self.assertEqual(["read"], bench.server.runs)
+            self.assertIsNone(find_failure(result), result)
+            self.assertIsNone(find_failure(await bench.run("next")))
+            bench.assert_nothing_is_held()
+
+        for error in errors:
+            run_virtual(scenario(error))
+
+
 class ConnectionShortageTest(TestCase):
     def test_transactions_end_while_others_wait_for_their_connections(self) -> None:
         """Guards against idle transactions whose commits get no slot.
