Let reads wait for a proven position while a primary is being replaced

They now wait like statements for the primary: up to 0.8 of their timeout while the store answers, with one round of tries every 0.2 s and without a slot.

--- a/lentilring/sessions/calls.py
+++ b/lentilring/sessions/calls.py
@@ -81,6 +81,11 @@
     return opening is TransactionOpening.NONE or not may_have_run
 
 
+def lacks_position(answer: StatementAnswer) -> bool:
+    """Tell whether a gateway refused a read without asking the server, as no position is known."""
+    return answer.failure == Failure.BEHIND and answer.age_s is None
+
+
 class ReadAttempts:
     """Decide whether a read goes on to another server, and which answer its caller gets.
 
@@ -92,10 +97,18 @@
         self._opening = opening
         self.last: DispatchResult | None = None
         self.was_repeated = False
+        self._lacked_position = False
+
+    @property
+    def may_wait_for_position(self) -> bool:
+        """Tell whether a server refused for want of a proven position and none ran the read."""
+        last = self.last
+        return self._lacked_position and last is not None and last.answer.failure in UNEXECUTED
 
     def add(self, dispatched: DispatchResult) -> bool:
         """Record the answer of one server; return whether another server may be tried."""
         failure = dispatched.answer.failure
+        self._lacked_position |= lacks_position(dispatched.answer)
         # A refusal of a later server says that nothing ran, which would hide a run at this one.
         if self.last is None or failure not in NOT_RUN or self.last.answer.failure in NOT_RUN:
             self.last = dispatched
--- a/lentilring/sessions/router.py
+++ b/lentilring/sessions/router.py
@@ -27,6 +27,7 @@
     StatementCall,
     UsageRecorder,
     build_outcome,
+    lacks_position,
 )
 from .choice import (
     FreshnessBound,
@@ -57,6 +58,8 @@
 # Part of a statement's time that it may wait for a new primary; the rest is left for its run.
 TAKEOVER_WAIT_FRACTION = 0.8
 PRIMARY_POLL_INTERVAL_S = 0.1
+# Each poll is a call to a gateway for each read that waits.
+POSITION_POLL_S = 0.2
 NO_SERVER_RETRY_S = 0.3
 STALE_CONFIGURATION_RETRY_S = 1.0
 STOPPING_DETAIL = "the proxy is stopping"
@@ -260,6 +263,26 @@
         opening: TransactionOpening,
     ) -> DispatchResult:
         deadline = self._clock.monotonic() + admission.route.statement_timeout_s
+        wait_deadline = self._clock.monotonic() + self._find_primary_wait_s(admission)
+        while True:
+            attempts = await self._try_read_servers(context, admission, call, opening, deadline)
+            if not attempts.may_wait_for_position:
+                break
+            # Without a primary no position is proven. A takeover is over within about 2 s.
+            if self._clock.monotonic() + POSITION_POLL_S > wait_deadline:
+                break
+            await self._clock.sleep(POSITION_POLL_S)
+        return attempts.last or self._refuse(admission, "no server may serve this read")
+
+    async def _try_read_servers(
+        self,
+        context: SessionContext,
+        admission: Admission,
+        call: StatementCall,
+        opening: TransactionOpening,
+        deadline: float,
+    ) -> ReadAttempts:
+        """Try servers in order until one runs the read or another one would not help."""
         bound = FreshnessBound(
             max_staleness_s=admission.route.max_staleness_s, position=context.position
         )
@@ -289,7 +312,7 @@
             self._record_lag(server, bound, dispatched.answer)
             if not attempts.add(dispatched):
                 break
-        return attempts.last or self._refuse(admission, "no server may serve this read")
+        return attempts
 
     def _record_repeat(
         self, call: StatementCall, failed: DispatchResult, server: ServerEntry
@@ -303,7 +326,7 @@
         self, server: ServerEntry, bound: FreshnessBound, answer: StatementAnswer
     ) -> None:
         # Without the age of a required position, the gateway knew none and did not ask the server.
-        if answer.failure != Failure.BEHIND or answer.age_s is None:
+        if answer.failure != Failure.BEHIND or lacks_position(answer):
             return
         if self._replica_lag.record(server.id, bound):
             log.info("replica_behind", service=server.service, server=server.id)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -67,6 +67,9 @@
     def monotonic(self) -> float:
         return self.now
 
+    async def sleep(self, seconds: float) -> None:
+        self.now += seconds
+
     async def run(self, server: Any, request: RunStatement) -> DispatchResult:
         self.asked.append(server.id)
         answer = self.answer(server.id, request)
@@ -253,3 +256,28 @@
             self.assertTrue(10 <= asked[NEAR] <= 60, (age_s, asked))
         asked = self.ask(build_admission(), ZONES[1], (NEAR, 0.1), age_s=10.0)
         self.assertEqual(70, asked[NEAR])
+
+
+class PositionWaitTest(TestCase):
+    """A service whose primary is being replaced, so that no position is proven for a while."""
+
+    def test_read_waits_for_the_new_primary_within_its_own_time(self) -> None:
+        """Guards against reads that use up their caller's retries during a takeover."""
+        unproven = StatementAnswer(failure=Failure.BEHIND)
+        servers = Servers(lambda server, request: DONE if servers.now >= 0.9 else unproven)
+        self.assertIsInstance(run_single(servers.build_router()), Done)
+        self.assertLess(servers.now, 1.2)
+
+    def test_read_that_cannot_be_served_is_refused_before_its_timeout(self) -> None:
+        """Guards against holding a read until its timeout, and against a flood of tries."""
+        servers = Servers(lambda server, request: StatementAnswer(failure=Failure.BEHIND))
+        outcome = run_single(servers.build_router())
+        self.assertEqual(Failure.BEHIND, outcome.failure)  # type: ignore[union-attr]
+        self.assertLessEqual(servers.now, 1.2)
+        self.assertLessEqual(len(servers.asked), 7 * len(SERVERS))
+
+    def test_lagging_replica_is_not_waited_for(self) -> None:
+        """Guards against delaying a read that another server has refused for its own lag."""
+        servers = Servers(lambda server, request: BEHIND)
+        run_single(servers.build_router())
+        self.assertEqual(0.0, servers.now)
