Count reads that a silent gateway may have run and another refused

A single read whose answer was lost goes on to the next gateway of the server. If that one refused it, the dispatcher returned only the refusal: the caller's proxy gave the token back and counted no request, although the first gateway may have run the read. The result now also carries the lost answer, which decides about token and usage; the choice of further servers still goes by the last one.

The new test found the token returned before this change. tests/test_repeats.py, test_choice.py, test_usage.py and test_returned_tokens.py pass with it.

--- a/lentilring/gateways/dispatch.py
+++ b/lentilring/gateways/dispatch.py
@@ -43,11 +43,23 @@
 
 @dataclass(frozen=True, kw_only=True)
 class DispatchResult:
-    """Hold a gateway's answer, the proxy that gave it and the server that it is about."""
+    """Hold a gateway's answer, the proxy that gave it and the server that it is about.
+
+    `lost` is the answer of an earlier gateway at which the statement may have run.
+    """
 
     answer: StatementAnswer
     gateway: ProxyEntry
     server: str = ""
+    lost: StatementAnswer | None = None
+
+    @property
+    def run_answer(self) -> StatementAnswer:
+        """Return the answer that tells whether a server may have run the statement.
+
+        A refusal by a later gateway does not say that nothing ran at an earlier one.
+        """
+        return self.lost if self.lost is not None and self.answer.failure else self.answer
 
 
 class StatementDispatcher(Service):
@@ -94,15 +106,19 @@
         """Run a statement outside of an open transaction."""
         deadline = self._clock.monotonic() + request.timeout_s
         last: DispatchResult | None = None
+        lost: StatementAnswer | None = None
         for gateway in self.choose_gateways(server):
             remaining_s = deadline - self._clock.monotonic()
             if last is not None and remaining_s <= 0:
                 return last
             last = await self.run_at(gateway, replace(request, timeout_s=remaining_s))
+            last = replace(last, lost=lost)
             if last.answer.is_unreachable:
                 self._demoted_until[gateway.vm, server.id] = self._clock.monotonic() + DEMOTION_S
             if not self._may_retry_elsewhere(request, last.answer):
                 return last
+            if not last.answer.is_unreachable:
+                lost = last.answer
         if last is None:
             answer = StatementAnswer(failure=Failure.OVERLOADED, detail="no gateway is known")
             return DispatchResult(answer=answer, gateway=self._fleet.local)
--- a/lentilring/sessions/router.py
+++ b/lentilring/sessions/router.py
@@ -379,7 +379,7 @@
         dispatched = await self._dispatcher.run(server, request)
         answer = dispatched.answer
         if admission.token is not None and not was_begun:
-            admission.token.may_have_run = answer.failure not in UNEXECUTED
+            admission.token.may_have_run = dispatched.run_answer.failure not in UNEXECUTED
         self._slot_waits.record(server.id, answer.wait_s)
         # A failure may come from this proxy instead of the gateway and says nothing then.
         if answer.bad_share is not None or not answer.failure:
@@ -498,7 +498,7 @@
         answer = dispatched.answer
         duration_s = self._clock.monotonic() - started_at
         if self._usage is not None:
-            self._usage.record(call, request, answer, age_s=duration_s)
+            self._usage.record(call, request, dispatched.run_answer, age_s=duration_s)
         self._telemetry.count("statements", work=call.work, outcome=answer.failure or "done")
         self._telemetry.record_duration("statement_duration", duration_s, work=call.work)
         log.info(
