Serve other callers while a server refuses one caller's session values

A server that refused to set a value or to prepare a statement counted as unreachable: its gateway refused all statements outside of transactions for 0.4 s, also those that had connections, and its pace began with one statement at a time. Any caller could repeat this with one bad value.

The new test found the pace begun and the next statement refused; it passes with this change. tests/test_server_queue.py, test_paced_gateway.py, test_pool.py, test_unreachable_servers.py: 46 passed.

--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -35,7 +35,14 @@
 from .pacing import AnswerOutcome, PaceReason, ServerAnswer, ServerPace, classify_outcome
 from .pool import CLOSE_DELAY_S, CONTROL_TIMEOUT_S, ConnectionPool, PooledConnection, apply_session
 from .positions import MISSING_RETRY_S, ProvenPositionHistory
-from .server import ServerConnector, ServerLost, ServerRefused, ServerReply, ServerUnreachable
+from .server import (
+    ServerConnector,
+    ServerLost,
+    ServerRefused,
+    ServerReply,
+    ServerUnreachable,
+    SessionSetupFailed,
+)
 from .slots import IN_TRANSACTION, MAX_WAITING_AT_SERVER, SlotQueue, SlotRefusal
 
 # Added to the idle timeout, which the caller's proxy enforces itself. After it, only transactions
@@ -411,10 +418,9 @@
                 self._record_answer(attempt, AnswerOutcome.REFUSED, started_at)
             return self._fail_statement(attempt, error.failure, error.detail)
         except ServerUnreachable as error:
-            self._unreachable_until = self._clock.monotonic() + UNREACHABLE_REFUSAL_S
-            # The connection of a transaction may have been closed for its own sake.
-            if attempt.transaction is None:
-                self.begin_pace(PaceReason.UNREACHABLE)
+            # A server that refuses the values of one caller serves the others.
+            if not isinstance(error, SessionSetupFailed):
+                self._record_unreachable(attempt)
             result = self._fail_statement(attempt, Failure.OVERLOADED, error.detail)
             return replace(result, is_unreachable=attempt.transaction is None)
         except ServerLost as error:
@@ -430,6 +436,12 @@
         self._observe_answer(attempt, outcome, self._clock.monotonic() - started_at)
         return await self._finish(attempt, outcome, state)
 
+    def _record_unreachable(self, attempt: Attempt) -> None:
+        self._unreachable_until = self._clock.monotonic() + UNREACHABLE_REFUSAL_S
+        # The connection of a transaction may have been closed for its own sake.
+        if attempt.transaction is None:
+            self.begin_pace(PaceReason.UNREACHABLE)
+
     async def _run_steps(self, attempt: Attempt) -> tuple[StatementOutcome, TransactionState]:
         request = attempt.request
         connection = await self._prepare_connection(attempt)
--- a/lentilring/gateways/pool.py
+++ b/lentilring/gateways/pool.py
@@ -17,6 +17,7 @@
     ServerReply,
     ServerSession,
     ServerUnreachable,
+    SessionSetupFailed,
 )
 
 # A handshake waits for a slot, which takes about 0.2 s with a full queue.
@@ -327,4 +328,4 @@
     if isinstance(reply.outcome, Done) and reply.state is not TransactionState.FAILED:
         return
     session.close()
-    raise ServerUnreachable(server="", detail=f"session setup failed: {reply.outcome}")
+    raise SessionSetupFailed(server="", detail=f"session setup failed: {reply.outcome}")
--- a/lentilring/gateways/server.py
+++ b/lentilring/gateways/server.py
@@ -26,6 +26,11 @@
     is_down: bool = False
 
 
+@dataclass(kw_only=True, eq=False)
+class SessionSetupFailed(ServerUnreachable):
+    """Report that a server that answers refused a session's values or prepared statement."""
+
+
 @dataclass(kw_only=True, eq=False)
 class ServerRefused(LentilringError):
     """Report that a backend server refused a connection."""
--- a/tests/test_server_queue.py
+++ b/tests/test_server_queue.py
@@ -11,7 +11,13 @@
 
 from lentilring.gateways.attempt import RunResult, compute_connection_limit
 from lentilring.gateways.gateway import ServerGateway
-from lentilring.gateways.messages import RunStatement, StatementKind, TransactionOpening
+from lentilring.gateways.messages import (
+    RunStatement,
+    SessionValue,
+    StatementKind,
+    TransactionOpening,
+)
+from lentilring.gateways.pacing import ServerPace
 from lentilring.gateways.positions import MISSING_RETRY_S, ProvenPositionHistory
 from lentilring.gateways.server import ServerLost, ServerRefused, ServerReply, ServerUnreachable
 from lentilring.statements.model import Done, Failed, Failure, Position, TransactionState
@@ -479,6 +485,26 @@
 
         run_virtual(scenario())
 
+    def test_refused_session_value_does_not_refuse_other_statements(self) -> None:
+        """Guards against a caller whose value a server refuses, which keeps all others from it."""
+
+        async def refuse(*_: object, **__: object) -> ServerReply:
+            failed = Failed(failure=Failure.FAILED, detail="no such value")
+            return ServerReply(outcome=failed, state=TransactionState.IDLE)
+
+        async def scenario() -> None:
+            bench = Bench()
+            bench.gateway.pace = ServerPace(max_limit=3)
+            with patch.object(FakeSession, "set_value", refuse, create=True):
+                result = await bench.run("q0", values=(SessionValue(name="a", value="1"),))
+            self.assertEqual(Failure.OVERLOADED, find_failure(result))
+            self.assertEqual([], bench.server.runs)
+            self.assertFalse(bench.gateway.pace.is_paced)
+            self.assertIsNone(find_failure(await bench.run("q1")))
+            bench.assert_nothing_is_held()
+
+        run_virtual(scenario())
+
     def test_statements_at_a_replaced_server_are_answered_at_once(self) -> None:
         """Guards against statements that wait for connections of a gateway that was closed."""
 
