Estimate waits from counts by kind instead of all waiting statements

Each statement and each answer estimates a wait, which summed the costs of all waiting statements. Queues now count their entries by kind of work.

--- a/lentilring/gateways/slots.py
+++ b/lentilring/gateways/slots.py
@@ -159,7 +159,8 @@
         if rank not in self._queues:
             self._queues[rank] = FairQueue(
                 capacity_per_account=MAX_QUEUED_PER_ACCOUNT,
-                cost_of=lambda waiter: self.costs.expected_s(waiter.kind),
+                kind_of=lambda waiter: waiter.kind,
+                cost_of=lambda kind: self.costs.expected_s(kind),
             )
         return self._queues[rank]
 
--- a/lentilring/pool/fairness.py
+++ b/lentilring/pool/fairness.py
@@ -5,8 +5,8 @@
 statements of its account held a slot.
 """
 
-from collections import deque
-from collections.abc import Callable
+from collections import Counter, deque
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
@@ -23,6 +23,7 @@
     finish_tag: float = 0.0
     cost_s: float = INITIAL_COST_S
     entries: deque[T] = field(default_factory=deque)
+    kinds: Counter[Hashable] = field(default_factory=Counter)
 
 
 class FairQueue(Generic[T]):
@@ -32,20 +33,26 @@
     an equal part is served in full, and large accounts share what the others leave idle. Weights by
     configured rate made a small account wait seconds beside a large one (docs/measurements.md).
     An account that was idle starts at the current virtual time, ahead of the backlog of others,
-    and without credit for the time it was idle. Waits are expected by `cost_of` an entry if it is
-    given, by the average cost of the entry's account otherwise.
+    and without credit for the time it was idle. Waits are expected by the `cost_of` the entries'
+    kinds (`kind_of`) if it is given, by the average costs of their accounts otherwise. Entries are
+    counted by kind, so that an estimate takes no longer the more of them wait.
     """
 
     def __init__(
-        self, *, capacity_per_account: int, cost_of: Callable[[T], float] | None = None
+        self,
+        *,
+        capacity_per_account: int,
+        kind_of: Callable[[T], Hashable] = lambda _: None,
+        cost_of: Callable[[Hashable], float] | None = None,
     ) -> None:
         self.capacity_per_account = capacity_per_account
-        self._cost_of = cost_of
+        self._kind_of, self._cost_of = kind_of, cost_of
+        self._kinds: Counter[Hashable] = Counter()
         self._queues: dict[str, _AccountQueue[T]] = {}
         self._virtual_time = 0.0
 
     def __len__(self) -> int:
-        return sum(len(queue.entries) for queue in self._queues.values())
+        return self._kinds.total()
 
     def push(self, account: str, entry: T, *, is_first: bool = False) -> bool:
         """Add an entry of an account; return False if the account's queue is full.
@@ -61,6 +68,7 @@
             queue.entries.appendleft(entry)
         else:
             queue.entries.append(entry)
+        self._count(queue, entry, 1)
         return True
 
     def pop(self) -> T | None:
@@ -71,7 +79,9 @@
         _, account = min(waiting)
         queue = self._queues[account]
         self.charge(account)
-        return queue.entries.popleft()
+        entry = queue.entries.popleft()
+        self._count(queue, entry, -1)
+        return entry
 
     def charge(self, account: str) -> None:
         """Charge an account for a statement that takes a slot, at its expected cost."""
@@ -86,6 +96,7 @@
         queue = self._queues.get(account)
         if queue is not None and entry in queue.entries:
             queue.entries.remove(entry)
+            self._count(queue, entry, -1)
 
     def record_cost(self, account: str, seconds: float) -> None:
         """Update the expected cost of an account's statements with a measured cost."""
@@ -102,16 +113,27 @@
         account_queue = self._queues.get(account)
         if account_queue is None:
             return 0.0
-        waiting = [q for name, q in self._queues.items() if q.entries or name == account]
-        total_work_s = sum(self._sum_costs(q) for q in waiting)
-        by_share_s = self._sum_costs(account_queue) * len(waiting)
-        return min(by_share_s, total_work_s) / slots
+        waiting = sum(1 for name, q in self._queues.items() if q.entries or name == account)
+        by_share_s = self._sum_costs(account_queue) * waiting
+        return min(by_share_s, self.total_cost_s()) / slots
 
     def total_cost_s(self) -> float:
         """Return the expected cost of all waiting entries together."""
-        return sum(self._sum_costs(queue) for queue in self._queues.values())
+        if self._cost_of is None:
+            return sum(len(queue.entries) * queue.cost_s for queue in self._queues.values())
+        return self._sum_by_kind(self._kinds, self._cost_of)
+
+    def _count(self, queue: _AccountQueue[T], entry: T, change: int) -> None:
+        kind = self._kind_of(entry)
+        for kinds in (queue.kinds, self._kinds):
+            kinds[kind] += change
+            if not kinds[kind]:
+                del kinds[kind]
 
     def _sum_costs(self, queue: _AccountQueue[T]) -> float:
         if self._cost_of is None:
             return len(queue.entries) * queue.cost_s
-        return sum(map(self._cost_of, queue.entries))
+        return self._sum_by_kind(queue.kinds, self._cost_of)
+
+    def _sum_by_kind(self, kinds: Counter[Hashable], cost_of: Callable[[Hashable], float]) -> float:
+        return sum(count * cost_of(kind) for kind, count in kinds.items())
--- a/tests/test_server_queue.py
+++ b/tests/test_server_queue.py
@@ -20,6 +20,7 @@
 from lentilring.gateways.pacing import ServerPace
 from lentilring.gateways.positions import MISSING_RETRY_S, ProvenPositionHistory
 from lentilring.gateways.server import ServerLost, ServerRefused, ServerReply, ServerUnreachable
+from lentilring.gateways.slots import SlotQueue
 from lentilring.statements.model import Done, Failed, Failure, Position, TransactionState
 from lentilring.telemetry.metrics import Telemetry
 
@@ -567,6 +568,61 @@
             run_virtual(scenario(Random(seed)))
 
 
+class EstimateTest(TestCase):
+    def test_estimate_of_a_wait_takes_no_longer_the_more_statements_wait(self) -> None:
+        """Guards against a process that is busy with refusals while many statements wait.
+
+        Each statement and each answer estimates a wait. In a played day, 5,011 reads were refused
+        within 6 s while 100 to 220 statements waited.
+        """
+
+        async def scenario() -> None:
+            slots = SlotQueue(clock=SuspensibleClock(), slots=1)
+            lookups = 0
+
+            def find_cost(kind: object) -> float:
+                nonlocal lookups
+                lookups += 1
+                return {"read": 0.01, "write": 0.03}[str(kind)]
+
+            slots.costs.expected_s = find_cost  # type: ignore[method-assign]
+            waiting = [
+                start(
+                    slots.acquire(
+                        f"a{i % 8}",
+                        rank=1 + i % 2,
+                        patience_s=99,
+                        kind=("read", "write")[i // 4 % 2],
+                    )
+                )
+                for i in range(402)
+            ]
+            await asyncio.sleep(0)
+            for future in waiting[12:112]:
+                future.cancel()
+            await asyncio.sleep(0)
+            costs_s = {
+                rank: [
+                    find_cost(waiter.kind)
+                    for account in queue._queues.values()
+                    for waiter in account.entries
+                ]
+                for rank, queue in slots._queues.items()
+            }
+            self.assertEqual(300, len(slots))
+            all_s = sum(map(sum, costs_s.values()))
+            lookups = 0
+            # Two statements run, which are reads; the limit is 2.
+            self.assertAlmostEqual((all_s + 0.5 * 0.01) / 2, slots.expected_wait_s("new", 3))
+            expected_s = (sum(costs_s[1]) + 0.5 * 0.01) / 2
+            self.assertAlmostEqual(expected_s, slots.expected_wait_s("new", 2))
+            self.assertLess(lookups, 30)
+            for future in waiting:
+                future.cancel()
+
+        run_virtual(scenario())
+
+
 class MixedWorkTest(TestCase):
     """Statements of two routes: one kind takes 0.2 s, the other 10 ms."""
 
