Close the connection of a cancelled proof or rollback

A call that was cancelled while the server answered BEGIN or ROLLBACK left its connection in the pool's set of used ones, where it counted against the limit for good. Statements that a gateway runs were not affected, only proofs of the lead and rollbacks that callers ask for.

--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -298,6 +298,10 @@
         except (ServerLost, ServerUnreachable):
             self.pool.discard(connection)
             return None
+        except BaseException:
+            # The proof was cancelled.
+            self.pool.discard(connection)
+            raise
         self.pool.release(connection)
         self.pace.record_proof(self.slots.running)
         self.slots.admit_waiting()
@@ -737,6 +741,10 @@
         except (ServerLost, ServerUnreachable):
             self.pool.discard(connection)
             return
+        except BaseException:
+            # The rollback was cancelled.
+            self.pool.discard(connection)
+            raise
         if reply.state is TransactionState.IDLE:
             self.pool.release(connection)
         else:
--- a/tests/test_server_queue.py
+++ b/tests/test_server_queue.py
@@ -568,6 +568,32 @@
             run_virtual(scenario(Random(seed)))
 
 
+class CancelledControlTest(TestCase):
+    def test_cancelled_proofs_and_rollbacks_keep_no_connections(self) -> None:
+        """Guards against connections that count as in use for good after a cancelled call."""
+
+        async def wait_long(*_: object, **__: object) -> ServerReply:
+            await asyncio.sleep(0.3)
+            return ServerReply(outcome=Done(), state=TransactionState.IDLE)
+
+        async def scenario() -> None:
+            bench = Bench()
+            transaction = await bench.open_transaction()
+            calls: list[tuple[str, Callable[[], Awaitable[Any]]]] = [
+                ("begin", lambda: bench.gateway.prove_leadership("crew")),
+                ("roll_back", lambda: bench.gateway.end_transaction(transaction)),
+            ]
+            for name, call in calls:
+                with patch.object(FakeSession, name, wait_long):
+                    running = start(call())
+                    await asyncio.sleep(0.1)
+                    running.cancel()
+                    await asyncio.wait({running})
+            bench.assert_nothing_is_held()
+
+        run_virtual(scenario())
+
+
 class EstimateTest(TestCase):
     def test_estimate_of_a_wait_takes_no_longer_the_more_statements_wait(self) -> None:
         """Guards against a process that is busy with refusals while many statements wait.
