Forget transactions and gateways that have ended

A transaction that its gateway ended itself (its caller's proxy was lost, or a statement was cancelled) stayed in the map from transactions to gateways, and the gateways of replaced servers stayed in the set of closing ones until the proxy stopped. Both grew for as long as the process ran; now they are pruned with each trim (0.25 s).

--- a/lentilring/gateways/service.py
+++ b/lentilring/gateways/service.py
@@ -156,7 +156,7 @@
 
     def _list_busy_gateways(self) -> list[ServerGateway]:
         """Return all gateways at which statements may run."""
-        self._closing = {gateway for gateway in self._closing if gateway.is_busy}
+        self._forget_ended()
         return [*self._gateways.values(), *self._closing]
 
     async def run(self, request: RunStatement) -> StatementAnswer:
@@ -304,6 +304,18 @@
             self._renewal.close_unused()
             for gateway in self._gateways.values():
                 gateway.pool.trim()
+            self._forget_ended()
+
+    def _forget_ended(self) -> None:
+        """Forget transactions that their gateways ended themselves, and closed gateways."""
+        ended = [
+            transaction
+            for transaction, gateway in self._transaction_gateways.items()
+            if transaction not in gateway.transactions
+        ]
+        for transaction in ended:
+            del self._transaction_gateways[transaction]
+        self._closing = {gateway for gateway in self._closing if gateway.is_busy}
 
     def _get_gateway(self, server: ServerEntry) -> ServerGateway:
         gateway = self._gateways.get(server.id)
--- a/tests/test_server_queue.py
+++ b/tests/test_server_queue.py
@@ -20,11 +20,19 @@
 from lentilring.gateways.pacing import ServerPace
 from lentilring.gateways.positions import MISSING_RETRY_S, ProvenPositionHistory
 from lentilring.gateways.server import ServerLost, ServerRefused, ServerReply, ServerUnreachable
+from lentilring.gateways.service import GatewayService
 from lentilring.gateways.slots import SlotQueue
 from lentilring.statements.model import Done, Failed, Failure, Position, TransactionState
 from lentilring.telemetry.metrics import Telemetry
 
-from .prepared import SessionClient, build_manifest, build_route, run, run_prepared_platform
+from .prepared import (
+    SessionClient,
+    build_manifest,
+    build_route,
+    run,
+    run_prepared_platform,
+    wait_until,
+)
 from .test_takeover import build_entry
 from .virtual_time import SuspensibleClock, run_virtual
 
@@ -751,6 +759,40 @@
 
         run(scenario())
 
+    def test_gateways_do_not_keep_what_has_ended(self) -> None:
+        """Guards against memory that grows with restarts of servers and lost callers."""
+        manifest = build_manifest()
+        manifest["limits"]["tx-idle-ms"] = 200
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=1, manifest=manifest) as platform:
+                proxy = platform.proxies["vm-0"]
+                gateways = proxy.kernel.find("gateways", GatewayService)
+                leader = platform.group.leader
+                assert leader is not None
+                first = RunStatement(
+                    request_id="q",
+                    server=leader.id,
+                    account="planner",
+                    work=StatementKind.READ,
+                    text="READ a",
+                    opening=TransactionOpening.READ_WRITE,
+                    patience_s=0.5,
+                    timeout_s=1.0,
+                )
+                # Its caller's proxy sends nothing more and does not end it either.
+                self.assertTrue((await gateways.run(first)).transaction)
+                await wait_until(lambda: not gateways.count_transactions(), within_s=3.0)
+                leader.started_ms += 1
+                platform.register(leader)
+                await wait_until(lambda: leader.id not in gateways._gateways, within_s=5.0)
+                await wait_until(
+                    lambda: not gateways._transaction_gateways and not gateways._closing,
+                    within_s=3.0,
+                )
+
+        run(scenario())
+
     def test_idle_transactions_end_while_others_wait_for_connections(self) -> None:
         """Guards against commits without a slot while idle transactions hold all connections."""
         manifest = build_manifest()
