Wait for another gateway instead of none in a test

Its wait for the moment without a gateway can miss it, as the next gateway may be opened at once; it now waits until the gateway is another one. The checks at its end are unchanged.

--- a/tests/test_server_queue.py
+++ b/tests/test_server_queue.py
@@ -783,9 +783,13 @@
                 # Its caller's proxy sends nothing more and does not end it either.
                 self.assertTrue((await gateways.run(first)).transaction)
                 await wait_until(lambda: not gateways.count_transactions(), within_s=3.0)
+                known = gateways._gateways[leader.id]
                 leader.started_ms += 1
                 platform.register(leader)
-                await wait_until(lambda: leader.id not in gateways._gateways, within_s=5.0)
+                # The sampler may open the next gateway at once.
+                await wait_until(
+                    lambda: gateways._gateways.get(leader.id) is not known, within_s=5.0
+                )
                 await wait_until(
                     lambda: not gateways._transaction_gateways and not gateways._closing,
                     within_s=3.0,
