Split the router's decisions so that they can be looked at without a statement

The parts of a read's cost, the exclusion of a server, the refusals and the tokens of an account were computed inside calls that also draw random waits, take tokens or send statements.

rank_read_servers returns the parts of each cost; the order of random draws is unchanged, and test_reads compares the same ids. The pool and the limiter get previews that change nothing. tests test_reads, test_choice, test_regional_limits, test_returned_tokens, test_dispatch, test_sessions and test_prepared_sessions pass.

--- a/lentilring/catalog/service.py
+++ b/lentilring/catalog/service.py
@@ -171,9 +171,13 @@
 
     def find_account_by_key(self, key: str) -> ClientAccount | None:
         """Return the client account that a key belongs to."""
+        return self.find_account_by_key_hash(hash_key(key))
+
+    def find_account_by_key_hash(self, key_hash: str) -> ClientAccount | None:
+        """Return the client account that the key with a hash belongs to."""
         if self.manifest is None:
             return None
-        return self.find_account(self.manifest.accounts_by_key.get(hash_key(key), ""))
+        return self.find_account(self.manifest.accounts_by_key.get(key_hash, ""))
 
     def find_account(self, name: str) -> ClientAccount | None:
         """Return a client account."""
--- a/lentilring/gateways/dispatch.py
+++ b/lentilring/gateways/dispatch.py
@@ -84,11 +84,13 @@
         return choose_gateways(
             server,
             self._fleet,
-            is_suspect=lambda vm: self._fleet.is_suspect(vm) or self._is_demoted(vm, server.id),
+            is_suspect=lambda vm: self.is_ranked_last(vm, server.id),
         )
 
-    def _is_demoted(self, vm: str, server: str) -> bool:
-        return self._clock.monotonic() < self._demoted_until.get((vm, server), 0.0)
+    def is_ranked_last(self, vm: str, server: str) -> bool:
+        """Tell whether a proxy is suspected, or could not reach a server a moment ago."""
+        demoted_until = self._demoted_until.get((vm, server), 0.0)
+        return self._fleet.is_suspect(vm) or self._clock.monotonic() < demoted_until
 
     async def run(self, server: ServerEntry, request: RunStatement) -> DispatchResult:
         """Run a statement outside of an open transaction."""
--- a/lentilring/limits/pools.py
+++ b/lentilring/limits/pools.py
@@ -11,7 +11,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..clock import Clock
 from ..configuration.accounts import ClientAccount
@@ -97,20 +97,37 @@
 
     def retry_after_s(self, account: ClientAccount) -> float:
         """Return when the next token is there."""
-        missing = max(0.0, 1.0 - self._fill(account).tokens)
+        return self._find_retry_s(account, self._fill(account).tokens)
+
+    def preview(self, account: ClientAccount) -> tuple[float, float]:
+        """Return the tokens, and when the next one is there, without changing the pool."""
+        known = self._pools.get(account.name)
+        pool = self._open_pool() if known is None else replace(known)
+        self._advance(pool, account)
+        return pool.tokens, self._find_retry_s(account, pool.tokens)
+
+    def _find_retry_s(self, account: ClientAccount, tokens: float) -> float:
+        missing = max(0.0, 1.0 - tokens)
         return max(MIN_RETRY_S, missing / max(0.001, account.rate_per_s * self.fraction()))
 
     def _fill(self, account: ClientAccount) -> _Pool:
-        now, part = self._clock.monotonic(), self.fraction()
         pool = self._pools.get(account.name)
         if pool is None:
-            pool = self._pools[account.name] = _Pool(
-                tokens=0.0,
-                filled_at=now,
-                gained=0.0,
-                registered=self._count_registered(),
-                started_part=0.0,
-            )
+            pool = self._pools[account.name] = self._open_pool()
+        self._advance(pool, account)
+        return pool
+
+    def _open_pool(self) -> _Pool:
+        return _Pool(
+            tokens=0.0,
+            filled_at=self._clock.monotonic(),
+            gained=0.0,
+            registered=self._count_registered(),
+            started_part=0.0,
+        )
+
+    def _advance(self, pool: _Pool, account: ClientAccount) -> None:
+        now, part = self._clock.monotonic(), self.fraction()
         self._add_start(pool, account, part)
         self._return_excess(pool)
         capacity = max(1.0, account.burst * part)
@@ -120,7 +137,6 @@
         pool.gained += max(0.0, tokens - pool.tokens)
         pool.tokens = tokens
         pool.filled_at = now
-        return pool
 
     def _add_start(self, pool: _Pool, account: ClientAccount, part: float) -> None:
         """Credit the part of the limit that was not used while the pool's proxies restarted.
--- a/lentilring/limits/regional.py
+++ b/lentilring/limits/regional.py
@@ -32,6 +32,7 @@
     TokensTaken,
 )
 from .pools import RegionalPools
+from .remaining import RemainingRate
 
 PRESENCE_INTERVAL_S = 0.5
 # In a region an answer takes a few milliseconds; callers wait for it.
@@ -67,6 +68,10 @@
     demand_at: float = 0.0
     refused_until: float = 0.0
 
+    def count_usable(self, now: float) -> int:
+        """Return the tokens that are not too old to be used."""
+        return 0 if now - self.taken_at > STOCK_LIFETIME_S else self.tokens
+
 
 class RegionalLimiter(Service):
     """Admit operations; implements AccountRateLimiter."""
@@ -117,8 +122,7 @@
         """Admit one operation of an account; None: admitted."""
         stock, now = self._stocks.setdefault(account.name, _Stock()), self._clock.monotonic()
         self._note_demand(stock, now)
-        if now - stock.taken_at > STOCK_LIFETIME_S:
-            stock.tokens = 0
+        stock.tokens = stock.count_usable(now)
         if stock.tokens > 0:
             stock.tokens -= 1
             return None
@@ -135,6 +139,24 @@
         stock.refused_until = self._clock.monotonic() + wait_s
         return self._refuse(account, answer.retry_after_s)
 
+    def preview(self, account: ClientAccount) -> RemainingRate:
+        """Return what is left of an account's rate, without taking a token or asking a peer."""
+        now, stock = self._clock.monotonic(), self._stocks.get(account.name, _Stock())
+        tokens, holder = stock.count_usable(now), self._locate_pool(self._fleet.local.region)
+        is_here = holder is None or holder.vm == self._fleet.local.vm
+        pool_tokens, pool_retry_s = self.pools.preview(account) if is_here else (None, 0.0)
+        refusal = None
+        if tokens == 0 and now < stock.refused_until:
+            refusal = _build_refusal(account, stock.refused_until - now)
+        elif tokens == 0 and pool_tokens is not None and pool_tokens < 1 and self._is_dry(account):
+            refusal = _build_refusal(account, pool_retry_s)
+        return RemainingRate(
+            stock_tokens=tokens,
+            pool_tokens=pool_tokens,
+            pool_holder=self._fleet.local.vm if holder is None else holder.vm,
+            refusal=refusal,
+        )
+
     def give_back(self, account: str, *, admitted_at: float) -> None:
         """Return the token of an operation that did not run to the region's pool."""
         if self._clock.monotonic() - admitted_at > MAX_RETURN_AGE_S:
@@ -165,12 +187,16 @@
     async def take_here(self, account: ClientAccount, wanted: int) -> TokensTaken:
         """Grant tokens of this proxy's pool; borrow from other regions when it is empty."""
         granted = self.pools.take(account, wanted)
-        if granted == 0 and self._clock.monotonic() >= self._dry_until.get(account.name, 0.0):
+        if granted == 0 and not self._is_dry(account):
             await self._borrow(account)
             granted = self.pools.take(account, 1)
         retry_after_s = 0.0 if granted else self.pools.retry_after_s(account)
         return TokensTaken(granted=granted, retry_after_s=retry_after_s)
 
+    def _is_dry(self, account: ClientAccount) -> bool:
+        """Tell whether the pools of other regions had nothing to lend a moment ago."""
+        return self._clock.monotonic() < self._dry_until.get(account.name, 0.0)
+
     def _admit_locally(self, account: ClientAccount) -> NotRun | None:
         if self._allowance.take(account):
             self._telemetry.count("limit_local_admissions")
@@ -180,11 +206,7 @@
 
     def _refuse(self, account: ClientAccount, retry_after_s: float) -> NotRun:
         self._telemetry.count("limit_refusals", reason=RefusalReason.RATE_EXCEEDED)
-        return NotRun(
-            reason=RefusalReason.RATE_EXCEEDED,
-            detail=f"client account {account.name}",
-            retry_after_s=retry_after_s,
-        )
+        return _build_refusal(account, retry_after_s)
 
     def _note_demand(self, stock: _Stock, now: float) -> None:
         kept = math.exp(-max(0.0, now - stock.demand_at) / DEMAND_MEMORY_S)
@@ -236,17 +258,19 @@
         return answer
 
     def _find_pool(self, region: str) -> ProxyEntry | None:
-        """Return the proxy that holds a region's pools."""
+        """Return the proxy that holds a region's pools; remember whether it is this one."""
+        holder, local = self._locate_pool(region), self._fleet.local
+        if region == local.region:
+            self._is_holder = holder is None or holder.vm == local.vm
+        return holder
+
+    def _locate_pool(self, region: str) -> ProxyEntry | None:
         local = self._fleet.local
-        if region != local.region:
-            return self._choose_holder(region)
-        if local.is_leaving and self._is_holder:
+        if region == local.region and local.is_leaving and self._is_holder:
             # The others ask a leaving proxy until they learn that it leaves. A second pool would
             # count the same proxies until then.
             return local
-        holder = self._choose_holder(region)
-        self._is_holder = holder is None or holder.vm == local.vm
-        return holder
+        return self._choose_holder(region)
 
     def _choose_holder(self, region: str) -> ProxyEntry | None:
         first = None
@@ -303,3 +327,11 @@
 
     def _handle_presence(self, sender: Sender, presence: ProxyPresence) -> None:
         self.pools.hear(sender.vm)
+
+
+def _build_refusal(account: ClientAccount, retry_after_s: float) -> NotRun:
+    return NotRun(
+        reason=RefusalReason.RATE_EXCEEDED,
+        detail=f"client account {account.name}",
+        retry_after_s=retry_after_s,
+    )
--- /dev/null
+++ b/lentilring/limits/remaining.py
@@ -0,0 +1,19 @@
+"""What is left of a client account's rate."""
+
+from dataclasses import dataclass
+
+from ..outcomes import NotRun
+
+
+@dataclass(frozen=True, kw_only=True)
+class RemainingRate:
+    """Hold what is left of an account's rate at a proxy.
+
+    `pool_tokens` is None if another proxy holds the region's pool. `refusal` is the answer to an
+    operation that is refused without asking another proxy.
+    """
+
+    stock_tokens: int
+    pool_tokens: float | None
+    pool_holder: str
+    refusal: NotRun | None
--- a/lentilring/sessions/calls.py
+++ b/lentilring/sessions/calls.py
@@ -6,6 +6,7 @@
 from ..configuration.accounts import ClientAccount
 from ..gateways.dispatch import DispatchResult
 from ..gateways.messages import RunStatement, StatementAnswer, StatementKind, TransactionOpening
+from ..limits.remaining import RemainingRate
 from ..outcomes import NotRun
 from ..statements.model import (
     NOT_RUN,
@@ -44,6 +45,10 @@
         """Take one token of an account; return None if admitted, else the refusal."""
         ...
 
+    def preview(self, account: ClientAccount) -> RemainingRate:
+        """Return what is left of an account's rate, without taking a token or asking a peer."""
+        ...
+
     def give_back(self, account: str, *, admitted_at: float) -> None:
         """Return the token of an operation that certainly did not run."""
         ...
--- a/lentilring/sessions/choice.py
+++ b/lentilring/sessions/choice.py
@@ -67,6 +67,30 @@
     return SAME_REGION_ROUND_TRIP_S if same_region else OTHER_REGION_ROUND_TRIP_S
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReadCost:
+    """Hold the parts of the estimated cost of a read at a server."""
+
+    server: ServerEntry
+    round_trip_s: float
+    wait_s: float
+    primary_penalty_s: float
+    failure_penalty_s: float
+    lag_penalty_s: float
+    is_bad: bool
+
+    @property
+    def total_s(self) -> float:
+        """Return the sum of the parts."""
+        delay_s = self.wait_s + self.failure_penalty_s + self.lag_penalty_s
+        return self.round_trip_s + delay_s + self.primary_penalty_s
+
+    @property
+    def order(self) -> tuple[bool, float, str]:
+        """Return the key that sorts servers by cost, bad servers last."""
+        return self.is_bad, self.total_s, self.server.id
+
+
 def rank_read_servers(
     servers: Iterable[ServerEntry],
     *,
@@ -75,19 +99,30 @@
     region_of: Callable[[str], str],
     is_usable: Callable[[ServerEntry], bool],
     wait_s: Callable[[str], float],
+    failure_penalty_s: Callable[[str], float] = lambda server: 0.0,
+    lag_penalty_s: Callable[[str], float] = lambda server: 0.0,
     bad: Collection[str] = (),
-) -> list[ServerEntry]:
-    """Return the servers that may serve a read, sorted by the time that it would take.
+) -> list[ReadCost]:
+    """Return the costs at the servers that may serve a read, the best server first.
 
     Bad servers are last.
     """
-
-    def cost(server: ServerEntry) -> tuple[bool, float, str]:
-        penalty_s = PRIMARY_PENALTY_S if primary is not None and server.id == primary.id else 0.0
-        round_trip_s = estimate_round_trip_s(location, server, region_of)
-        return server.id in bad, round_trip_s + wait_s(server.id) + penalty_s, server.id
-
-    return sorted((server for server in servers if is_usable(server)), key=cost)
+    costs = [
+        ReadCost(
+            server=server,
+            round_trip_s=estimate_round_trip_s(location, server, region_of),
+            wait_s=wait_s(server.id),
+            primary_penalty_s=(
+                PRIMARY_PENALTY_S if primary is not None and server.id == primary.id else 0.0
+            ),
+            failure_penalty_s=failure_penalty_s(server.id),
+            lag_penalty_s=lag_penalty_s(server.id),
+            is_bad=server.id in bad,
+        )
+        for server in servers
+        if is_usable(server)
+    ]
+    return sorted(costs, key=lambda cost: cost.order)
 
 
 class WaitEstimates:
@@ -111,10 +146,14 @@
         Ranked by such waits, a server is first more often the more its estimate is better, and
         always if the estimates do not overlap.
         """
-        least_s = MIN_WAIT_FACTOR * self.wait_s(server)
-        greatest_s = MAX_WAIT_FACTOR * self._fade(server, MAX_WAIT_HALF_LIFE_S)
+        least_s, greatest_s = self.find_range_s(server)
         return random.uniform(least_s, greatest_s) + random.uniform(0.0, ROUND_TRIP_PRECISION_S)
 
+    def find_range_s(self, server: str) -> tuple[float, float]:
+        """Return the least and the greatest wait that the last report leaves possible."""
+        least_s = MIN_WAIT_FACTOR * self.wait_s(server)
+        return least_s, MAX_WAIT_FACTOR * self._fade(server, MAX_WAIT_HALF_LIFE_S)
+
     def _fade(self, server: str, half_life_s: float) -> float:
         wait_s, reported_at = self._reports.get(server, (0.0, 0.0))
         return float(wait_s * 0.5 ** ((self._now() - reported_at) / half_life_s))
--- a/lentilring/sessions/router.py
+++ b/lentilring/sessions/router.py
@@ -1,16 +1,20 @@
 """The service `statements`: admits operations and finds a backend server for each statement."""
 
+from collections.abc import Callable
 from dataclasses import replace
+from enum import StrEnum, unique
 from random import Random
 
-from ..catalog.model import Consistency, ServerEntry
+from ..catalog.model import Consistency, DatabaseRoute, ServerEntry
 from ..catalog.service import CatalogService
 from ..clock import SuspensionClock
+from ..configuration.accounts import ClientAccount
 from ..gateways.dispatch import DispatchResult, StatementDispatcher
 from ..gateways.gateway import LEADERSHIP_UNCERTAIN
 from ..gateways.messages import RunStatement, StatementAnswer, StatementKind, TransactionOpening
 from ..gateways.stopping import StopSchedule
 from ..kernel import Service
+from ..outcomes import NotRun
 from ..statements.model import (
     Done,
     Failed,
@@ -31,10 +35,12 @@
 from .choice import (
     FreshnessBound,
     ProxyLocation,
+    ReadCost,
     ReplicaLag,
     ServerJudgements,
     WaitEstimates,
     choose_trial,
+    estimate_round_trip_s,
     rank_read_servers,
 )
 from .context import (
@@ -61,10 +67,27 @@
 STALE_CONFIGURATION_RETRY_S = 1.0
 STOPPING_DETAIL = "the proxy is stopping"
 STOPPING = Failed(failure=Failure.OVERLOADED, detail=STOPPING_DETAIL)
+NO_READ_SERVER = Failed(
+    failure=Failure.OVERLOADED,
+    detail="no server may serve this read",
+    retry_after_s=NO_SERVER_RETRY_S,
+)
+NO_PRIMARY = Failed(
+    failure=Failure.OVERLOADED, detail="no primary is known", retry_after_s=NO_SERVER_RETRY_S
+)
 
 log = Log(source="statements")
 
 
+@unique
+class Exclusion(StrEnum):
+    """Name the reasons why a server may not run a caller's statements."""
+
+    NO_NEW_WORK = "it accepts no new work"
+    ROUTE_REGIONS = "the route does not allow its region"
+    ACCOUNT_REGIONS = "the account does not allow its region"
+
+
 class StatementRouter(Service):
     """Admit operations and run their statements on suitable servers."""
 
@@ -115,16 +138,30 @@
 
     def check_session(self, context: SessionContext) -> Failed | Admission:
         """Return the route and account that a session may use now, or why it may not run."""
-        if not self._catalog.is_fresh():
-            return Failed(
-                failure=Failure.OVERLOADED,
-                detail=f"the configuration is {self._catalog.manifest_age_s():.1f} s old",
-                retry_after_s=STALE_CONFIGURATION_RETRY_S,
-            )
-        route = self._catalog.find_route(context.database)
+        stale = self.check_configuration()
+        if stale is not None:
+            return stale
+        account = self._catalog.find_account_by_key(context.key) if context.key else None
+        return self.check_access(context.database, account)
+
+    def check_configuration(self) -> Failed | None:
+        """Return a refusal if the configuration is too old."""
+        if self._catalog.is_fresh():
+            return None
+        return Failed(
+            failure=Failure.OVERLOADED,
+            detail=f"the configuration is {self._catalog.manifest_age_s():.1f} s old",
+            retry_after_s=STALE_CONFIGURATION_RETRY_S,
+        )
+
+    def check_access(self, database: str, account: ClientAccount | None) -> Failed | Admission:
+        """Return the route and account of a caller, or why the caller may not use the database.
+
+        `account` is None if the caller's key belongs to none.
+        """
+        route = self._catalog.find_route(database)
         if route is None:
             return Failed(failure=Failure.UNKNOWN_DATABASE, detail="no route has this database")
-        account = self._catalog.find_account_by_key(context.key) if context.key else None
         if account is not None:
             return Admission(route=route, account=account.name)
         if route.allows_anonymous:
@@ -151,11 +188,7 @@
         if refused is None:
             token = OperationToken(admitted_at=self._clock.monotonic())
             return replace(admission, token=token)
-        failed = Failed(
-            failure=Failure.OVERLOADED,
-            detail=f"{refused.reason} for account {account.name}",
-            retry_after_s=refused.retry_after_s,
-        )
+        failed = build_limit_refusal(account, refused)
         self.log_refusal(context, request_id, failed)
         return failed
 
@@ -172,7 +205,7 @@
     ) -> StatementOutcome:
         """Run a statement outside of a transaction."""
         dispatched = await self._run_outside_transaction(
-            context, admission, call, TransactionOpening.NONE, read_only=False
+            context, admission, call, TransactionOpening.NONE
         )
         outcome = build_outcome(dispatched.answer)
         if call.work is StatementKind.WRITE and isinstance(outcome, Done):
@@ -210,15 +243,8 @@
         self, context: SessionContext, transaction: SessionTransaction, call: StatementCall
     ) -> DispatchResult:
         admission = transaction.admission
-        # Only a read-write transaction proves that its server is the primary, so a route whose
-        # reads need the primary opens one for read-only transactions too.
-        from_replicas = (
-            transaction.read_only and admission.route.consistency is not Consistency.PRIMARY
-        )
-        opening = TransactionOpening.READ_ONLY if from_replicas else TransactionOpening.READ_WRITE
-        dispatched = await self._run_outside_transaction(
-            context, admission, call, opening, read_only=from_replicas
-        )
+        opening = choose_opening(admission.route, read_only=transaction.read_only)
+        dispatched = await self._run_outside_transaction(context, admission, call, opening)
         transaction.gateway, transaction.server = dispatched.gateway, dispatched.server
         return dispatched
 
@@ -242,13 +268,9 @@
         admission: Admission,
         call: StatementCall,
         opening: TransactionOpening,
-        *,
-        read_only: bool,
     ) -> DispatchResult:
         """Run a statement that belongs to no open transaction, on replicas or on the primary."""
-        replicas_may_read = admission.route.consistency is not Consistency.PRIMARY
-        is_single_read = call.work is StatementKind.READ and opening is TransactionOpening.NONE
-        if replicas_may_read and (is_single_read or read_only):
+        if replicas_may_run(admission.route, call.work, opening):
             return await self._run_on_read_servers(context, admission, call, opening)
         return await self._run_on_primary(context, admission, call, opening)
 
@@ -289,7 +311,7 @@
             self._record_lag(server, bound, dispatched.answer)
             if not attempts.add(dispatched):
                 break
-        return attempts.last or self._refuse(admission, "no server may serve this read")
+        return attempts.last or self._refuse(NO_READ_SERVER)
 
     def _record_repeat(
         self, call: StatementCall, failed: DispatchResult, server: ServerEntry
@@ -317,10 +339,10 @@
     ) -> DispatchResult:
         last = None
         deadline = self._clock.monotonic() + admission.route.statement_timeout_s
-        wait_deadline = self._clock.monotonic() + self._find_primary_wait_s(admission)
+        wait_deadline = self._clock.monotonic() + self.find_primary_wait_s(admission)
         while True:
-            server = self._catalog.find_primary(admission.route.service)
-            if server is None or not self._is_allowed(admission, server):
+            server = self.find_usable_primary(admission)
+            if server is None:
                 if not await self._await_primary(wait_deadline):
                     break
                 continue
@@ -338,7 +360,7 @@
                 return last
             if not await self._await_primary(wait_deadline):
                 break
-        return last or self._refuse(admission, "no primary is known")
+        return last or self._refuse(NO_PRIMARY)
 
     def _must_wait_for_primary(self, server: ServerEntry, answer: StatementAnswer) -> bool:
         """Tell whether a statement did not run because its server does not lead or is unreachable.
@@ -354,7 +376,14 @@
             return True
         return answer.is_unreachable or answer.failure == Failure.WRONG_SERVER
 
-    def _find_primary_wait_s(self, admission: Admission) -> float:
+    def find_usable_primary(self, admission: Admission) -> ServerEntry | None:
+        """Return the primary of a route's service if it is known and may run the operation."""
+        server = self._catalog.find_primary(admission.route.service)
+        if server is None or self.find_exclusion(admission, server) is not None:
+            return None
+        return server
+
+    def find_primary_wait_s(self, admission: Admission) -> float:
         """Return how long a statement may wait for another primary.
 
         While the store answers, a takeover is over within about 2 s; without it there is none.
@@ -393,43 +422,78 @@
         self, admission: Admission, bound: FreshnessBound, opening: TransactionOpening
     ) -> tuple[list[ServerEntry], ServerEntry | None]:
         """Return the servers to try in order, and the first if it is a trial of a bad server."""
-        service = admission.route.service
-        servers = self._catalog.servers.by_service.get(service, ())
-        bad = self._judgements.find_bad([server.id for server in servers])
-        ranked = rank_read_servers(
-            servers,
-            primary=self._catalog.find_primary(service),
-            location=self._location,
-            region_of=self._find_region,
-            is_usable=lambda server: self._is_allowed(admission, server),
-            wait_s=lambda server: self._slot_waits.draw_wait_s(server, self._random)
-            + self._failure_penalties.wait_s(server)
-            + self._replica_lag.penalty_s(server, bound),
-            bad=bad,
+        costs = self._estimate_read_costs(
+            admission, bound, lambda server: self._slot_waits.draw_wait_s(server, self._random)
         )
+        ranked = [cost.server for cost in costs]
         if opening is not TransactionOpening.NONE:
             return ranked, None
+        bad = [cost.server.id for cost in costs if cost.is_bad]
         trial = choose_trial(ranked, bad=bad, random=self._random)
         if trial is not None:
             ranked.remove(trial)
             ranked.insert(0, trial)
         return ranked, trial
 
+    def preview_read_costs(self, admission: Admission, bound: FreshnessBound) -> list[ReadCost]:
+        """Return what a read costs at the servers that may serve it, by their estimated waits.
+
+        A read itself is ranked by waits drawn from `find_wait_range_s`.
+        """
+        return self._estimate_read_costs(admission, bound, self._slot_waits.wait_s)
+
+    def preview_primary_cost(self, admission: Admission, primary: ServerEntry) -> ReadCost:
+        """Return the time that a statement of the primary is estimated to take."""
+        return ReadCost(
+            server=primary,
+            round_trip_s=estimate_round_trip_s(self._location, primary, self._find_region),
+            wait_s=self._slot_waits.wait_s(primary.id),
+            primary_penalty_s=0.0,
+            failure_penalty_s=0.0,
+            lag_penalty_s=0.0,
+            is_bad=primary.id in self._find_bad_servers(admission),
+        )
+
+    def find_wait_range_s(self, server: str) -> tuple[float, float]:
+        """Return the least and the greatest wait at a server that its last report allows."""
+        return self._slot_waits.find_range_s(server)
+
+    def _estimate_read_costs(
+        self, admission: Admission, bound: FreshnessBound, wait_s: Callable[[str], float]
+    ) -> list[ReadCost]:
+        service = admission.route.service
+        return rank_read_servers(
+            self._catalog.servers.by_service.get(service, ()),
+            primary=self._catalog.find_primary(service),
+            location=self._location,
+            region_of=self._find_region,
+            is_usable=lambda server: self.find_exclusion(admission, server) is None,
+            wait_s=wait_s,
+            failure_penalty_s=self._failure_penalties.wait_s,
+            lag_penalty_s=lambda server: self._replica_lag.penalty_s(server, bound),
+            bad=self._find_bad_servers(admission),
+        )
+
+    def _find_bad_servers(self, admission: Admission) -> frozenset[str]:
+        servers = self._catalog.servers.by_service.get(admission.route.service, ())
+        return self._judgements.find_bad([server.id for server in servers])
+
     def _find_attempt_s(self, admission: Admission, remaining_s: float, *, is_trial: bool) -> float:
         trial_s = admission.route.latency_target_s * TRIAL_TIME_FRACTION
         return min(remaining_s, trial_s) if is_trial else remaining_s
 
-    def _is_allowed(self, admission: Admission, server: ServerEntry) -> bool:
+    def find_exclusion(self, admission: Admission, server: ServerEntry) -> Exclusion | None:
+        """Return why a server may not run an operation, None if it may."""
         if not self._catalog.accepts_new_work(server):
-            return False
+            return Exclusion.NO_NEW_WORK
         manifest = self._catalog.manifest
         account_regions = manifest.account_regions.get(admission.account, ()) if manifest else ()
         region = self._find_region(server.failure_domain)
-        return all(
-            region in allowed
-            for allowed in (admission.route.allowed_regions, account_regions)
-            if allowed
-        )
+        if admission.route.allowed_regions and region not in admission.route.allowed_regions:
+            return Exclusion.ROUTE_REGIONS
+        if account_regions and region not in account_regions:
+            return Exclusion.ACCOUNT_REGIONS
+        return None
 
     def _find_region(self, failure_domain: str) -> str:
         return self._regions.get(failure_domain, "")
@@ -464,13 +528,13 @@
             after_number=0 if min_position is None else min_position.number,
             max_staleness_s=max_staleness_s,
             priority=route.priority,
-            patience_s=route.latency_target_s * SLOT_WAIT_FRACTION,
+            patience_s=find_patience_s(route),
             timeout_s=route.statement_timeout_s if timeout_s is None else timeout_s,
         )
 
-    def _refuse(self, admission: Admission, detail: str) -> DispatchResult:
+    def _refuse(self, refusal: Failed) -> DispatchResult:
         answer = StatementAnswer(
-            failure=Failure.OVERLOADED, detail=detail, retry_after_s=NO_SERVER_RETRY_S
+            failure=refusal.failure, detail=refusal.detail, retry_after_s=refusal.retry_after_s
         )
         return DispatchResult(answer=answer, gateway=self._dispatcher.local)
 
@@ -518,6 +582,40 @@
         )
 
 
+def choose_opening(route: DatabaseRoute, *, read_only: bool) -> TransactionOpening:
+    """Return how a transaction opens on its server.
+
+    Only a read-write transaction proves that its server is the primary, so a route whose reads need
+    the primary opens one for read-only transactions too.
+    """
+    if read_only and route.consistency is not Consistency.PRIMARY:
+        return TransactionOpening.READ_ONLY
+    return TransactionOpening.READ_WRITE
+
+
+def replicas_may_run(
+    route: DatabaseRoute, work: StatementKind, opening: TransactionOpening
+) -> bool:
+    """Tell whether a statement that belongs to no open transaction may run on replicas."""
+    is_single_read = work is StatementKind.READ and opening is TransactionOpening.NONE
+    reads_only = is_single_read or opening is TransactionOpening.READ_ONLY
+    return reads_only and route.consistency is not Consistency.PRIMARY
+
+
+def find_patience_s(route: DatabaseRoute) -> float:
+    """Return how long a route's statements wait for a slot at most."""
+    return route.latency_target_s * SLOT_WAIT_FRACTION
+
+
+def build_limit_refusal(account: ClientAccount, refused: NotRun) -> Failed:
+    """Return the answer to an operation that the limit of its account refuses."""
+    return Failed(
+        failure=Failure.OVERLOADED,
+        detail=f"{refused.reason} for account {account.name}",
+        retry_after_s=refused.retry_after_s,
+    )
+
+
 def _mark_begun(admission: Admission) -> bool:
     """Count an operation as run from here on; return whether it counted before.
 
--- a/tests/test_reads.py
+++ b/tests/test_reads.py
@@ -74,7 +74,7 @@
             is_usable=lambda server: server.id != without,
             wait_s=lambda server: waits.get(server, 0.0),
         )
-        return [server.id for server in ranked]
+        return [cost.server.id for cost in ranked]
 
     def test_near_replica_is_first_until_its_queue_costs_more_than_the_way(self) -> None:
         """Guards against needless reads across regions, and against queueing while others idle."""
