Show where a request would go with lentilctl explain-route

To find out why a request is slow or refused, operators had to send one and read the logs of several VMs. A session proxy now answers at its metrics address where a request would go: route, account and tokens left, servers in order with the parts of each cost, gateways, and the refusals in the order in which the router checks them. Nothing is sent, no token is taken and no random number is drawn. Keys are not sent; the command sends their hash in a header, and the answer has neither.

lentilctl explain REQUEST takes any id, so 'explain route' would change its meaning; the command is named explain-route.

--- a/lentilring/limits/regional.py
+++ b/lentilring/limits/regional.py
@@ -145,16 +145,18 @@
         tokens, holder = stock.count_usable(now), self._locate_pool(self._fleet.local.region)
         is_here = holder is None or holder.vm == self._fleet.local.vm
         pool_tokens, pool_retry_s = self.pools.preview(account) if is_here else (None, 0.0)
-        refusal = None
+        refusal, must_borrow = None, False
         if tokens == 0 and now < stock.refused_until:
             refusal = _build_refusal(account, stock.refused_until - now)
-        elif tokens == 0 and pool_tokens is not None and pool_tokens < 1 and self._is_dry(account):
-            refusal = _build_refusal(account, pool_retry_s)
+        elif tokens == 0 and pool_tokens is not None and pool_tokens < 1:
+            must_borrow = not self._is_dry(account) and bool(self._list_other_regions())
+            refusal = None if must_borrow else _build_refusal(account, pool_retry_s)
         return RemainingRate(
             stock_tokens=tokens,
             pool_tokens=pool_tokens,
             pool_holder=self._fleet.local.vm if holder is None else holder.vm,
             refusal=refusal,
+            must_borrow=must_borrow,
         )
 
     def give_back(self, account: str, *, admitted_at: float) -> None:
@@ -232,8 +234,7 @@
         await asyncio.shield(task)
 
     async def _borrow_now(self, account: ClientAccount) -> None:
-        regions = sorted({member.region for member in self._fleet.members()})
-        others = [region for region in regions if region != self._fleet.local.region]
+        others = self._list_other_regions()
         self._random.shuffle(others)
         for region in others:
             holder = self._find_pool(region)
@@ -247,6 +248,10 @@
                 return
         self._dry_until[account.name] = self._clock.monotonic() + DRY_S
 
+    def _list_other_regions(self) -> list[str]:
+        regions = {member.region for member in self._fleet.members()}
+        return sorted(regions - {self._fleet.local.region})
+
     async def _call(self, holder: ProxyEntry, request: object, timeout_s: float) -> object | None:
         try:
             answer = await self._transport.call(holder.address, request, timeout_s=timeout_s)
--- a/lentilring/limits/remaining.py
+++ b/lentilring/limits/remaining.py
@@ -10,10 +10,12 @@
     """Hold what is left of an account's rate at a proxy.
 
     `pool_tokens` is None if another proxy holds the region's pool. `refusal` is the answer to an
-    operation that is refused without asking another proxy.
+    operation that is refused without asking another proxy. With `must_borrow`, an operation is
+    admitted only if the pool of another region lends a token.
     """
 
     stock_tokens: int
     pool_tokens: float | None
     pool_holder: str
     refusal: NotRun | None
+    must_borrow: bool = False
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -15,6 +15,7 @@
 from .gateways.sampling import PositionSampler
 from .gateways.service import GatewayService
 from .http.probe import ProbeServer
+from .http.route_view import ROUTE_VIEW_PATH, RouteViewer
 from .kernel import Kernel
 from .limits.regional import RegionalLimiter
 from .limits.window import LimitWindow
@@ -29,6 +30,7 @@
 from .sessions.choice import ProxyLocation
 from .sessions.listener import SessionListener
 from .sessions.readiness import SessionReadiness
+from .sessions.route_explanation import RouteExplainer
 from .sessions.router import StatementRouter
 from .shared_secret import PeerSecret, SharedSecret, wait_for_secret
 from .takeover.authority import PromotionAuthority
@@ -231,11 +233,15 @@
         gateways=gateways,
         clock=clock,
     )
+    explainer = RouteExplainer(
+        catalog=catalog, router=router, dispatcher=dispatcher, limiter=limiter
+    )
     probe = ProbeServer(
         readiness_address=settings.readiness_address,
         metrics_address=settings.metrics_address,
         is_ready=readiness.is_ready,
         telemetry=telemetry,
+        views={ROUTE_VIEW_PATH: RouteViewer(explain=explainer.explain, telemetry=telemetry).answer},
     )
     services = {
         "transport": transport,
