--- a/lentilring/configuration/service.py
+++ b/lentilring/configuration/service.py
@@ -76,7 +76,11 @@
 
     def find_account_by_key(self, key: str) -> ClientAccount | None:
         """Return the client account that a caller's API key belongs to."""
-        return self._registry.find_account_by_key_hash(hash_key(key))
+        return self.find_account_by_key_hash(hash_key(key))
+
+    def find_account_by_key_hash(self, key_hash: str) -> ClientAccount | None:
+        """Return the client account that the key with a hash belongs to."""
+        return self._registry.find_account_by_key_hash(key_hash)
 
     def account(self, name: str) -> ClientAccount | None:
         """Return a client account, or None if it or its template is missing."""
--- a/lentilring/limits/remaining.py
+++ b/lentilring/limits/remaining.py
@@ -19,3 +19,18 @@
     pool_holder: str
     refusal: NotRun | None
     must_borrow: bool = False
+
+
+@dataclass(frozen=True, kw_only=True)
+class HeldTokens:
+    """Hold an account's lent tokens at a proxy, and who is asked for more.
+
+    `supply` says how the last request for tokens ended. `refusal` is the answer to a request that
+    is refused at once; others wait for a token for a short time.
+    """
+
+    tokens: float
+    waiting: int
+    supply: str
+    holders: tuple[str, ...]
+    refusal: NotRun | None
--- a/lentilring/limits/requester.py
+++ b/lentilring/limits/requester.py
@@ -4,7 +4,7 @@
 import math
 from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 
 from ..clock import Clock
@@ -16,6 +16,7 @@
 from .directory import LimitMember, LimitMembership, ShareDirectory
 from .lender import Lender
 from .messages import GrantReport, TokenAnswer, TokenReport, TokenRequest, TokenStatus
+from .remaining import HeldTokens
 from .shares import choose_shares, order_holders
 
 CALL_TIMEOUT_S = 0.15
@@ -130,6 +131,24 @@
             return self._refuse(pool, now)
         return await self._wait(pool, now, timeout_s)
 
+    def preview(self, account: ClientAccount) -> HeldTokens:
+        """Return an account's tokens here, without taking one or asking for more."""
+        now, known = self._clock.monotonic(), self._pools.get(account.name)
+        pool = Pool(account=account) if known is None else replace(known, account=account)
+        tokens = self._count_tokens(pool, now)
+        must_wait = bool(pool.waiters) or tokens < 1
+        return HeldTokens(
+            tokens=tokens,
+            waiting=len(pool.waiters),
+            supply=pool.supply,
+            holders=tuple(holder.vm for holder in self._list_holders(pool)),
+            refusal=(
+                self._build_refusal(pool, now)
+                if must_wait and self._queue_is_full(pool, now)
+                else None
+            ),
+        )
+
     def return_all(self) -> None:
         """Return all unused tokens and report all uses."""
         for pool in self._pools.values():
@@ -203,12 +222,16 @@
         return max(1, math.floor(pool.account.rate_per_s * OVER_RATE_WAIT_S))
 
     def _refuse(self, pool: Pool, now: float) -> NotRun:
+        refusal = self._build_refusal(pool, now)
+        self._telemetry.count("limit_refusals", reason=refusal.reason.value)
+        return refusal
+
+    def _build_refusal(self, pool: Pool, now: float) -> NotRun:
         if pool.supply is Supply.OVER_RATE:
             behind = (len(pool.waiters) + 1) / pool.account.rate_per_s
             reason, retry_after_s = RefusalReason.RATE_EXCEEDED, behind
         else:
             reason, retry_after_s = RefusalReason.LIMIT_UNAVAILABLE, UNAVAILABLE_RETRY_S
-        self._telemetry.count("limit_refusals", reason=reason.value)
         return NotRun(
             reason=reason,
             detail=f"client account {pool.account.name}",
--- a/lentilring/limits/service.py
+++ b/lentilring/limits/service.py
@@ -29,6 +29,7 @@
     TokenReport,
     TokenRequest,
 )
+from .remaining import HeldTokens
 from .requester import TokenRequester
 
 TRACK_INTERVAL_S = 1.0  # between looks for changed accounts without traffic
@@ -125,6 +126,10 @@
         """Admit one request of an account; None: admitted, its token is used."""
         return await self.requester.acquire(account, timeout_s=timeout_s)
 
+    def preview(self, account: ClientAccount) -> HeldTokens:
+        """Return an account's tokens here, without taking one or asking for more."""
+        return self.requester.preview(account)
+
     async def _keep_shares(self) -> None:
         track_at = float("-inf")
         while True:
--- a/lentilring/routing/dispatch.py
+++ b/lentilring/routing/dispatch.py
@@ -51,7 +51,7 @@
     ) -> GatewayReply:
         """Run a statement at a gateway of a server; try the next gateway if nothing was sent."""
         deadline = self._clock.monotonic() + timeout_s
-        for member in self._rank(request.group, server)[:MAX_GATEWAYS_TRIED]:
+        for member in self.list_gateways(request.group, server):
             remaining_s = deadline - self._clock.monotonic()
             if remaining_s <= 0:
                 break
@@ -74,6 +74,10 @@
         ranked = self._rank(group, server)
         return ranked[0] if ranked else None
 
+    def list_gateways(self, group: str, server: BackendServer) -> tuple[Member, ...]:
+        """Return the gateways to try for a server, in this order."""
+        return self._rank(group, server)[:MAX_GATEWAYS_TRIED]
+
     def is_avoided(self, vm: str) -> bool:
         """Tell whether a gateway recently did not answer."""
         return self._avoided_until.get(vm, float("-inf")) > self._clock.monotonic()
--- a/lentilring/routing/reads.py
+++ b/lentilring/routing/reads.py
@@ -21,6 +21,17 @@
     max_staleness_s: float | None
 
 
+@dataclass(frozen=True, kw_only=True)
+class ReadOrder:
+    """Hold the servers to try for a read, in order, and those left out because they lag.
+
+    If all lag, all are tried.
+    """
+
+    servers: tuple[BackendServer, ...]
+    left_out: tuple[BackendServer, ...] = ()
+
+
 class ReplicaHints:
     """Remember which servers could not serve a recent read: too far behind or unreachable."""
 
--- a/lentilring/routing/service.py
+++ b/lentilring/routing/service.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from ..clock import Clock
-from ..configuration.models import RouteKind
+from ..configuration.models import BackendServer, Database, RouteKind
 from ..database.messages import Action
 from ..kernel import Service
 from ..outcomes import (
@@ -31,7 +31,7 @@
 from .admission import AccountsView, Authorization, Limiter, authorize, check_still_authorized
 from .coalescing import Coalescer, RequestKey
 from .dispatch import Dispatcher
-from .reads import ReplicaHints, order_servers
+from .reads import ReadOrder, ReplicaHints, order_servers
 from .request import CallerRequest
 from .retries import RetryBudget
 from .sessions import SessionTokenInvalid, choose_later, decode_token
@@ -134,15 +134,18 @@
             request=request, authorization=authorization, session=session, deadline=deadline
         )
         account_name = authorization.account.name
-        if self._in_flight_per_account[account_name] >= MAX_IN_FLIGHT_PER_ACCOUNT:
-            return NotRun(
-                reason=RefusalReason.QUEUE_FULL,
-                detail="in flight",
-                retry_after_s=0.1,
-            )
+        refusal = self.check_in_flight(account_name)
+        if refusal is not None:
+            return refusal
         with _increment_while(self._in_flight_per_account, account_name):
             return await self._admit(context)
 
+    def check_in_flight(self, account: str) -> NotRun | None:
+        """Return a refusal if too many requests of an account are being served."""
+        if self._in_flight_per_account.get(account, 0) < MAX_IN_FLIGHT_PER_ACCOUNT:
+            return None
+        return NotRun(reason=RefusalReason.QUEUE_FULL, detail="in flight", retry_after_s=0.1)
+
     def _decode_session(self, request: CallerRequest) -> SessionPosition | None:
         if not request.session:
             return None
@@ -177,29 +180,15 @@
         """Try the servers in order of preference, each for at most READ_ATTEMPT_TIMEOUT_S."""
         authorization, session = context.authorization, context.session
         database = find_database(self._configuration, authorization.group)
-        record = self._groups.find_record(authorization.group)
         if database is None:
             return refuse(RefusalReason.ROUTE_UNKNOWN)
-        servers = order_servers(
-            database=database,
-            primary=record.primary if record is not None else None,
-            configuration=self._configuration,
-            local=self._membership.local,
-            accepts_replica=authorization.max_staleness_s is not None,
-            random_source=self._random,
-        )
         reply = refuse(RefusalReason.NO_PRIMARY)
         position = session.position if session is not None else 0
         staleness_limit_s = authorization.max_staleness_s
-        now = self._clock.monotonic()
-        behind = [
-            server
-            for server in servers
-            if self._hints.is_behind(
-                authorization.group, server.name, now, position, staleness_limit_s
-            )
-        ]
-        for server in [s for s in servers if s not in behind] or servers:
+        order = self.order_read_servers(
+            authorization, database, position=position, random_source=self._random
+        )
+        for server in order.servers:
             attempt_s = min(READ_ATTEMPT_TIMEOUT_S, self._remaining_s(context.deadline))
             if attempt_s <= 0:
                 return refuse(RefusalReason.DEADLINE_EXCEEDED)
@@ -218,14 +207,52 @@
             )
         return reply
 
+    def order_read_servers(
+        self,
+        authorization: Authorization,
+        database: Database,
+        *,
+        position: int,
+        random_source: random.Random,
+    ) -> ReadOrder:
+        """Return the servers to try for a read of a session at a position."""
+        group, staleness_limit_s = authorization.group, authorization.max_staleness_s
+        record, now = self._groups.find_record(group), self._clock.monotonic()
+        servers = order_servers(
+            database=database,
+            primary=record.primary if record is not None else None,
+            configuration=self._configuration,
+            local=self._membership.local,
+            accepts_replica=staleness_limit_s is not None,
+            random_source=random_source,
+        )
+        behind = tuple(
+            server
+            for server in servers
+            if self._hints.is_behind(group, server.name, now, position, staleness_limit_s)
+        )
+        if len(behind) == len(servers):
+            return ReadOrder(servers=tuple(servers))
+        others = tuple(server for server in servers if server not in behind)
+        return ReadOrder(servers=others, left_out=behind)
+
     async def _write(self, context: _RequestContext) -> Outcome:
         repeatable = context.authorization.route.repeatable
         reply = await self._retry(context, self._write_once, repeatable=repeatable)
         return self._convert_reply(context, reply)
 
     async def _write_once(self, context: _RequestContext) -> GatewayReply:
-        database = find_database(self._configuration, context.authorization.group)
-        record = self._groups.find_record(context.authorization.group)
+        server = self.find_primary(context.authorization.group)
+        if isinstance(server, GatewayReply):
+            return server
+        remaining_s = self._remaining_s(context.deadline)
+        gateway_request = self._build_request(context, server.name, Action.WRITE, remaining_s)
+        return await self._dispatcher.send(gateway_request, server, timeout_s=remaining_s)
+
+    def find_primary(self, group: str) -> BackendServer | GatewayReply:
+        """Return the primary of a group, or the refusal of a write without one."""
+        database = find_database(self._configuration, group)
+        record = self._groups.find_record(group)
         if database is None:
             return refuse(RefusalReason.ROUTE_UNKNOWN)
         if record is None or record.primary is None:
@@ -233,9 +260,7 @@
         server = find_server(database, record.primary)
         if server is None:
             return refuse(RefusalReason.CONFIGURATION_MISSING, record.primary)
-        remaining_s = self._remaining_s(context.deadline)
-        gateway_request = self._build_request(context, server.name, Action.WRITE, remaining_s)
-        return await self._dispatcher.send(gateway_request, server, timeout_s=remaining_s)
+        return server
 
     def _build_request(
         self, context: _RequestContext, server: str, action: Action, timeout_s: float
