Show where a request over HTTP would go with lentilctl explain-http-route

lentilring-proxy answers the question at its admin address, by the decisions of its own routing and limits. Keys are sent as hashes.

--- a/lentilring/cli/ctl.py
+++ b/lentilring/cli/ctl.py
@@ -8,6 +8,7 @@
 from .documents import apply, diff, roll_back, show, validate
 from .drains import databases, domains
 from .explain import explain
+from .explain_http_route import explain_http_route
 from .explain_route import explain_route
 from .keys import keys
 from .options import VERSION_OPTION
@@ -29,7 +30,7 @@
     "group": groups,
 }.items():
     application.add_typer(_commands, name=_name)
-for _command in (show, validate, diff, apply, explain, explain_route):
+for _command in (show, validate, diff, apply, explain, explain_route, explain_http_route):
     application.command()(_command)
 application.command("rollback")(roll_back)
 
--- a/lentilring/process.py
+++ b/lentilring/process.py
@@ -22,7 +22,7 @@
 from .pool.service import RequestGatewayService
 from .routing.service import RoutingService
 from .settings import ProxySettings
-from .status import add_status_views
+from .status import add_route_view, add_status_views
 from .telemetry.log import Log
 from .telemetry.metrics import Telemetry
 from .transactions.service import TransactionService
@@ -118,6 +118,7 @@
     )
     admin = AdminInterface(token=settings.admin_token)
     add_status_views(admin, kernel)
+    add_route_view(admin, kernel, readiness.refuse_request)
     admin_host, admin_port = _split_address(settings.admin_address)
     kernel.register(
         "admin",
--- a/lentilring/routing/service.py
+++ b/lentilring/routing/service.py
@@ -106,6 +106,11 @@
         self._in_flight_per_account: Counter[str] = Counter()
         self._waiting_per_group: Counter[str] = Counter()
 
+    @property
+    def dispatcher(self) -> Dispatcher:
+        """Return the dispatcher that calls the gateways."""
+        return self._dispatcher
+
     async def handle(self, request: CallerRequest) -> Outcome:
         """Return the outcome of a caller's request."""
         self.in_flight += 1
--- a/lentilring/status.py
+++ b/lentilring/status.py
@@ -1,6 +1,7 @@
 """Status views for operators."""
 
-from collections.abc import Mapping
+import re
+from collections.abc import Callable, Mapping
 
 import msgspec
 
@@ -10,11 +11,15 @@
 from .kernel import Kernel
 from .limits.service import LimitService
 from .membership.service import MembershipService
-from .outcomes import JsonValue
+from .outcomes import JsonValue, NotRun
 from .pool.service import RequestGatewayService
+from .routing.explanation import RequestExplainer, RequestQuestion
+from .routing.service import RoutingService
 from .telemetry.metrics import Telemetry
 from .transactions.service import TransactionService
 
+KEY_HASH_PATTERN = re.compile(r"[0-9a-f]{64}")
+
 
 def add_status_views(admin: AdminInterface, kernel: Kernel) -> None:
     """Register the admin views that show the services' state."""
@@ -28,6 +33,36 @@
     admin.add_view("in-force", lambda query: show_in_force(kernel, query))
 
 
+def add_route_view(
+    admin: AdminInterface, kernel: Kernel, refuse_request: Callable[[], NotRun | None]
+) -> None:
+    """Register the admin view that shows where a request would go."""
+    explainer = RequestExplainer(
+        local=kernel.find("membership", MembershipService).local,
+        configuration=kernel.find("configuration", ConfigurationService),
+        routing=kernel.find("routing", RoutingService),
+        limits=kernel.find("limits", LimitService),
+        refuse_request=refuse_request,
+    )
+    admin.add_view("explain-route", lambda query: show_route(explainer, query))
+
+
+def show_route(explainer: RequestExplainer, query: Mapping[str, str]) -> JsonValue:
+    """Return where a request would go."""
+    key_hash = query.get("key_hash", "")
+    if key_hash and not KEY_HASH_PATTERN.fullmatch(key_hash):
+        raise ValueError("key_hash must be 64 lower-case hexadecimal digits")
+    question = RequestQuestion(
+        service=query["service"],
+        database=query["database"],
+        route=query["route"],
+        key_hash=key_hash,
+        account=query.get("account", ""),
+    )
+    content: JsonValue = msgspec.to_builtins(explainer.explain(question))
+    return content
+
+
 def show_status(kernel: Kernel) -> JsonValue:
     """Return a summary of this proxy."""
     membership = kernel.find("membership", MembershipService)
