Keep slow and silent HTTP clients from taking all threads and descriptors

A thread was given to a connection with its first byte and waited for the rest as long as a byte came every 5 s, so a few clients held all threads. Nothing bounded connections but 20,000, so silent ones took all descriptors and nothing more was accepted.

A connection now gets a thread when its request has arrived with its body or 16 KiB of it; until then the selector waits for it, with SO_RCVLOWAT. Headers have 5 s in all, an answer is read within 10 s, and while requests wait for a thread, clients that are slower than 1 s give theirs up. The number of connections follows the descriptors of the process; idle ones make room. Memory was bounded before and is unchanged.

--- a/lentilring/http/bridge.py
+++ b/lentilring/http/bridge.py
@@ -12,10 +12,13 @@
 
 from ..outcomes import NotRun, OutcomeUnknown, RefusalReason, UncertaintyReason
 from ..telemetry.log import Log, request_id
+from .client_limits import Phase
 from .messages import HttpRequest, HttpResponse
 from .problems import render_outcome
 
 READ_CHUNK_BYTES = 64 * 1024
+# The connection of a request in its environment.
+CONNECTION_KEY = "lentilring.connection"
 STATUS_LINES = {status.value: f"{status.value} {status.phrase}" for status in HTTPStatus}
 
 log = Log(source="http")
@@ -61,6 +64,9 @@
     ) -> Iterable[bytes]:
         """Answer one request."""
         body = self._read_body(environ)
+        connection = environ.get(CONNECTION_KEY)
+        if connection is not None:
+            connection.enter(Phase.RUNNING)
         if isinstance(body, NotRun):
             response = render_outcome(body, "")
             # The rest of the body is unread, so the connection cannot carry another request.
--- a/lentilring/http/server.py
+++ b/lentilring/http/server.py
@@ -1,29 +1,31 @@
 """The HTTP server: CherryPy's threads parse requests and the event loop handles them."""
 
 import asyncio
+import resource
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from typing import Any
 
 import cherrypy
 from cheroot import wsgi
-from cheroot.connections import ConnectionManager
-from cheroot.server import HTTPConnection, HTTPRequest
+from cheroot.server import HTTPRequest
 from cherrypy.process.servers import ServerAdapter
 
 from ..clock import Clock
 from ..kernel import Kernel, Service
 from ..telemetry.log import Log
-from .bridge import Bridge
-from .connections import ConnectionKeeper
+from ..telemetry.metrics import Telemetry
+from .bridge import CONNECTION_KEY, Bridge
+from .client_limits import HttpClientLimits, HttpLimit, Phase, derive_max_connections
+from .connections import ConnectionKeeper, TimedConnection
 from .messages import HttpRequest, HttpResponse
 
 REQUEST_QUEUE_SIZE = 1024
 MAX_HEADER_BYTES = 16 * 1024
-# Callers keep connections open between requests: 2.4 million over 790 VMs, about 3,040 for each.
-MAX_IDLE_CONNECTIONS = 20_000
 IDLE_TIMEOUT_S = 300
-REQUEST_TIMEOUT_S = 5.0
 ANSWER_MARGIN_S = 5.0
 MAX_DEADLINE_S = 60.0
+DEFAULT_LIMITS = HttpClientLimits()
 
 log = Log(source="http")
 
@@ -40,44 +42,54 @@
         connection = [value for name, value in self.outheaders if name.lower() == b"connection"]
         if b"close" in connection:
             self.close_connection = True
+        self.conn.enter(Phase.SENDING)
         super().send_headers()
 
 
-class TimedConnection(HTTPConnection):
-    """Apply a shorter timeout within a request than between requests."""
+class RequestConnection(TimedConnection):
+    """Handle requests as ClosingRequest does."""
 
     RequestHandlerClass = ClosingRequest
-    has_waited = False
 
-    def communicate(self) -> bool:
-        """Read and answer one request; return True to keep the connection."""
-        self.socket.settimeout(REQUEST_TIMEOUT_S)
-        return bool(super().communicate())
+
+class ConnectionGateway(wsgi.Gateway_10):
+    """Name the connection in the environment of a request."""
+
+    def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
+        """Return the environment of the request."""
+        return {**super().get_environ(), CONNECTION_KEY: self.req.conn}
 
 
 class IdleFirstServer(wsgi.Server):
-    """Assign a thread to a new connection only after its first bytes have arrived.
+    """Assign a thread to a connection only after a request has arrived.
 
-    cheroot passes new connections to threads at once, so callers that connect and send nothing
-    would occupy all threads.
+    cheroot passes new connections to threads at once, so callers that connect and send nothing, or
+    only a part of a request, would occupy all threads.
     """
 
-    ConnectionClass = TimedConnection
-    _connections: ConnectionManager
+    ConnectionClass = RequestConnection
+    _connections: ConnectionKeeper
+    make_keeper: Callable[["IdleFirstServer"], ConnectionKeeper]
 
     def prepare(self) -> None:
         """Bind the address and start the threads."""
+        self.open_connections: set[TimedConnection] = set()
+        self.busy_connections: set[TimedConnection] = set()
         super().prepare()
         self._connections.close()
-        self._connections = ConnectionKeeper(self)
+        self._connections = self.make_keeper(self)
 
     def process_conn(self, conn: TimedConnection) -> None:
-        """Wait for data on a new connection; queue one that has data for a thread."""
-        if conn.has_waited:
-            super().process_conn(conn)
-        else:
+        """Wait for a request on a connection; queue one that has arrived for a thread."""
+        if not conn.has_waited:
             conn.has_waited = True
             self._connections.put(conn)
+        elif not self._connections.wait_for_rest(conn):
+            self.queue_conn(conn)
+
+    def queue_conn(self, conn: TimedConnection) -> None:
+        """Queue a connection for a thread."""
+        super().process_conn(conn)
 
 
 class HttpServer(Service):
@@ -94,6 +106,8 @@
         max_body_bytes: int,
         body_timeout_s: float,
         clock: Clock,
+        limits: HttpClientLimits = DEFAULT_LIMITS,
+        telemetry: Telemetry | None = None,
     ) -> None:
         self._kernel = kernel
         self._host = host
@@ -103,6 +117,11 @@
         self._max_body_bytes = max_body_bytes
         self._body_timeout_s = body_timeout_s
         self._clock = clock
+        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self._limits = replace(
+            limits, max_connections=derive_max_connections(limits.max_connections, descriptors)
+        )
+        self._telemetry = telemetry or Telemetry()
         self._server: IdleFirstServer | None = None
         self._adapter: ServerAdapter | None = None
         self._bridge: Bridge | None = None
@@ -128,11 +147,31 @@
             shutdown_timeout=5,
         )
         server.max_request_header_size = MAX_HEADER_BYTES
-        server.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
+        server.keep_alive_conn_limit = self._limits.max_connections
+        server.gateway = ConnectionGateway
+        server.make_keeper = self._make_keeper
         self._server = server
         self._adapter = ServerAdapter(self._kernel.bus, server, (self._host, self._port))
         await asyncio.to_thread(self._adapter.start)
-        log.info("http_listening", address=f"{self._host}:{self._port}", threads=self._threads)
+        log.info(
+            "http_listening",
+            address=f"{self._host}:{self._port}",
+            threads=self._threads,
+            max_connections=self._limits.max_connections,
+        )
+
+    def _make_keeper(self, server: IdleFirstServer) -> ConnectionKeeper:
+        return ConnectionKeeper(
+            server,
+            limits=self._limits,
+            body_timeout_s=self._body_timeout_s,
+            on_limit=self._note_limit,
+        )
+
+    def _note_limit(self, limit: HttpLimit, remote: str) -> None:
+        """Count and log a connection that is closed because its client met a limit."""
+        self._telemetry.count("connections_closed", limit=limit)
+        log.info("connection_closed", limit=limit, remote=remote)
 
     async def drain(self, *, deadline_s: float) -> None:
         """Wait until no request is in flight, but give up those that run for `deadline_s` more."""
--- a/lentilring/process.py
+++ b/lentilring/process.py
@@ -12,6 +12,7 @@
 from .database.client import TcpBackendConnector
 from .http.admin import AdminInterface
 from .http.callers import CallerInterface
+from .http.client_limits import HttpClientLimits
 from .http.readiness import LEAVING_GRACE_S, Readiness
 from .http.server import HttpServer
 from .kernel import Kernel
@@ -28,6 +29,8 @@
 from .transactions.service import TransactionService
 
 ADMIN_THREADS = 4
+# Operators' tools connect for each command.
+ADMIN_CONNECTIONS = 100
 STORE_TIMEOUT_S = 3.0
 
 log = Log(source="process")
@@ -130,6 +133,8 @@
             max_body_bytes=settings.max_body_bytes,
             body_timeout_s=settings.body_timeout_s,
             clock=SystemClock(),
+            limits=HttpClientLimits(max_connections=ADMIN_CONNECTIONS),
+            telemetry=telemetry,
         ),
     )
     host, port = _split_address(settings.http_address)
@@ -144,6 +149,13 @@
             max_body_bytes=settings.max_body_bytes,
             body_timeout_s=settings.body_timeout_s,
             clock=SystemClock(),
+            limits=HttpClientLimits(
+                max_connections=settings.max_connections,
+                head_timeout_s=settings.head_timeout_s,
+                answer_timeout_s=settings.answer_timeout_s,
+                room_thread_s=settings.room_thread_s,
+            ),
+            telemetry=telemetry,
         ),
     )
 
--- a/lentilring/settings.py
+++ b/lentilring/settings.py
@@ -49,6 +49,32 @@
     http_threads: Annotated[
         int, Check(ge=2, le=1024, description="threads that parse callers' requests")
     ] = 48
+    max_connections: Annotated[
+        int,
+        Check(
+            ge=16,
+            le=1_000_000,
+            # 2.4 million callers over 790 VMs keep about 3,040 connections to each open.
+            description="open connections of callers at a time, fewer if the process may have fewer"
+            " descriptors; then idle ones are closed",
+        ),
+    ] = 20_000
+    head_timeout_s: Annotated[
+        float,
+        Check(gt=0, le=60, description="time for a request's headers to arrive, in seconds"),
+    ] = 5.0
+    answer_timeout_s: Annotated[
+        float, Check(gt=0, le=300, description="time for an answer to be read, in seconds")
+    ] = 10.0
+    room_thread_s: Annotated[
+        float,
+        Check(
+            gt=0,
+            le=60,
+            description="time after which a slow client gives up its thread when requests wait for"
+            " one, in seconds",
+        ),
+    ] = 1.0
     max_body_bytes: Annotated[
         int, Check(ge=1024, le=16_777_216, description="greatest request body, in bytes")
     ] = 262_144
