Bound what connections to the address for peers hold

Silent connections took descriptors until their handshake timed out; incomplete frames (4 MiB each) and large statements that wait at a gateway were not counted. At most 96 connections are in the handshake, the oldest make room. Incomplete frames share the budget of bytes with the sessions and have 30 s; calls above 64 KiB are rejected when they would take more than half of the budget.

make test runs the tests of hostile clients one at a time after all others, because they measure the memory of processes.

--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,10 @@
 	$(VENV)/bin/ruff check --quiet lentilring tests bench extras
 	$(VENV)/bin/mypy
 
+# Tests of hostile clients measure memory, so they run one at a time after all others.
 test: install
-	$(PYTHON) -m pytest -n 6
+	$(PYTHON) -m pytest -n 6 --ignore-glob='tests/test_hostile_*.py'
+	$(PYTHON) -m pytest tests/test_hostile_*.py
 
 demo: install
 	PATH="$(CURDIR)/$(VENV)/bin:$$PATH" bash extras/demo.sh run
--- a/lentilring/peers/connection.py
+++ b/lentilring/peers/connection.py
@@ -23,6 +23,8 @@
 
 MAX_HANDSHAKE_BYTES = 1024
 HANDSHAKE_TIMEOUT_S = 5.0
+# The greatest frame takes 7 s over the slowest link of a VM (5 Mbit/s).
+FRAME_TIMEOUT_S = 30.0
 # Bounds the memory that is used for a peer that does not read.
 MAX_UNSENT_BYTES = 16 * 1024 * 1024
 # Keepalive detects a peer whose VM disappeared without closing its connections.
@@ -247,11 +249,14 @@
         max_frame_bytes: int,
         dispatch: Callable[["ListenerConnection", Envelope], None],
         on_closed: Callable[["ListenerConnection"], None],
+        on_received: Callable[["ListenerConnection"], None] = lambda _: None,
     ) -> None:
         super().__init__(
             authenticator=authenticator, telemetry=telemetry, max_frame_bytes=max_frame_bytes
         )
         self._dispatch = dispatch
+        self._on_received = on_received
+        self._frame_timer: asyncio.TimerHandle | None = None
         self._on_closed = on_closed
         self._expected_proof: bytes | None = None
         self._handshake_timer: asyncio.TimerHandle | None = None
@@ -259,12 +264,48 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the timeout of the handshake, which the caller begins."""
         super().connection_made(transport)
+        if self.closed:
+            # It was closed for newer ones that were accepted in the same step of the event loop.
+            self.abort()
+            return
         self._handshake_timer = asyncio.get_running_loop().call_later(
             HANDSHAKE_TIMEOUT_S, self._time_out_handshake
         )
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the number of received bytes that wait for the rest of their frame."""
+        return self._parser.held_bytes
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; start the timeout of a frame that is not complete."""
+        super().data_received(data)
+        if self.closed:
+            return
+        if self.held_bytes and self._frame_timer is None:
+            self._frame_timer = asyncio.get_running_loop().call_later(
+                FRAME_TIMEOUT_S, self._time_out_frame
+            )
+        self._on_received(self)
+
+    def close_over_budget(self, *, held: int, total: int, allowed: int) -> None:
+        """Close the connection because it holds most and all together hold too much."""
+        self.telemetry.count("connections_closed", limit=RejectionReason.CONNECTION_BYTES)
+        remote = self._transport and self._transport.get_extra_info("peername")
+        log.warning(
+            "connection_closed",
+            limit=RejectionReason.CONNECTION_BYTES,
+            remote=remote,
+            held=held,
+            total=total,
+            allowed=allowed,
+        )
+        self.abort()
+        self._parser.discard()
+
     def receive(self, payload: bytes) -> None:
         """Finish the handshake, then dispatch calls."""
+        self._cancel_frame_timer()
         if self.authenticated:
             self._receive_call(decode_struct(Envelope, payload))
             return
@@ -286,6 +327,7 @@
         """Report the closed connection; handlers that run for it are not cancelled."""
         super().connection_lost(exc)
         self._cancel_handshake_timer()
+        self._cancel_frame_timer()
         self._on_closed(self)
 
     def _receive_call(self, envelope: Envelope) -> None:
@@ -316,6 +358,15 @@
         if not self.authenticated and not self.closed:
             self.reject(RejectionReason.HANDSHAKE_TIMEOUT)
 
+    def _time_out_frame(self) -> None:
+        if not self.closed:
+            self.reject(RejectionReason.FRAME_TIMEOUT)
+
+    def _cancel_frame_timer(self) -> None:
+        if self._frame_timer is not None:
+            self._frame_timer.cancel()
+            self._frame_timer = None
+
     def _cancel_handshake_timer(self) -> None:
         if self._handshake_timer is not None:
             self._handshake_timer.cancel()
--- a/lentilring/peers/frames.py
+++ b/lentilring/peers/frames.py
@@ -30,10 +30,19 @@
         self.limit = limit
         self._buffer = bytearray()
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the number of bytes that wait for the rest of their frame."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> None:
         """Add received bytes."""
         self._buffer += data
 
+    def discard(self) -> None:
+        """Free what was received."""
+        self._buffer.clear()
+
     def next_frame(self) -> bytes | None:
         """Return the next complete payload, or None; raise FrameTooLarge."""
         buffer = self._buffer
--- a/lentilring/peers/tcp.py
+++ b/lentilring/peers/tcp.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
+from ..byte_budget import BudgetHolder, ByteBudget, hold_bytes
 from ..errors import LentilringError
 from ..kernel import Service
 from ..telemetry.log import Log
@@ -31,6 +32,14 @@
 PORT_ATTEMPTS = 20
 MAX_DETAIL_CHARACTERS = 500
 
+# Connections that have not authenticated; the proxies of 82 VMs may all connect at once.
+MAX_HANDSHAKES = 96
+# Larger calls are counted while they run. Ordinary statements have 200 to 3,000 bytes.
+SMALL_CALL_BYTES = 64 * 1024
+# The body of a call that runs, its decoded text, and what is sent to the server.
+CALL_COPIES = 3
+DEFAULT_CONNECTION_BYTES = 64 * 1024 * 1024
+
 log = Log(source="peers")
 
 
@@ -63,6 +72,7 @@
         telemetry: Telemetry,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         max_frame_bytes: int = MAX_FRAME_BYTES,
+        budget: ByteBudget[BudgetHolder] | None = None,
     ) -> None:
         self.vm = vm
         self.incarnation = incarnation
@@ -77,7 +87,9 @@
         self._callers: dict[str, CallerConnection] = {}
         self._retired: set[CallerConnection] = set()
         self._connecting: dict[str, asyncio.Task[CallerConnection]] = {}
-        self._listeners: set[ListenerConnection] = set()
+        self._budget = budget or ByteBudget(limit_bytes=DEFAULT_CONNECTION_BYTES)
+        # In the order of their arrival.
+        self._listeners: dict[ListenerConnection, None] = {}
         self._handler_tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
         self._datagram_transport: asyncio.DatagramTransport | None = None
@@ -178,11 +190,32 @@
             telemetry=self.telemetry,
             max_frame_bytes=self._max_frame_bytes,
             dispatch=self._dispatch,
-            on_closed=self._listeners.discard,
+            on_closed=self._forget_listener,
+            on_received=self._account,
         )
-        self._listeners.add(connection)
+        self._close_oldest_handshakes()
+        self._listeners[connection] = None
         return connection
 
+    def _close_oldest_handshakes(self) -> None:
+        """Close connections that have not authenticated when there are too many."""
+        unauthenticated = [
+            entry for entry in self._listeners if not entry.authenticated and not entry.closed
+        ]
+        excess = max(0, len(unauthenticated) + 1 - MAX_HANDSHAKES)
+        for connection in unauthenticated[:excess]:
+            connection.reject(RejectionReason.TOO_MANY_HANDSHAKES)
+            connection.abort()
+
+    def _forget_listener(self, connection: ListenerConnection) -> None:
+        self._listeners.pop(connection, None)
+        self._budget.release(connection)
+
+    def _account(self, connection: ListenerConnection) -> None:
+        """Count the incomplete frame of a connection."""
+        if not connection.closed:
+            hold_bytes(self._budget, connection, connection.held_bytes)
+
     async def _call(self, address: str, request: object, timeout_s: float) -> object:
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_s
@@ -268,9 +301,18 @@
             del self._callers[connection.address]
 
     def _dispatch(self, connection: ListenerConnection, envelope: Envelope) -> None:
+        size = len(envelope.body)
+        reserved = CALL_COPIES * size if size > SMALL_CALL_BYTES else 0
+        if not self._budget.reserve(reserved):
+            self._reject_call(
+                connection, envelope, RejectionReason.NO_ROOM, f"a call of {size} bytes"
+            )
+            return
         task = asyncio.create_task(self._answer(connection, envelope))
         self._handler_tasks.add(task)
         task.add_done_callback(self._handler_tasks.discard)
+        if reserved:
+            task.add_done_callback(lambda _: self._budget.free(reserved))
 
     async def _answer(self, connection: ListenerConnection, call: Envelope) -> None:
         """Run the handler of a call and send its answer, or a rejection with the reason."""
--- a/lentilring/process.py
+++ b/lentilring/process.py
@@ -6,6 +6,7 @@
 import time
 
 from .assembly import ProxyDependencies, ProxyIdentity, register_services
+from .byte_budget import ByteBudget
 from .clock import SystemClock
 from .configuration.models import DrainState
 from .configuration.service import ConfigurationService
@@ -75,6 +76,7 @@
                 deployment=settings.deployment,
                 secret=settings.secret.encode(),
                 telemetry=telemetry,
+                budget=ByteBudget(limit_bytes=settings.connection_bytes),
             ),
             backends=TcpBackendConnector(client=settings.vm, telemetry=telemetry),
         ),
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -5,7 +5,7 @@
 import signal
 import time
 
-from .byte_budget import ByteBudget
+from .byte_budget import BudgetHolder, ByteBudget
 from .catalog.fleet import FleetService
 from .catalog.relay import RecordRelay
 from .catalog.service import CatalogService
@@ -101,6 +101,7 @@
 ) -> SessionReadiness:
     """Register all services by name, in the order in which they start."""
     clock, random_source = BootClock(), random.Random()
+    budget: ByteBudget[BudgetHolder] = ByteBudget(limit_bytes=settings.connection_bytes)
     transport = TcpTransport(
         vm=settings.vm,
         incarnation=incarnation,
@@ -109,6 +110,7 @@
         secret=secret.value.encode(),
         telemetry=telemetry,
         connect_timeout_s=PEER_CONNECT_TIMEOUT_S,
+        budget=budget,
     )
     records = RecordRelay(
         source=PlatformRecords(objects=objects),
@@ -212,7 +214,7 @@
             answer_timeout_s=settings.answer_timeout_s,
             room_message_s=settings.room_message_s,
         ),
-        budget=ByteBudget(limit_bytes=settings.connection_bytes),
+        budget=budget,
         transaction_idle_s=lambda: _read_transaction_idle_s(catalog),
     )
     readiness = SessionReadiness(
--- a/lentilring/sessions/listener.py
+++ b/lentilring/sessions/listener.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from ..byte_budget import ByteBudget
+from ..byte_budget import BudgetHolder, ByteBudget, hold_bytes
 from ..gateways.stopping import STOPPED
 from ..kernel import Service
 from ..statements.model import (
@@ -98,7 +98,7 @@
         router: StatementRouter,
         telemetry: Telemetry,
         limits: ClientLimits,
-        budget: ByteBudget["SessionConnection"],
+        budget: ByteBudget[BudgetHolder],
         transaction_idle_s: Callable[[], float],
     ) -> None:
         self._address, self._codec, self._router = address, codec, router
@@ -177,7 +177,7 @@
     def _close_overdue(self) -> None:
         """Close the connections whose clients have taken too long."""
         for connection, limit in choose_overdue(self._list_waits(), self._limits):
-            self._close(connection, limit)
+            connection.close_for(limit)
         if self._rejected:
             log.warning(
                 "sessions_rejected", count=self._rejected, max_sessions=self._limits.max_sessions
@@ -194,28 +194,18 @@
         connection = choose_for_room(self._list_waits(), self._limits)
         if connection is None:
             return False
-        self._close(connection, ClientLimit.MAX_SESSIONS)
+        connection.close_for(ClientLimit.MAX_SESSIONS)
         return True
 
-    def _close(
-        self, connection: "SessionConnection", limit: ClientLimit, **details: object
-    ) -> None:
-        # Other connections take its place and its bytes before its task has ended.
+    def _forget(self, connection: "SessionConnection") -> None:
+        """Let others take the place and the bytes of a connection that is being closed."""
         self._connections.discard(connection)
         self._budget.release(connection)
-        connection.close_for(limit, **details)
 
     def _account(self, connection: "SessionConnection") -> None:
         """Count what a connection holds; close those that hold most when it is too much."""
-        if connection.is_closed:
-            return
-        for excess in self._budget.hold(connection, connection.held_bytes):
-            self._close(
-                excess.holder,
-                ClientLimit.CONNECTION_BYTES,
-                total=excess.total_bytes,
-                allowed=self._budget.limit_bytes,
-            )
+        if not connection.is_closed:
+            hold_bytes(self._budget, connection, connection.held_bytes)
 
     def _make_protocol(self) -> ReceivingProtocol:
         reader = asyncio.StreamReader(limit=READ_LIMIT_BYTES)
@@ -239,6 +229,7 @@
             answer_timeout_s=self._limits.answer_timeout_s,
             transaction_idle_s=self._transaction_idle_s(),
             account=self._account,
+            on_closing=self._forget,
         )
         connection.is_draining = self._is_draining
         self._connections.add(connection)
@@ -267,6 +258,7 @@
         answer_timeout_s: float,
         transaction_idle_s: float,
         account: Callable[["SessionConnection"], None],
+        on_closing: Callable[["SessionConnection"], None],
     ) -> None:
         self._reader, self._writer, self._codec = reader, writer, codec
         # drain() then waits for the whole answer, which the end of the process would cut otherwise.
@@ -281,7 +273,7 @@
             line_end=codec.line_end,
             max_bytes=codec.max_line_bytes,
         )
-        self._telemetry, self._account = telemetry, account
+        self._telemetry, self._account, self._on_closing = telemetry, account, on_closing
         self._answer_timeout_s = answer_timeout_s
         self._router, self._transaction_idle_s = router, transaction_idle_s
         self._session: Session | None = None
@@ -363,10 +355,15 @@
             held=self.held_bytes,
             **details,
         )
+        self._on_closing(self)
         self._writer.transport.abort()
         if self._running is not None:
             self._running.cancel()
 
+    def close_over_budget(self, *, held: int, total: int, allowed: int) -> None:
+        """Close the connection because it holds most and all together hold too much."""
+        self.close_for(ClientLimit.CONNECTION_BYTES, total=total, allowed=allowed)
+
     def _note_received(self) -> None:
         self._messages.note_received()
         self._account(self)
--- a/lentilring/settings.py
+++ b/lentilring/settings.py
@@ -75,6 +75,15 @@
             " one, in seconds",
         ),
     ] = 1.0
+    connection_bytes: Annotated[
+        int,
+        Check(
+            ge=4_194_304,
+            le=1 << 40,
+            description="bytes held for peers' messages together; above them the connection that"
+            " holds most is closed",
+        ),
+    ] = 67_108_864
     max_body_bytes: Annotated[
         int, Check(ge=1024, le=16_777_216, description="greatest request body, in bytes")
     ] = 262_144
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -61,6 +61,15 @@
             budget.release("a")
         self.assertEqual(0, budget.total_bytes)
 
+    def test_reserved_bytes_leave_half_to_connections(self) -> None:
+        """Guards against calls of peers that close all sessions of a process."""
+        budget = ByteBudget[str](limit_bytes=100)
+        self.assertEqual([True, False], [budget.reserve(50), budget.reserve(1)])
+        self.assertEqual([], budget.hold("a", 50))
+        budget.free(50)
+        self.assertEqual([], budget.hold("a", 90))
+        self.assertEqual([False, True], [budget.reserve(11), budget.reserve(10)])
+
     def test_ordinary_load_stays_far_below_the_budget_of_a_small_vm(self) -> None:
         """Guards against a default that callers within the documented limits reach."""
         limit = derive_connection_bytes(200, 3700)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,6 +1,7 @@
 """Calls and datagrams between processes over loopback addresses."""
 
 import asyncio
+from contextlib import suppress
 from typing import Any
 
 from lentilring.database.messages import Fence, ReportStatus, StatementReply, StatementRequest
@@ -13,7 +14,7 @@
     EnvelopeKind,
 )
 from lentilring.peers.frames import FrameParser, encode_frame
-from lentilring.peers.tcp import DatagramTooLarge, TcpTransport
+from lentilring.peers.tcp import MAX_HANDSHAKES, DatagramTooLarge, TcpTransport
 from lentilring.peers.transport import PeerAnswerLost, PeerRejected, PeerUnreachable, Sender
 from lentilring.telemetry.metrics import Telemetry
 
@@ -115,6 +116,30 @@
         return waiting
 
 
+class HandshakeFloodTest(TransportCase):
+    @on_loop
+    async def test_oldest_silent_connections_make_room_for_peers(self) -> None:
+        """Guards against silent connections that stay, also those accepted at the same time."""
+        server, client = await self.make(), await self.make(vm="vm-2")
+        host, _, port = server.address.rpartition(":")
+        count = MAX_HANDSHAKES + 100
+        silent = await asyncio.gather(
+            *(asyncio.open_connection(host, int(port)) for _ in range(count))
+        )
+        await client.call(server.address, make_request(), timeout_s=LONG_S)
+        async with asyncio.timeout(LONG_S):
+            for reader, _ in silent[:100]:
+                # A connection that was closed before it was set up gets no refusal.
+                with suppress(ConnectionResetError):
+                    await reader.read()
+        self.assertFalse(silent[-1][0].at_eof())
+        self.assertLessEqual(len(server._listeners), MAX_HANDSHAKES + 1)
+        rejected = server.telemetry.read("peer_connections_rejected", reason="too_many_handshakes")
+        self.assertGreaterEqual(rejected, 100)
+        for _, writer in silent:
+            writer.close()
+
+
 class CallTest(TransportCase):
     @on_loop
     async def test_answers_return_to_their_calls(self) -> None:
