Share the call of the platform's duties, and keep its names in one folder

The promotion and the usage report were two copies of one call. No behaviour changes; the tests of both duties, of the page and of the choice of servers pass.

--- a/lentilring/byte_budget.py
+++ b/lentilring/byte_budget.py
@@ -31,8 +31,8 @@
     """Count the bytes of each holder and choose whom to close when they are too many.
 
     It addresses some hundred clients that each send a legal message of 1 MiB, whole or without its
-    end: 400 such connections held 444 MB, more than twice the memory of a small VM. The greatest
-    holder is chosen, so that callers with ordinary statements of a few kilobytes stay connected.
+    end, which take more than the memory of a small VM. The greatest holder is chosen, so that
+    callers with ordinary statements of a few kilobytes stay connected.
     """
 
     def __init__(self, *, limit_bytes: int) -> None:
--- a/lentilring/cli/reference.py
+++ b/lentilring/cli/reference.py
@@ -43,11 +43,11 @@
 SESSION_INTRODUCTION = """\
 ## Settings of the session proxy
 
-`lentilring-sessions` derives its settings from the settings file that `LENTILRING_BOOT` names
-(`lentilring/platform/boot.py`): for example `max_sessions` from `max-fds` in `limits`, and
-`connection_bytes` from `memory-mb` and `max_sessions`. Settings that the file does not determine
-have the defaults below; `docs/design/client-limits.md` describes the limits on clients. The source
-is `lentilring/session_settings.py`.
+`lentilring-sessions` derives its settings from the platform's settings file
+(`lentilring/platform/boot.py`): for example `max_sessions` from the process's descriptors, and
+`connection_bytes` from the VM's memory. Settings that the file does not determine have the defaults
+below; `docs/design/client-limits.md` describes the limits on clients. The source is
+`lentilring/session_settings.py`.
 """
 OBJECTS_INTRODUCTION = """\
 ## Configuration objects
--- a/lentilring/gateways/health.py
+++ b/lentilring/gateways/health.py
@@ -1,6 +1,7 @@
 """Judgement of backend servers by the answers that their gateways receive.
 
-Load: a server that fails 32 to 45% of its statements while its health check reports it as healthy.
+Load: a server that fails a third or more of its statements while its health check reports it as
+healthy.
 """
 
 from collections import Counter, deque
@@ -15,7 +16,7 @@
 MIN_ANSWERS = 8
 # A server that fails 2% of its statements has two failures among eight answers every few minutes.
 MIN_FAILURES = 3
-# Less than the smallest share of a server that fails, 32%.
+# Below the share of statements, a third, that a failing server with a good health check fails.
 BAD_SHARE = 0.25
 GOOD_SHARE = 0.05
 # A bad server gets about two answers a second, too few for a window of 2 s. One that fails 32%
--- a/lentilring/platform/boot.py
+++ b/lentilring/platform/boot.py
@@ -7,7 +7,6 @@
 
 from ..session_settings import SessionProxySettings, check_settings
 
-HEALTH_INVARIANT = "health"
 BOOT_VARIABLE = "LENTILRING_BOOT"
 METRICS_PORT = 9464
 # File descriptors for files, the store, backend servers and peers; the others serve sessions.
@@ -29,7 +28,7 @@
 WITHDRAWAL_MARGIN_S = 1.5
 USAGE_DUTY = "usage_report"
 
-# Entry of `invariants` that asks for servers to be paced.
+# Entry of `invariants` that asks for servers to be judged and paced by their answers.
 HEALTH_INVARIANT = "health"
 
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
--- a/lentilring/platform/promotion.py
+++ b/lentilring/platform/promotion.py
@@ -2,13 +2,10 @@
 
 from http import HTTPStatus
 
-import msgspec
-
-from ..http.exchange import ExchangeFailed, exchange
+from ..http.exchange import ExchangeFailed
 from ..takeover.authority import PromotionResult
 from ..telemetry.log import Log
-
-CALL_TIMEOUT_S = 1.5
+from .duty import call_duty
 
 RESULTS_BY_STATUS: dict[int, PromotionResult] = {
     HTTPStatus.OK: PromotionResult.ACCEPTED,
@@ -30,24 +27,11 @@
         self, *, service: str, server: str, holder: str, token: int
     ) -> PromotionResult:
         """Ask the platform once to promote a server."""
-        headers = {
-            "Content-Type": "application/json",
-            "X-Lease-Holder": holder,
-            "X-Fencing-Token": str(token),
-        }
+        body = {"service": service, "id": server}
         try:
-            answer = await exchange(
-                self._address,
-                "POST",
-                "/promote",
-                content=msgspec.json.encode({"service": service, "id": server}),
-                headers=headers,
-                timeout_s=CALL_TIMEOUT_S,
-                connect_timeout_s=CALL_TIMEOUT_S,
-            )
+            status = await call_duty(self._address, "/promote", body, holder=holder, token=token)
         except ExchangeFailed as error:
             log.warning("promotion_unanswered", service=service, server=server, detail=error.detail)
             return PromotionResult.UNKNOWN
-        status = answer.status
         log.info("promotion_answered", service=service, server=server, token=token, status=status)
         return RESULTS_BY_STATUS.get(status, PromotionResult.UNKNOWN)
--- a/lentilring/platform/usage.py
+++ b/lentilring/platform/usage.py
@@ -2,13 +2,11 @@
 
 from http import HTTPStatus
 
-import msgspec
-
-from ..http.exchange import ExchangeFailed, exchange
+from ..http.exchange import ExchangeFailed
 from ..telemetry.log import Log
 from ..usage.reports import ReportResult, UsageReport
+from .duty import call_duty
 
-CALL_TIMEOUT_S = 1.5
 # The record is checked immediately before the call, so little time may pass until it is sent.
 CONNECT_TIMEOUT_S = 0.5
 
@@ -30,26 +28,19 @@
 
     async def send(self, report: UsageReport, *, holder: str, token: int) -> ReportResult:
         """Send a report to the platform once."""
-        headers = {
-            "Content-Type": "application/json",
-            "X-Lease-Holder": holder,
-            "X-Fencing-Token": str(token),
-        }
         body = {"window-index": report.window, "counts": dict(report.counts)}
         try:
-            answer = await exchange(
+            status = await call_duty(
                 self._address,
-                "POST",
                 "/usage",
-                content=msgspec.json.encode(body),
-                headers=headers,
-                timeout_s=CALL_TIMEOUT_S,
+                body,
+                holder=holder,
+                token=token,
                 connect_timeout_s=CONNECT_TIMEOUT_S,
             )
         except ExchangeFailed as error:
             log.warning("usage_report_unanswered", window=report.window, detail=error.detail)
             return ReportResult.UNKNOWN
-        status = answer.status
         log.info("usage_report_answered", window=report.window, token=token, status=status)
         if status in RESULTS_BY_STATUS:
             return RESULTS_BY_STATUS[status]
--- a/lentilring/sessions/choice.py
+++ b/lentilring/sessions/choice.py
@@ -183,9 +183,9 @@
 class ReplicaLag:
     """Remember which replicas answered "behind", so that reads try other servers first.
 
-    In a played day, reads of one route tried a lagging replica about 1,500 times in 7 s. A replica
-    that lacks the newest commit of one session may still serve other reads, so only reads with the
-    same or a stricter bound avoid it.
+    Otherwise each read asks a lagging replica first, at the cost of a round trip. A replica that
+    lacks the newest commit of one session may still serve other reads, so only reads with the same
+    or a stricter bound avoid it.
     """
 
     def __init__(self, *, now: Callable[[], float]) -> None:
--- a/lentilring/usage/duty.py
+++ b/lentilring/usage/duty.py
@@ -5,6 +5,7 @@
 from ..clock import Clock
 from ..peers.transport import PeerAnswerLost, PeerRejected, PeerTransport, PeerUnreachable
 from ..telemetry.log import Log
+from .collecting import ASK_TIMEOUT_S
 from .messages import AskReporter, ReporterState
 
 RANK_KEY = "usage"
@@ -16,8 +17,6 @@
 # A proxy that does not report, for example because it cannot reach the store, is passed over for
 # this long unless it asks for counts.
 PASS_OVER_S = 10.0
-# Ten times the network delay between regions is 0.5 s; a new connection needs two round trips.
-ASK_TIMEOUT_S = 0.8
 
 log = Log(source="usage")
 
