--- a/review/standins_2/platform_standin.py
+++ b/review/standins_2/platform_standin.py
@@ -449,7 +449,11 @@
         for instance in self.instances:
             self.catch_up(instance)
         for _ in range(500):
-            if any(entry is not leader and entry.received >= position for entry in self.instances):
+            # What a replica received under a later term does not count.
+            if any(
+                entry is not leader and position in (held for held, _ in entry.log[-100:])
+                for entry in self.instances
+            ):
                 return True
             await asyncio.sleep(0.01)
         return False
