--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -203,10 +203,17 @@
 
 
 def run_case(main: Callable[[], Coroutine[Any, Any, int]]) -> int:
-    """Return the exit code of a script: 2 if it could not run."""
+    """Return the exit code of a script: 2 if it could not run or was stopped."""
+
+    async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await main()
+
     try:
-        return asyncio.run(main())
-    except Exception:
+        return asyncio.run(run())
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt):
         traceback.print_exc()
         return 2
 
