Pass on the success of a commit only while its server certainly leads

Cause, the first of two: gateways checked the lead lease before openings and proofs only. A single write or a COMMIT was sent to a primary that every gateway logged as lead_unproved, waited there, and its success was passed on whenever any replica had received it.

Change: a write, and the COMMIT of a transaction that wrote, need the lease before they are sent (else they are refused as not run, the transaction is rolled back) and again when their success is there (else the caller is told INDOUBT). The lease must have been proved after the connection was opened: a takeover does not wait for leases if nothing listens at the primary's address, and a primary that is back serves on new connections only. Read-only transactions commit at replicas as before.

The fixtures of test_server_queue.py and test_server_connections.py take the new argument and clock; their checks are unchanged.

--- a/lentilring/gateways/attempt.py
+++ b/lentilring/gateways/attempt.py
@@ -27,7 +27,7 @@
 
     id: str
     connection: PooledConnection
-    proves_lead: bool
+    has_written: bool = False
     is_busy: bool = False
     is_abandoned: bool = False
     idle_timer: asyncio.TimerHandle | None = None
@@ -92,19 +92,27 @@
     )
 
 
-def needs_lease(request: RunStatement) -> bool:
+def needs_lease(attempt: Attempt) -> bool:
     """Tell whether a statement may be sent only while its server certainly leads."""
-    return request.opening is TransactionOpening.READ_WRITE or request.proves_lead
+    return commits_write(attempt) or (
+        attempt.transaction is None and needs_primary(attempt.request)
+    )
 
 
 def is_commit(attempt: Attempt) -> bool:
-    """Tell whether a statement commits a write, alone or for its transaction."""
+    """Tell whether a statement is a commit, or a write that commits itself."""
     work = attempt.request.work
     return work is StatementKind.COMMIT or (
         work is StatementKind.WRITE and not is_in_transaction(attempt)
     )
 
 
+def commits_write(attempt: Attempt) -> bool:
+    """Tell whether a statement commits a write, alone or for its transaction."""
+    transaction = attempt.transaction
+    return is_commit(attempt) and (transaction is None or transaction.has_written)
+
+
 def build_failed_result(failure: Failure, detail: str) -> RunResult:
     """Return the result of a statement that failed at the gateway."""
     return RunResult(outcome=Failed(failure=failure, detail=detail))
--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -25,12 +25,14 @@
     GatewayTransaction,
     RunResult,
     build_failed_result,
+    commits_write,
     compute_connection_limit,
     is_commit,
     is_in_transaction,
     needs_lease,
     needs_primary,
 )
+from .lease import ANY_TIME
 from .messages import RunStatement, StatementKind, TransactionOpening
 from .pacing import AnswerOutcome, PaceReason, ServerAnswer, ServerPace, classify_outcome
 from .pool import CLOSE_DELAY_S, CONTROL_TIMEOUT_S, ConnectionPool, PooledConnection, apply_session
@@ -66,6 +68,9 @@
 LEADERSHIP_UNCERTAIN = Failed(
     failure=Failure.NOT_PRIMARY, detail="it is not certain that the server still leads"
 )
+COMMIT_UNPROVED = Failed(
+    failure=Failure.UNCERTAIN, detail="the commit may be lost, as its server may have been replaced"
+)
 POSITION_UNKNOWN = Failed(failure=Failure.BEHIND, detail="no recent position is known")
 
 T = TypeVar("T")
@@ -95,7 +100,7 @@
         refresh_positions: Callable[[], Awaitable[None]],
         request_sampling: Callable[[], None],
         is_primary: Callable[[], bool],
-        ensure_leadership: Callable[[], Awaitable[bool]],
+        ensure_leadership: Callable[[float], Awaitable[bool]],
         has_leadership: Callable[[], bool],
         is_first_choice: Callable[[], bool],
         is_too_late: Callable[[StatementKind, float], bool],
@@ -199,6 +204,9 @@
             return late
         if (refusal := await self._obtain_requirements(attempt)) is not None:
             self._record_refusal(attempt, refusal.failure)
+            if attempt.transaction is not None:
+                # Nothing was committed: closing the connection rolls the transaction back.
+                return self._fail_statement(attempt, Failure.ABORTED, refusal.detail)
             return RunResult(outcome=refusal)
         return await self._run_when_admitted(attempt)
 
@@ -277,7 +285,7 @@
 
     async def prove_leadership(self, account: str) -> Position | None:
         """Return a position that the server proved as the primary; None if it proved nothing."""
-        if not await self._ensure_leadership():
+        if not await self._ensure_leadership(ANY_TIME):
             return None
         try:
             connection = await self.pool.acquire(
@@ -465,12 +473,12 @@
             if after is None:
                 self._record_refusal(attempt, POSITION_UNKNOWN.failure)
                 return POSITION_UNKNOWN, TransactionState.IDLE
+        # A primary that was replaced while partitioned still takes writes and opens transactions.
+        if attempt.transaction is None and needs_lease(attempt) and not self._has_leadership():
+            self._record_refusal(attempt, LEADERSHIP_UNCERTAIN.failure)
+            return LEADERSHIP_UNCERTAIN, TransactionState.IDLE
         if request.opening is not TransactionOpening.NONE or request.proves_lead:
             read_only = request.opening is TransactionOpening.READ_ONLY
-            # A primary that was replaced while partitioned still opens read-write transactions.
-            if not read_only and not self._has_leadership():
-                self._record_refusal(attempt, LEADERSHIP_UNCERTAIN.failure)
-                return LEADERSHIP_UNCERTAIN, TransactionState.IDLE
             sent_at = self._clock.monotonic()
             reply = await self._begin_transaction(
                 connection, read_only=read_only, after=after, is_leadership_certain=not read_only
@@ -490,6 +498,8 @@
             and reply.state is TransactionState.IDLE
         ):
             self._commits_failing_since, self._failed_commits = None, 0
+        if isinstance(reply.outcome, Done) and not await self._is_commit_proved(attempt):
+            return COMMIT_UNPROVED, reply.state
         if not request.proves_lead:
             return reply.outcome, reply.state
         try:
@@ -500,6 +510,23 @@
             return reply.outcome, TransactionState.FAILED
         return reply.outcome, ended.state
 
+    async def _is_commit_proved(self, attempt: Attempt) -> bool:
+        """Tell whether no promotion can drop what a statement has committed.
+
+        A replica that started again while a promotion is under way has forgotten that it was
+        paused. What it receives makes the old primary acknowledge commits that the new one lacks.
+        A primary that started again needs a proof from after its start.
+        """
+        connection = attempt.connection
+        assert connection is not None
+        if not commits_write(attempt):
+            return True
+        if await self._finish_in_time(attempt, self._ensure_leadership(connection.opened_at)):
+            return True
+        self._telemetry.count("gateway_commits_unproved")
+        log.warning("commit_unproved", request=attempt.request.request_id, server=self.server.id)
+        return False
+
     async def _open_connection(self, attempt: Attempt) -> bool:
         """Get the connection of a statement; return False if the server is full."""
         if attempt.transaction is not None:
@@ -532,8 +559,9 @@
         Other servers provide them, and a primary that does not answer must not keep the slots of
         its replicas, so this precedes the wait for a slot.
         """
-        needs_own_lease = attempt.transaction is None and needs_lease(attempt.request)
-        if needs_own_lease and not await self._finish_in_time(attempt, self._ensure_leadership()):
+        if needs_lease(attempt) and not await self._finish_in_time(
+            attempt, self._ensure_leadership(ANY_TIME)
+        ):
             return LEADERSHIP_UNCERTAIN
         if attempt.needs_position and self._find_required_position(attempt) is None:
             return await self._wait_for_position(attempt)
@@ -711,12 +739,9 @@
     def _keep_open(self, attempt: Attempt, connection: PooledConnection) -> str:
         transaction = attempt.transaction
         if transaction is None:
-            transaction = GatewayTransaction(
-                id=self._make_transaction_id(),
-                connection=connection,
-                proves_lead=attempt.request.opening is TransactionOpening.READ_WRITE,
-            )
+            transaction = GatewayTransaction(id=self._make_transaction_id(), connection=connection)
             self.transactions[transaction.id] = transaction
+        transaction.has_written |= attempt.request.work is StatementKind.WRITE
         transaction.is_busy = False
         loop = asyncio.get_running_loop()
         idle_s = self._transaction_idle_s() + IDLE_TIMEOUT_MARGIN_S
--- a/lentilring/gateways/lease.py
+++ b/lentilring/gateways/lease.py
@@ -21,6 +21,7 @@
 # ask all servers before the lease ends.
 RENEWAL_AGE_S = 0.4
 STATUS_TIMEOUT_S = 0.25
+ANY_TIME = float("-inf")
 
 
 class LeadershipLease:
@@ -30,9 +31,9 @@
         self._proved_at = float("-inf")
         self.term = 0
 
-    def is_valid(self, now: float) -> bool:
-        """Tell whether no other server can be the primary at this moment."""
-        return now - self._proved_at <= LEASE_S - LEASE_MARGIN_S
+    def is_valid(self, now: float, *, since: float = ANY_TIME) -> bool:
+        """Tell whether no other server can be the primary now, by a proof begun after `since`."""
+        return self._proved_at >= since and now - self._proved_at <= LEASE_S - LEASE_MARGIN_S
 
     def needs_renewal(self, now: float) -> bool:
         """Tell whether the lease should be renewed."""
--- a/lentilring/gateways/pool.py
+++ b/lentilring/gateways/pool.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from ..catalog.model import ServerEntry
-from ..clock import Clock
+from ..clock import SuspensionClock
 from ..statements.model import Done, Failure, PreparedStatement, TransactionState
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
@@ -43,6 +43,8 @@
 
     session: ServerSession
     account: str
+    # On the boot clock; the server has run at least since then.
+    opened_at: float
     values: dict[str, str] = field(default_factory=dict)
     prepared: set[str] = field(default_factory=set)
     last_used_at: float = 0.0
@@ -67,7 +69,7 @@
         connector: ServerConnector,
         limit: Callable[[], int],
         keeps_idle: Callable[[], bool],
-        clock: Clock,
+        clock: SuspensionClock,
         telemetry: Telemetry,
         on_full: Callable[[], None] = lambda: None,
     ) -> None:
@@ -246,7 +248,9 @@
         self._telemetry.count("gateway_connections_opened")
         grant.is_spent = True
         self._opening -= 1
-        connection = PooledConnection(session=session, account=grant.account)
+        connection = PooledConnection(
+            session=session, account=grant.account, opened_at=self._clock.boottime()
+        )
         self._in_use.add(connection)
         return connection
 
--- a/lentilring/gateways/renewal.py
+++ b/lentilring/gateways/renewal.py
@@ -8,7 +8,7 @@
 from ..statements.model import Failure
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
-from .lease import STATUS_TIMEOUT_S, LeadershipLease
+from .lease import ANY_TIME, STATUS_TIMEOUT_S, LeadershipLease
 from .server import (
     ReplicationStatus,
     ServerConnector,
@@ -56,15 +56,18 @@
         for session in self._sessions.values():
             session.close()
 
-    async def ensure_lease(self, server: ServerEntry) -> bool:
-        """Tell whether a server is certainly the primary now; renew its lease if it has ended."""
-        if self.has_lease(server):
-            return True
-        return await asyncio.shield(self._start_renewal(server)) and self.get_lease(
-            server.id
-        ).is_valid(self._clock.boottime())
+    async def ensure_lease(self, server: ServerEntry, *, since: float = ANY_TIME) -> bool:
+        """Tell whether a server is certainly the primary now, by a proof begun after `since`.
+
+        Renew its lease if it has ended or is older.
+        """
+        while not self.has_lease(server, since=since):
+            # A renewal that was running already may have begun before `since`.
+            if not await asyncio.shield(self._start_renewal(server)):
+                return False
+        return True
 
-    def has_lease(self, server: ServerEntry) -> bool:
+    def has_lease(self, server: ServerEntry, *, since: float = ANY_TIME) -> bool:
         """Tell whether a server is certainly the primary now, without waiting.
 
         Renew its lease in the background if it has ended or ends soon.
@@ -72,7 +75,7 @@
         lease, now = self.get_lease(server.id), self._clock.boottime()
         if lease.needs_renewal(now):
             self._start_renewal(server)
-        return lease.is_valid(now)
+        return lease.is_valid(now, since=since)
 
     def _start_renewal(self, server: ServerEntry) -> "asyncio.Task[bool]":
         task = self._renewals.get(server.id)
--- a/lentilring/gateways/service.py
+++ b/lentilring/gateways/service.py
@@ -337,7 +337,7 @@
                 refresh_positions=lambda: self.refresh_positions(server.service),
                 request_sampling=lambda: self.request_sampling(server.service),
                 is_primary=lambda: self._is_primary(server),
-                ensure_leadership=lambda: self._renewal.ensure_lease(server),
+                ensure_leadership=lambda since: self._renewal.ensure_lease(server, since=since),
                 has_leadership=lambda: self._renewal.has_lease(server),
                 is_first_choice=lambda: self._is_first_choice(server),
                 is_too_late=self._is_too_late,
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -4,7 +4,6 @@
 
 from testtools import TestCase
 
-from lentilring.clock import LoopClock
 from lentilring.gateways.attempt import compute_connection_limit
 from lentilring.gateways.pool import STANDBY_IDLE_S, ConnectionPool
 from lentilring.gateways.server import ServerRefused
@@ -12,7 +11,7 @@
 from lentilring.telemetry.metrics import Telemetry
 
 from .test_takeover import build_entry
-from .virtual_time import run_virtual
+from .virtual_time import SuspensibleClock, run_virtual
 
 
 class FakeSession:
@@ -55,7 +54,7 @@
         connector=connector,  # type: ignore[arg-type]
         limit=lambda: limit[0],
         keeps_idle=lambda: keeps_idle,
-        clock=LoopClock(),
+        clock=SuspensibleClock(),
         telemetry=Telemetry(),
     )
 
--- a/tests/test_server_queue.py
+++ b/tests/test_server_queue.py
@@ -106,6 +106,7 @@
         self.clock, self.history = SuspensibleClock(), ProvenPositionHistory()
         self.refreshes = 0
         self.leads, self.is_first_choice = True, True
+        self.proved_since = 0.0
         self.refresh: Callable[[], Awaitable[None]] = self.wait_for_silent_primary
         self.ensure_leadership: Callable[[], Awaitable[bool]] = self._tell_leadership
         names = iter(range(1000))
@@ -122,13 +123,17 @@
             refresh_positions=self._refresh_positions,
             request_sampling=lambda: None,
             is_primary=lambda: True,
-            ensure_leadership=lambda: self.ensure_leadership(),
+            ensure_leadership=self._ensure_leadership_since,
             has_leadership=lambda: self.leads,
             is_first_choice=lambda: self.is_first_choice,
             is_too_late=lambda *_: False,
             observe_answer=lambda *_: None,
         )
 
+    async def _ensure_leadership_since(self, since: float) -> bool:
+        self.proved_since = since
+        return await self.ensure_leadership()
+
     async def _tell_leadership(self) -> bool:
         return self.leads
 
