Count a replica that has started again only once the record allows it

Cause, the second of two: the lease was renewed by any registered replica that receives. A replica that starts again after the last check of a takeover has forgotten that it is paused. It renews the lease of the old primary, and receives what waits there, until the promotion takes effect.

Evidence: in the logs of the case, i-0so crashes as the promotion is asked for (30.40), is back at 30.80, and at 30.90 a gateway logs lead_proved for the old primary at position 1.94; the promoted server begins at 1.90.

A replica renews a lease only if the record of promotions, read from the store after the connection to the replica was opened, names the replica as it is registered and shows no promotion of another server. A takeover records its promotion before its last check, so any promotion that the record does not show yet will check the replica as it runs now. The connection is the proof that it has not started again, as STATUS tells no start time. The recorded leader does not count as a replica of its successor: a takeover may leave it unheard. The record is read once a connection (one call to the store), and every 0.25 s while a replica does not count.

If all replicas have started again, none is recorded, and the record could not be changed without a lease. So the supervisor now also drops copies by a position that the primary reports without one, provided that the record names this primary and does not change meanwhile.

test_commit_that_only_a_restarted_replica_received_is_not_acknowledged was not possible as it stood: the replica kept its connections when it restarted, and nobody had recorded the promotion. Restarts in the stand-in break connections now, and the test records the promotion; what it checks is unchanged. It and test_replica_that_restarts_during_a_promotion_confirms_nothing fail before. Both mutations of the change to the record (lease needed; primaries without a proof left out) fail test_primary_that_was_silent_serves_again_although_all_replicas_are_new.

--- a/lentilring/gateways/lease.py
+++ b/lentilring/gateways/lease.py
@@ -41,7 +41,7 @@
 
     def renew(self, status: ReplicationStatus | None, *, asked_at: float) -> bool:
         """Renew a proved lease by one replica's status; False if the status proves nothing."""
-        if status is None or not self.term or not _is_following(status, self.term):
+        if status is None or not self.term or not is_following(status, self.term):
             return False
         self._proved_at = max(self._proved_at, asked_at)
         return True
@@ -58,13 +58,13 @@
         if own is None or own.role is not ServerRole.PRIMARY:
             return False
         self.term = max(self.term, own.term)
-        proved = not has_replicas or any(_is_following(status, own.term) for status in others)
+        proved = not has_replicas or any(is_following(status, own.term) for status in others)
         if proved:
             self._proved_at = max(self._proved_at, asked_at)
         return proved
 
 
-def _is_following(status: ReplicationStatus, term: int) -> bool:
+def is_following(status: ReplicationStatus, term: int) -> bool:
     """Tell whether a replica receives commits and knows of no later term."""
     return (
         status.role is ServerRole.REPLICA
--- a/lentilring/gateways/renewal.py
+++ b/lentilring/gateways/renewal.py
@@ -1,6 +1,8 @@
 """Renews the leases of the primaries that this proxy is the gateway of."""
 
 import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
 
 from ..catalog.model import ServerEntry, ServerRole
 from ..catalog.service import CatalogService
@@ -8,7 +10,7 @@
 from ..statements.model import Failure
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
-from .lease import ANY_TIME, STATUS_TIMEOUT_S, LeadershipLease
+from .lease import ANY_TIME, STATUS_TIMEOUT_S, LeadershipLease, is_following
 from .server import (
     ReplicationStatus,
     ServerConnector,
@@ -24,6 +26,27 @@
 
 log = Log(source="leases")
 
+# Tells whether the takeovers of a primary, which is named, hear from a replica. The replica has run
+# at least since the given time of the boot clock.
+CopyCheck = Callable[[ServerEntry, str, float], Awaitable[bool]]
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Link:
+    """Hold a session that asks for statuses; its server has run at least since `opened_at`."""
+
+    session: ServerSession
+    opened_at: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Answer:
+    """Hold the status of a server that has run at least since `link_opened_at`."""
+
+    server: ServerEntry
+    status: ReplicationStatus
+    link_opened_at: float
+
 
 class LeaseRenewal:
     """Ask a primary and its replicas for their status over connections of its own."""
@@ -33,12 +56,13 @@
         *,
         catalog: CatalogService,
         connector: ServerConnector,
+        is_counted: CopyCheck,
         clock: SuspensionClock,
         telemetry: Telemetry,
     ) -> None:
-        self._catalog, self._connector = catalog, connector
+        self._catalog, self._connector, self._is_counted = catalog, connector, is_counted
         self._clock, self._telemetry = clock, telemetry
-        self._sessions: dict[str, ServerSession] = {}
+        self._links: dict[str, _Link] = {}
         self._servers_being_asked: set[str] = set()
         self._used_at: dict[str, float] = {}
         self._preferred_replicas: dict[str, str] = {}
@@ -53,8 +77,8 @@
         """Cancel all renewals and close all connections."""
         for task in self._renewals.values():
             task.cancel()
-        for session in self._sessions.values():
-            session.close()
+        for link in self._links.values():
+            link.session.close()
 
     async def ensure_lease(self, server: ServerEntry, *, since: float = ANY_TIME) -> bool:
         """Tell whether a server is certainly the primary now, by a proof begun after `since`.
@@ -91,13 +115,14 @@
         if await self._renew_by_one(server, replicas):
             return True
         asked_at = self._clock.boottime()
-        own, *others = await asyncio.gather(
-            *(self._read_status(entry) for entry in [server, *replicas])
-        )
-        self._record_leaders(replicas, others)
+        answer, *others = await asyncio.gather(*(self._ask(entry) for entry in [server, *replicas]))
+        own = None if answer is None else answer.status
+        answers = [other for other in others if other is not None]
+        self._record_leaders(answers)
+        counted = [] if own is None else await self._list_counted(server, answers, term=own.term)
         proved = self.get_lease(server.id).record_statuses(
             own,
-            [status for status in others if status is not None],
+            [entry.status for entry in counted],
             has_replicas=bool(replicas),
             asked_at=asked_at,
         )
@@ -106,34 +131,48 @@
             log.info(
                 "lead_unproved",
                 server=server.id,
-                own=_format_status(own),
-                others=";".join(_format_status(status) for status in others),
+                own=_format_answer(answer),
+                others=";".join(_format_answer(other) for other in others),
             )
         return proved
 
-    def _record_leaders(
-        self, servers: list[ServerEntry], statuses: list[ReplicationStatus | None]
-    ) -> None:
+    def _record_leaders(self, answers: Iterable[_Answer]) -> None:
         """Record servers that are the primary of a later term than the known leader."""
-        for server, status in zip(servers, statuses, strict=True):
-            if status is None or status.role is not ServerRole.PRIMARY:
+        for answer in answers:
+            server, term = answer.server, answer.status.term
+            if answer.status.role is not ServerRole.PRIMARY:
                 continue
-            if self._catalog.leadership.record_leader(server.service, server.id, status.term):
-                log.info("lead_seen", service=server.service, server=server.id, term=status.term)
+            if self._catalog.leadership.record_leader(server.service, server.id, term):
+                log.info("lead_seen", service=server.service, server=server.id, term=term)
+
+    async def _list_counted(
+        self, primary: ServerEntry, answers: Iterable[_Answer], *, term: int
+    ) -> list[_Answer]:
+        """Return the answers of replicas that receive and that takeovers hear from."""
+        following = [answer for answer in answers if is_following(answer.status, term)]
+        counted = await asyncio.gather(
+            *(
+                self._is_counted(answer.server, primary.id, answer.link_opened_at)
+                for answer in following
+            )
+        )
+        return [answer for answer, counts in zip(following, counted, strict=True) if counts]
 
-    async def _read_status(self, server: ServerEntry) -> ReplicationStatus | None:
+    async def _ask(self, server: ServerEntry) -> _Answer | None:
         if server.id in self._servers_being_asked:
             return None
         self._servers_being_asked.add(server.id)
         try:
-            session = await self._open(server)
-            answer = await session.read_status(timeout_s=STATUS_TIMEOUT_S)
+            link = await self._open(server)
+            status = await link.session.read_status(timeout_s=STATUS_TIMEOUT_S)
         except (ServerLost, ServerUnreachable, ServerRefused):
-            self._sessions.pop(server.id, None)
+            self._links.pop(server.id, None)
             return None
         finally:
             self._servers_being_asked.discard(server.id)
-        return None if isinstance(answer, Failure) else answer
+        if isinstance(status, Failure):
+            return None
+        return _Answer(server=server, status=status, link_opened_at=link.opened_at)
 
     async def _renew_by_one(self, server: ServerEntry, replicas: list[ServerEntry]) -> bool:
         """Renew a lease by asking one replica, since status calls are billed."""
@@ -143,7 +182,10 @@
         preferred = self._preferred_replicas.get(server.id)
         replica = next((entry for entry in replicas if entry.id == preferred), replicas[0])
         asked_at = self._clock.boottime()
-        if lease.renew(await self._read_status(replica), asked_at=asked_at):
+        answer = await self._ask(replica)
+        answers = [] if answer is None else [answer]
+        counted = await self._list_counted(server, answers, term=lease.term)
+        if counted and lease.renew(counted[0].status, asked_at=asked_at):
             self._telemetry.count("lead_leases", result="renewed")
             return True
         others = [entry for entry in replicas if entry.id != replica.id]
@@ -154,29 +196,31 @@
     def close_unused(self) -> None:
         """Close connections that were not used lately, as a server allows few."""
         used_after = self._clock.monotonic() - MAX_IDLE_S
-        for server, session in list(self._sessions.items()):
+        for server, link in list(self._links.items()):
             if (
                 self._used_at.get(server, 0.0) < used_after
                 and server not in self._servers_being_asked
             ):
-                del self._sessions[server]
-                session.close()
+                del self._links[server]
+                link.session.close()
 
-    async def _open(self, server: ServerEntry) -> ServerSession:
-        session = self._sessions.get(server.id)
-        if session is None or session.is_closed:
+    async def _open(self, server: ServerEntry) -> _Link:
+        link = self._links.get(server.id)
+        if link is None or link.session.is_closed:
             accounts = self._catalog.list_accounts()
             session = await self._connector.connect(
                 server,
                 account=accounts[0].name if accounts else "-",
                 timeout_s=CONNECT_TIMEOUT_S,
             )
-            self._sessions[server.id] = session
+            link = _Link(session=session, opened_at=self._clock.boottime())
+            self._links[server.id] = link
         self._used_at[server.id] = self._clock.monotonic()
-        return session
+        return link
 
 
-def _format_status(status: ReplicationStatus | None) -> str:
-    if status is None:
+def _format_answer(answer: _Answer | None) -> str:
+    if answer is None:
         return "silent"
+    status = answer.status
     return f"{status.role}/{status.term}/{status.paused_below_term}"
--- a/lentilring/gateways/service.py
+++ b/lentilring/gateways/service.py
@@ -34,7 +34,7 @@
 from .pacing import PaceReason, ProcessStarts
 from .placement import rank_gateways
 from .positions import ProvenPositionHistory
-from .renewal import LeaseRenewal
+from .renewal import CopyCheck, LeaseRenewal
 from .server import ServerConnector, ServerLost
 from .stopping import STOPPED, StopSchedule
 
@@ -63,6 +63,7 @@
         catalog: CatalogService,
         fleet: FleetService,
         connector: ServerConnector,
+        is_counted: CopyCheck,
         transport: PeerTransport,
         clock: SuspensionClock,
         random: Random,
@@ -88,7 +89,11 @@
         self._judges: dict[str, ServerJudge] = {}
         self._stop_schedule: StopSchedule | None = None
         self._renewal = LeaseRenewal(
-            catalog=catalog, connector=connector, clock=clock, telemetry=telemetry
+            catalog=catalog,
+            connector=connector,
+            is_counted=is_counted,
+            clock=clock,
+            telemetry=telemetry,
         )
         self.refresh_positions: Callable[[str], Awaitable[None]] = _refresh_nothing
         self.request_sampling: Callable[[str], None] = _ignore_sampling_request
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -36,6 +36,7 @@
 from .sessions.router import StatementRouter
 from .shared_secret import PeerSecret, SharedSecret, wait_for_secret
 from .takeover.authority import PromotionAuthority
+from .takeover.counting import CountedCopies
 from .takeover.service import TakeoverService
 from .telemetry.log import Log
 from .telemetry.metrics import Telemetry
@@ -158,12 +159,16 @@
         telemetry=telemetry,
         find_account=catalog.find_account,
     )
+    authority = PromotionAuthority(
+        store=PlatformStore(objects=objects), vm=settings.vm, find_era=lambda: objects.era
+    )
     gateways = GatewayService(
         vm=settings.vm,
         incarnation=incarnation,
         catalog=catalog,
         fleet=fleet,
         connector=PlatformServerConnector(),
+        is_counted=CountedCopies(authority=authority, clock=clock).check,
         transport=transport,
         clock=clock,
         random=random_source,
@@ -194,9 +199,7 @@
         gateways=gateways,
         sampler=sampler,
         connector=PlatformServerConnector(),
-        authority=PromotionAuthority(
-            store=PlatformStore(objects=objects), vm=settings.vm, find_era=lambda: objects.era
-        ),
+        authority=authority,
         promotion=promotion,
         clock=clock,
         telemetry=telemetry,
--- a/lentilring/standin/prepared/servers.py
+++ b/lentilring/standin/prepared/servers.py
@@ -101,6 +101,10 @@
         self.faults.down = True
         if self._server is not None:
             self._server.close()
+        self.break_connections()
+
+    def break_connections(self) -> None:
+        """Break all connections, as the end of a process does."""
         for writer in list(self._writers):
             writer.transport.abort()
 
@@ -233,11 +237,13 @@
     def restart_replica(self, server: str) -> None:
         """Let a replica forget that it is paused, as a restart does, and receive again."""
         replica = self.find(server)
+        replica.break_connections()
         replica.paused_term = 0
         self.catch_up(replica)
 
     def restart_empty(self, server: StandinServer) -> None:
         """Let a replica start again without its log; it receives what it can."""
+        server.break_connections()
         server.started_ms += 1
         server.received, server.paused_term = LOG_START, 0
         self._applied.pop(server.id, None)
--- a/lentilring/takeover/authority.py
+++ b/lentilring/takeover/authority.py
@@ -64,6 +64,11 @@
         return (self.era, self.serial) > (other.era, other.serial)
 
 
+def names_leader(intent: PromotionIntent, server: str) -> bool:
+    """Tell whether a record names a server as the primary if it answers as one."""
+    return intent.server == server if intent.is_open else intent.copies.leader == server
+
+
 class PromotionAuthority:
     """Claim promotions with fencing tokens that increase with each claim of a service."""
 
--- a/lentilring/takeover/service.py
+++ b/lentilring/takeover/service.py
@@ -159,8 +159,9 @@
         primary = self._catalog.find_primary(service)
         reason = find_replacement_reason(self._observe(service, primary))
         watch.update(reason, now)
-        is_serving = reason is None or reason in PLANNED
-        if primary is not None and is_serving and service not in self._takeovers:
+        # A primary without a proof may lack a recorded replica, so the record is kept then too.
+        may_serve = reason is None or reason in PLANNED or reason is ReplacementReason.SILENT
+        if primary is not None and may_serve and service not in self._takeovers:
             self._upkeep.check(primary, delay_s=rank * RANK_DELAY_S)
         if reason is None or service in self._takeovers or now < self._retry_at.get(service, 0.0):
             return
--- a/lentilring/takeover/upkeep.py
+++ b/lentilring/takeover/upkeep.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from ..catalog.model import ServerEntry
+from ..catalog.model import ServerEntry, ServerRole
 from ..catalog.service import CatalogService
 from ..clock import SuspensionClock
 from ..gateways.server import ServerConnector
@@ -10,7 +10,7 @@
 from ..platform.store import StoreUnavailable
 from ..statements.model import Position
 from ..telemetry.log import Log
-from .authority import PromotionAuthority, PromotionIntent
+from .authority import PromotionAuthority, PromotionIntent, names_leader
 from .copies import (
     RecordedCopies,
     describe_copies,
@@ -100,7 +100,7 @@
             connector=self._connector, account=accounts[0].name, clock=self._clock
         )
         try:
-            kept = await self._find_needed(primary, departed, control)
+            kept = await self._find_needed(primary, intent, departed, control)
         finally:
             control.close()
         if kept is None:
@@ -128,7 +128,11 @@
         return describe_copies(entries, leader=primary.id)
 
     async def _find_needed(
-        self, primary: ServerEntry, departed: frozenset[str], control: ReplicaControl
+        self,
+        primary: ServerEntry,
+        intent: PromotionIntent,
+        departed: frozenset[str],
+        control: ReplicaControl,
     ) -> frozenset[str] | None:
         """Return the departed copies to keep, None if the primary does not prove its leadership.
 
@@ -139,6 +143,8 @@
         known = [self._catalog.find_departed_server(server) for server in departed]
         answering = await control.read_all([entry for entry in known if entry is not None])
         position = await self._prove(primary)
+        if position is None and names_leader(intent, primary.id):
+            position = await _read_position(primary, control)
         if position is None:
             return None
         if not departed:
@@ -158,3 +164,15 @@
         if newest is None or newest.taken_at < asked_at:
             return None
         return newest.position
+
+
+async def _read_position(primary: ServerEntry, control: ReplicaControl) -> Position | None:
+    """Return the position of a primary without a lease, for a record that names it as the leader.
+
+    A lease needs a recorded replica. If all have started again since they were recorded, there is
+    none until the record is updated. The position holds unless the record changes meanwhile.
+    """
+    status = (await control.read_all([primary])).get(primary.id)
+    if status is None or status.role is not ServerRole.PRIMARY:
+        return None
+    return status.received
