Keep replicas paused when the proxy that promotes one is stopped

What callers would see: commits that are acknowledged while a promotion is under way and that the new primary lacks, if the proxy that asked for the promotion is stopped and the promoted replica receives nothing meanwhile.

Cause: TakeoverService.stop cancels its takeovers. The one that waits for its promotion then took the open promotion in the record for one that it had recorded but not asked for, closed the record and let the replicas receive again. The promotion took effect later.

Evidence: test_replicas_stay_paused_when_the_promoting_proxy_stops.

The test's writers end by a flag now. One run of test_replica_that_restarts_during_a_promotion_... hung for 30 s: asyncio.wait_for of Python 3.11 can lose a cancellation, so a cancelled writer went on.

--- a/lentilring/takeover/service.py
+++ b/lentilring/takeover/service.py
@@ -93,6 +93,8 @@
         self._watches: dict[str, ReplacementWatch] = {}
         self._promotions = PromotionWatch(local_vm=fleet.local.vm)
         self._takeovers: dict[str, asyncio.Task[None]] = {}
+        # Services whose newest promotion by this proxy may still take effect.
+        self._promoting: set[str] = set()
         self._retry_at: dict[str, float] = {}
         self._task: asyncio.Task[None] | None = None
         self._rewriting: asyncio.Task[None] | None = None
@@ -294,7 +296,8 @@
             # server that is still the primary is about to be replaced.
             has_effect = newest.is_open and intended is not None and _is_primary(intended)
             is_own = newest.vm == self._fleet.local.vm and not intent.is_open
-            if newest.is_open and not has_effect and not is_own:
+            is_unasked = is_own and takeover.service not in self._promoting
+            if newest.is_open and not has_effect and not is_unasked:
                 return False
             # A takeover that checked the replicas before they receive again must not claim after.
             leader = newest.server if has_effect else ""
@@ -352,6 +355,7 @@
         if isinstance(choice, NoSafeSuccessor):
             self._log_undecided(takeover, choice.reason, intent)
             return False
+        self._promoting.discard(takeover.service)
         claimed = await self._authority.claim(
             takeover.service, choice.server.id, received=choice.received, previous=intent
         )
@@ -437,6 +441,7 @@
             received=choice.received,
             token=claimed.version,
         )
+        self._promoting.add(takeover.service)
         leading = asyncio.ensure_future(self._wait_for_leadership(choice.server))
         asking = asyncio.ensure_future(
             self._promotion.ask(
@@ -453,6 +458,7 @@
                 result = asking.result()
                 self._telemetry.count("promotions", result=result)
                 if result in NOT_PROMOTED:
+                    self._promoting.discard(takeover.service)
                     return False
             has_lead = await leading
         finally:
--- a/tests/test_promotion_window.py
+++ b/tests/test_promotion_window.py
@@ -7,6 +7,7 @@
 from testtools import TestCase
 
 from lentilring.gateways.lease import LEASE_S
+from lentilring.takeover.service import TakeoverService
 
 from .prepared import PreparedPlatform, run, run_prepared_platform, wait_until
 
@@ -30,13 +31,15 @@
     return {write for entry in platform.group.rolled_back for write in entry.writes}
 
 
-async def write_until_cancelled(platform: PreparedPlatform, vm: str, done: set[str]) -> None:
+async def write_until_stopped(
+    platform: PreparedPlatform, vm: str, done: set[str], stopped: asyncio.Event
+) -> None:
     """Send one write after another and collect those that succeed."""
     sent = 0
-    while True:
+    while not stopped.is_set():
         client = await platform.proxies[vm].open("booking")
         try:
-            while client.greeting.startswith("READY"):
+            while client.greeting.startswith("READY") and not stopped.is_set():
                 sent += 1
                 request = f"{vm}.{sent}"
                 answer = await client.query(f"WRITE {request} 1", request)
@@ -56,15 +59,17 @@
 async def run_writers(platform: PreparedPlatform) -> AsyncIterator[set[str]]:
     """Write through all proxies; yield the writes that succeeded."""
     done: set[str] = set()
+    stopped = asyncio.Event()
     writers = [
-        asyncio.ensure_future(write_until_cancelled(platform, vm, done)) for vm in platform.proxies
+        asyncio.ensure_future(write_until_stopped(platform, vm, done, stopped))
+        for vm in platform.proxies
     ]
     try:
         yield done
     finally:
-        for writer in writers:
-            writer.cancel()
-        await asyncio.gather(*writers, return_exceptions=True)
+        # Not cancelled: asyncio.wait_for of Python 3.11 may lose a cancellation.
+        stopped.set()
+        await asyncio.gather(*writers)
 
 
 class PromotionWindowTest(TestCase):
@@ -116,6 +121,30 @@
 
         run(scenario())
 
+    def test_replicas_stay_paused_when_the_promoting_proxy_stops(self) -> None:
+        """Guards against replicas that receive again while a promotion is under way."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform() as platform:
+                group, promotions = platform.group, platform.store.promotions
+                platform.promote_delay_s = SLOW_PROMOTION_S
+                await self.wait_until_recorded(platform)
+                async with run_writers(platform) as done:
+                    await wait_until(lambda: len(done) >= 5, within_s=3.0)
+                    group.servers[0].faults.silent = True
+                    await wait_until(lambda: bool(promotions), within_s=6.0)
+                    group.servers[0].faults.silent = False
+                    # Commits that the other replica receives would be missing in the promoted one.
+                    group.find(promotions[0][1]).faults.receives_nothing = True
+                    stopping = platform.proxies[promotions[0][2]]
+                    await stopping.kernel.find("takeover", TakeoverService).stop()
+                    await wait_until(lambda: group.term == 2, within_s=3.0)
+                    confirmed = len(done)
+                    await wait_until(lambda: len(done) > confirmed, within_s=5.0)
+                self.assertEqual(set(), done & list_dropped(platform))
+
+        run(scenario())
+
     async def wait_until_recorded(self, platform: PreparedPlatform) -> None:
         await wait_until(
             lambda: platform.store.read(PROMOTIONS, "rental") is not None, within_s=8.0
