Keep counted connections to replicas ready for the next gateway

Cause: a new connection to a replica counts only after an answer of the store. And a reading of the record was given up for the next one after 0.25 s, so that none was answered while the store took 0.4 s.

Change: the supervisors of a primary, which are its next gateways, keep connections to its replicas open and counted. A record that was read since such a connection was opened stays sufficient: any promotion that was recorded later checks the replica as it runs now. They send nothing over these connections. Readings of the record overlap, four a second at most, and any answer counts.

--- a/lentilring/gateways/renewal.py
+++ b/lentilring/gateways/renewal.py
@@ -2,7 +2,9 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
+from contextlib import suppress
 from dataclasses import dataclass
+from functools import partial
 
 from ..catalog.model import ServerEntry, ServerRole
 from ..catalog.service import CatalogService
@@ -23,6 +25,8 @@
 CONNECT_TIMEOUT_S = 0.35
 # While a lease is in use, a replica is asked every 0.4 s.
 MAX_IDLE_S = 1.5
+# How often a proxy that may need a lease later looks after its connections.
+PREPARATION_INTERVAL_S = 0.5
 
 log = Log(source="leases")
 
@@ -63,6 +67,9 @@
         self._catalog, self._connector, self._is_counted = catalog, connector, is_counted
         self._clock, self._telemetry = clock, telemetry
         self._links: dict[str, _Link] = {}
+        self._openings: dict[str, asyncio.Task[_Link]] = {}
+        self._preparations: dict[str, asyncio.Task[None]] = {}
+        self._prepared_at: dict[str, float] = {}
         self._servers_being_asked: set[str] = set()
         self._used_at: dict[str, float] = {}
         self._preferred_replicas: dict[str, str] = {}
@@ -75,11 +82,40 @@
 
     def close(self) -> None:
         """Cancel all renewals and close all connections."""
-        for task in self._renewals.values():
+        for task in (*self._renewals.values(), *self._preparations.values()):
             task.cancel()
         for link in self._links.values():
             link.session.close()
 
+    def prepare(self, server: ServerEntry) -> None:
+        """Keep connections to a primary's replicas open and counted, without asking over them.
+
+        A new connection counts only once the store has answered. With these, another gateway can
+        take over while the store is away.
+        """
+        now = self._clock.monotonic()
+        if now - self._prepared_at.get(server.id, ANY_TIME) < PREPARATION_INTERVAL_S:
+            return
+        self._prepared_at[server.id] = now
+        for replica in self._list_replicas(server):
+            self._used_at[replica.id] = now
+            if replica.id not in self._preparations:
+                task = asyncio.ensure_future(self._prepare_link(server, replica))
+                self._preparations[replica.id] = task
+                task.add_done_callback(partial(self._forget_preparation, replica.id))
+
+    def _forget_preparation(self, replica: str, _: "asyncio.Task[None]") -> None:
+        self._preparations.pop(replica, None)
+
+    async def _prepare_link(self, server: ServerEntry, replica: ServerEntry) -> None:
+        with suppress(ServerLost, ServerUnreachable, ServerRefused):
+            link = await self._open(replica)
+            await self._is_counted(replica, server.id, link.opened_at)
+
+    def _list_replicas(self, server: ServerEntry) -> list[ServerEntry]:
+        entries = self._catalog.servers.by_service.get(server.service, ())
+        return [entry for entry in entries if entry.id != server.id]
+
     async def ensure_lease(self, server: ServerEntry, *, since: float = ANY_TIME) -> bool:
         """Tell whether a server is certainly the primary now, by a proof begun after `since`.
 
@@ -110,8 +146,7 @@
         return task
 
     async def _renew(self, server: ServerEntry) -> bool:
-        entries = self._catalog.servers.by_service.get(server.service, ())
-        replicas = [entry for entry in entries if entry.id != server.id]
+        replicas = self._list_replicas(server)
         if await self._renew_by_one(server, replicas):
             return True
         asked_at = self._clock.boottime()
@@ -205,17 +240,24 @@
                 link.session.close()
 
     async def _open(self, server: ServerEntry) -> _Link:
-        link = self._links.get(server.id)
-        if link is None or link.session.is_closed:
-            accounts = self._catalog.list_accounts()
-            session = await self._connector.connect(
-                server,
-                account=accounts[0].name if accounts else "-",
-                timeout_s=CONNECT_TIMEOUT_S,
-            )
-            link = _Link(session=session, opened_at=self._clock.boottime())
-            self._links[server.id] = link
+        """Return the connection to a server; concurrent calls share its opening."""
         self._used_at[server.id] = self._clock.monotonic()
+        link = self._links.get(server.id)
+        if link is not None and not link.session.is_closed:
+            return link
+        opening = self._openings.get(server.id)
+        if opening is None:
+            opening = self._openings[server.id] = asyncio.ensure_future(self._connect(server))
+            opening.add_done_callback(lambda _: self._openings.pop(server.id, None))
+        return await asyncio.shield(opening)
+
+    async def _connect(self, server: ServerEntry) -> _Link:
+        accounts = self._catalog.list_accounts()
+        session = await self._connector.connect(
+            server, account=accounts[0].name if accounts else "-", timeout_s=CONNECT_TIMEOUT_S
+        )
+        link = _Link(session=session, opened_at=self._clock.boottime())
+        self._links[server.id] = link
         return link
 
 
--- a/lentilring/gateways/service.py
+++ b/lentilring/gateways/service.py
@@ -226,6 +226,10 @@
         self._record_proof(server, position)
         return position is not None
 
+    def prepare_lease(self, server: ServerEntry) -> None:
+        """Get ready to be the gateway of a primary, for which the store may be away then."""
+        self._renewal.prepare(server)
+
     def announce_leader(self, service: str) -> None:
         """Tell all proxies which server is the primary, as some may not reach the store."""
         leader = self._catalog.leadership.find_known_leader(service)
--- a/lentilring/takeover/counting.py
+++ b/lentilring/takeover/counting.py
@@ -7,11 +7,10 @@
 """
 
 import asyncio
-from dataclasses import dataclass
 
 from ..catalog.model import ServerEntry
 from ..clock import SuspensionClock
-from ..gateways.lease import STATUS_TIMEOUT_S
+from ..gateways.lease import ANY_TIME, STATUS_TIMEOUT_S
 from ..platform.store import StoreUnavailable
 from ..telemetry.log import Log
 from .authority import PromotionAuthority, PromotionIntent
@@ -40,64 +39,56 @@
     return is_recorded and replica.id != copies.leader
 
 
-@dataclass(frozen=True, kw_only=True)
-class _Reading:
-    """Hold a reading of the record, which begins at `sent_at`."""
-
-    sent_at: float
-    task: "asyncio.Task[bool]"
-
-    @property
-    def has_answer(self) -> bool:
-        """Tell whether the store has answered."""
-        return self.task.done() and self.task.exception() is None and self.task.result()
-
-
 class CountedCopies:
     """Tell which replicas count, by the record of promotions."""
 
     def __init__(self, *, authority: PromotionAuthority, clock: SuspensionClock) -> None:
         self._authority, self._clock = authority, clock
-        self._readings: dict[str, _Reading] = {}
+        # By service, on the boot clock: when the newest reading of the record was sent, and the
+        # newest that was answered. Readings overlap while the store is slow.
+        self._asked_at: dict[str, float] = {}
+        self._confirmed_at: dict[str, float] = {}
+        self._readings: dict[str, set[asyncio.Task[None]]] = {}
 
     async def check(self, replica: ServerEntry, primary: str, since: float) -> bool:
         """Tell whether a replica counts that has run at least since a time of the boot clock."""
-        reading = self._readings.get(replica.service)
-        if reading is not None and reading.sent_at >= since:
-            if self._shows_counted(reading, replica, primary):
-                return True
-            if self._clock.boottime() - reading.sent_at < RECORD_RETRY_S:
-                return await self._await_answer(reading, replica, primary)
-        reading = self._start_reading(replica.service)
-        counts = await self._await_answer(reading, replica, primary)
-        if not counts:
+        if self._is_known_counted(replica, primary, since):
+            return True
+        service = replica.service
+        asked_at = self._asked_at.get(service, ANY_TIME)
+        is_due = asked_at < since or self._clock.boottime() - asked_at >= RECORD_RETRY_S
+        if is_due:
+            self._start_reading(service)
+        if running := self._readings.get(service):
+            await asyncio.wait(
+                running, timeout=RECORD_TIMEOUT_S, return_when=asyncio.FIRST_COMPLETED
+            )
+        counts = self._is_known_counted(replica, primary, since)
+        if is_due and not counts:
             self._log_uncounted(replica, primary)
         return counts
 
-    async def _await_answer(self, reading: _Reading, replica: ServerEntry, primary: str) -> bool:
-        await asyncio.wait({reading.task}, timeout=RECORD_TIMEOUT_S)
-        return self._shows_counted(reading, replica, primary)
-
-    def _shows_counted(self, reading: _Reading, replica: ServerEntry, primary: str) -> bool:
-        """Tell whether a replica counts by what is known since a reading was answered."""
+    def _is_known_counted(self, replica: ServerEntry, primary: str, since: float) -> bool:
+        if self._confirmed_at.get(replica.service, ANY_TIME) < since:
+            return False
         known = self._authority.find_known(replica.service)
-        return (
-            reading.has_answer and known is not None and is_counted(known, replica, primary=primary)
-        )
+        return known is not None and is_counted(known, replica, primary=primary)
 
-    def _start_reading(self, service: str) -> _Reading:
-        task = asyncio.ensure_future(self._read(service))
-        task.add_done_callback(_log_error)
-        reading = self._readings[service] = _Reading(sent_at=self._clock.boottime(), task=task)
-        return reading
+    def _start_reading(self, service: str) -> None:
+        sent_at = self._asked_at[service] = self._clock.boottime()
+        running = self._readings.setdefault(service, set())
+        reading = asyncio.ensure_future(self._read(service, sent_at=sent_at))
+        running.add(reading)
+        reading.add_done_callback(running.discard)
 
-    async def _read(self, service: str) -> bool:
+    async def _read(self, service: str, *, sent_at: float) -> None:
         try:
             await self._authority.read(service)
         except StoreUnavailable as error:
             log.info("record_not_read", service=service, detail=error.detail)
-            return False
-        return True
+            return
+        confirmed_at = self._confirmed_at.get(service, ANY_TIME)
+        self._confirmed_at[service] = max(confirmed_at, sent_at)
 
     def _log_uncounted(self, replica: ServerEntry, primary: str) -> None:
         known = self._authority.find_known(replica.service)
@@ -109,8 +100,3 @@
             record="-" if known is None else known.version,
             promoting=known.server if known is not None and known.is_open else "-",
         )
-
-
-def _log_error(task: "asyncio.Task[bool]") -> None:
-    if not task.cancelled() and (error := task.exception()) is not None:
-        log.error("record_not_read", error=repr(error))
--- a/tests/test_counted_copies.py
+++ b/tests/test_counted_copies.py
@@ -105,6 +105,20 @@
 
         run_virtual(scenario())
 
+    def test_replica_counts_although_the_store_answers_slowly(self) -> None:
+        """Guards against readings that are given up one after another before their answers."""
+
+        async def scenario() -> None:
+            clock, store = SuspensibleClock(), SlowStore()
+            copies = await self.build(store, clock)
+            store.delay_s = 2 * RECORD_RETRY_S
+            for _ in range(3):
+                if await copies.check(build_entry("a"), "p", 0.0):
+                    return
+            self.fail("the replica does not count")
+
+        run_virtual(scenario())
+
     async def build(self, store: SlowStore, clock: SuspensibleClock) -> CountedCopies:
         authority = build_authority(store, "vm-a")
         seen = await authority.read("rental")
