Cancel the opening of connections for leases when a proxy stops

They were left running by until the process ended. No test: nothing of it is seen from outside; the tests of planned stops and of the gateway's stop passed as before.

--- a/lentilring/gateways/renewal.py
+++ b/lentilring/gateways/renewal.py
@@ -30,8 +30,8 @@
 
 log = Log(source="leases")
 
-# Tells whether the takeovers of a primary, which is named, hear from a replica. The replica has run
-# at least since the given time of the boot clock.
+# Tells whether all later takeovers of a primary, which is named by its id, hear from a replica that
+# has run at least since a time of the boot clock.
 CopyCheck = Callable[[ServerEntry, str, float], Awaitable[bool]]
 
 
@@ -82,7 +82,8 @@
 
     def close(self) -> None:
         """Cancel all renewals and close all connections."""
-        for task in (*self._renewals.values(), *self._preparations.values()):
+        tasks = (self._renewals, self._preparations, self._openings)
+        for task in (task for running in tasks for task in running.values()):
             task.cancel()
         for link in self._links.values():
             link.session.close()
