Prepare connections for leases only when the supervisors are known

Cause: a proxy that has just started knows no other one and takes itself for the first supervisor of each service. It prepared connections, and read the record of promotions for each service: calls to the store that grow with the fleet.

--- a/lentilring/takeover/service.py
+++ b/lentilring/takeover/service.py
@@ -164,7 +164,9 @@
         # A primary without a proof may lack a recorded replica, so the record is kept then too.
         may_serve = reason is None or reason in PLANNED or reason is ReplacementReason.SILENT
         if primary is not None and may_serve and service not in self._takeovers:
-            self._gateways.prepare_lease(primary)
+            # A proxy that has just started may not know yet who else supervises.
+            if self._catalog.knows_all_servers():
+                self._gateways.prepare_lease(primary)
             self._upkeep.check(primary, delay_s=rank * RANK_DELAY_S)
         if reason is None or service in self._takeovers or now < self._retry_at.get(service, 0.0):
             return
