--- a/lentilring/takeover/counting.py
+++ b/lentilring/takeover/counting.py
@@ -18,7 +18,7 @@
 # How often the record is read again for a replica that does not count; the supervisor records a
 # replica that is new within this time.
 RECORD_RETRY_S = 0.25
-# A renewal of the lease asks the replicas no longer than this, and this comes in addition.
+# If the store is slower, the lease rests on another replica, or on a later renewal.
 RECORD_TIMEOUT_S = STATUS_TIMEOUT_S
 
 log = Log(source="takeover")
--- a/tests/test_lease_preparation.py
+++ b/tests/test_lease_preparation.py
@@ -5,8 +5,8 @@
 from testtools import TestCase
 
 from .prepared import PreparedPlatform, run, run_prepared_platform, wait_until
+from .test_copies import read_recorded
 
-PROMOTIONS = "lentilring-promotion"
 # Several rounds in which supervisors look after their connections.
 PREPARATION_S = 1.5
 TAKEN_OVER_WITHIN_S = 4.0
@@ -31,9 +31,7 @@
 
         async def scenario() -> None:
             async with run_prepared_platform() as platform:
-                await wait_until(
-                    lambda: platform.store.read(PROMOTIONS, "rental") is not None, within_s=8.0
-                )
+                await wait_until(lambda: bool(read_recorded(platform)), within_s=8.0)
                 self.assertTrue(await writes(platform, "vm-1"))
                 await asyncio.sleep(PREPARATION_S)
                 platform.store.faults.down = True
--- a/tests/test_promotion_window.py
+++ b/tests/test_promotion_window.py
@@ -10,8 +10,8 @@
 from lentilring.takeover.service import TakeoverService
 
 from .prepared import PreparedPlatform, run, run_prepared_platform, wait_until
+from .test_copies import PROMOTIONS, read_recorded
 
-PROMOTIONS = "lentilring-promotion"
 # Time from the last check of a takeover until its promotion has taken effect.
 PROMOTION_S = 0.2
 SLOW_PROMOTION_S = 1.0
@@ -80,7 +80,7 @@
             async with run_prepared_platform(proxies=1) as platform:
                 group = platform.group
                 client = await platform.proxies["vm-0"].open("booking")
-                await self.wait_until_recorded(platform)
+                await wait_until(lambda: bool(read_recorded(platform)), within_s=8.0)
                 await client.query("BEGIN")
                 await client.query("WRITE a 1")
                 for replica in group.servers[1:]:
@@ -106,7 +106,7 @@
                 group = platform.group
                 primary, promoted, restarting = group.servers
                 platform.promote_delay_s = SLOW_PROMOTION_S
-                await self.wait_until_recorded(platform)
+                await wait_until(lambda: bool(read_recorded(platform)), within_s=8.0)
                 async with run_writers(platform) as done:
                     await wait_until(lambda: len(done) >= 5, within_s=3.0)
                     primary.faults.silent = True
@@ -128,7 +128,7 @@
             async with run_prepared_platform() as platform:
                 group, promotions = platform.group, platform.store.promotions
                 platform.promote_delay_s = SLOW_PROMOTION_S
-                await self.wait_until_recorded(platform)
+                await wait_until(lambda: bool(read_recorded(platform)), within_s=8.0)
                 async with run_writers(platform) as done:
                     await wait_until(lambda: len(done) >= 5, within_s=3.0)
                     group.servers[0].faults.silent = True
@@ -145,11 +145,6 @@
 
         run(scenario())
 
-    async def wait_until_recorded(self, platform: PreparedPlatform) -> None:
-        await wait_until(
-            lambda: platform.store.read(PROMOTIONS, "rental") is not None, within_s=8.0
-        )
-
 
 class RestartedReplicasTest(TestCase):
     def test_primary_that_was_silent_serves_again_although_all_replicas_are_new(self) -> None:
@@ -158,9 +153,7 @@
         async def scenario() -> None:
             async with run_prepared_platform() as platform:
                 group = platform.group
-                await wait_until(
-                    lambda: platform.store.read(PROMOTIONS, "rental") is not None, within_s=8.0
-                )
+                await wait_until(lambda: bool(read_recorded(platform)), within_s=8.0)
                 async with run_writers(platform) as done:
                     await wait_until(lambda: len(done) >= 5, within_s=3.0)
                     group.servers[0].faults.silent = True
