Ask for a new proof only if the primary may have restarted

Cause: the success of a commit needed a lease that was proved after the connection was opened.

Change: connections whose lives overlap were to the same process (gateways/lifetime.py). So only a connection that overlaps with no other one needs a later proof, as after a restart of the primary.

--- a/lentilring/gateways/gateway.py
+++ b/lentilring/gateways/gateway.py
@@ -33,6 +33,7 @@
     needs_primary,
 )
 from .lease import ANY_TIME
+from .lifetime import ServerLifetime
 from .messages import RunStatement, StatementKind, TransactionOpening
 from .pacing import AnswerOutcome, PaceReason, ServerAnswer, ServerPace, classify_outcome
 from .pool import CLOSE_DELAY_S, CONTROL_TIMEOUT_S, ConnectionPool, PooledConnection, apply_session
@@ -145,6 +146,7 @@
         self._commits_failing_since: float | None = None
         self._failed_commits = 0
         self._unreachable_until = 0.0
+        self._lifetime = ServerLifetime()
         self._was_paced = False
 
     @property
@@ -270,7 +272,7 @@
             return result
         # Another statement may use the connection already.
         attempt.connection = attempt.transaction = None
-        proof = self._ensure_leadership(connection.opened_at)
+        proof = self._ensure_leadership(self._lifetime.since)
         if await _finish_within(self._remaining_s(attempt), proof):
             return result
         self._telemetry.count("gateway_commits_unproved")
@@ -507,9 +509,11 @@
                 return reply.outcome, reply.state
             after = None
         attempt.was_sent, sent_at = True, self._clock.monotonic()
+        sent_boottime = self._clock.boottime()
         reply = await connection.session.run(
             request.request_id, request.text, after=after, timeout_s=self._remaining_s(attempt)
         )
+        self._lifetime.record_answer(opened_at=connection.opened_at, sent_at=sent_boottime)
         self._record_answer(attempt, classify_outcome(reply.outcome), sent_at)
         # The position of this answer proves nothing, as replicas commit read-only transactions too.
         if (
@@ -615,6 +619,7 @@
         reply = await connection.session.begin(
             read_only=read_only, after=after, timeout_s=timeout_s
         )
+        self._lifetime.record_answer(opened_at=connection.opened_at, sent_at=sent_at)
         if not read_only and is_leadership_certain:
             self._record_proof(reply, sent_at)
         return reply
