--- a/review/standins_3/scene.py
+++ b/review/standins_3/scene.py
@@ -8,12 +8,14 @@
 import os
 import shlex
 import shutil
+import signal
 import socket
 import subprocess
 import sys
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -195,9 +197,22 @@
 
 
 def run_case(scenario: Any, *, within_s: float = 110.0) -> None:
-    """Run a case and exit with its result; 2 if it could not run."""
+    """Run a case and exit with its result; 2 if it could not run or was stopped."""
     try:
-        sys.exit(asyncio.run(asyncio.wait_for(scenario, within_s)))
-    except (OSError, TimeoutError, ImportError) as error:
-        print(f"the case could not run: {error!r}")
-        sys.exit(NOT_RUN)
+        result = asyncio.run(_run_until_stopped(scenario, within_s))
+    except asyncio.CancelledError:
+        print("the case was stopped")
+        result = NOT_RUN
+    except Exception:
+        # Python would end with 1, which stands for a broken rule.
+        traceback.print_exc()
+        result = NOT_RUN
+    sys.exit(result)
+
+
+async def _run_until_stopped(scenario: Any, within_s: float) -> int:
+    """Run a case; SIGTERM cancels it, so that it ends the processes that it has started."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return int(await asyncio.wait_for(scenario, within_s))
