Read the registrations from the store in takeovers

Cause: a takeover read the record of promotions from the store, but took the list of servers from the catalog, which a watch fills. Connections may go silent for good while new ones work, and the age of that list is not bounded. The last check, meant for replicas that register during the takeover, read the same list.

Seen by callers: a write that was confirmed shortly before its primary crashed was rolled back.

Change: a takeover refreshes the registrations over a connection of its own, after it has read the record and again at its last check, when no success of the old primary can be passed on any more. Without an answer it is postponed. It begins again if a replica has registered or started since it was asked, and leaves if another server is registered as the primary. The same cause on related paths: the recorded copies are changed only with a list that is newer than the record, and start times of the copies that were heard come from the refreshed list. The record and the list are read before new work is held back for a planned replacement, so that the hold does not get longer.

--- a/lentilring/catalog/follower.py
+++ b/lentilring/catalog/follower.py
@@ -82,8 +82,15 @@
                 await asyncio.sleep(self._retry_s * factor)
                 self._retry_s = min(MAX_RETRY_S, 2 * self._retry_s)
 
+    async def refresh(self) -> None:
+        """Read all records from the store now, as watches may be silent; raise StoreUnavailable."""
+        batch = await self._source.list(self.kind)
+        if batch.revision > (self._revision or 0):
+            self._apply(batch, self._replace_all)
+
     async def _step(self) -> None:
-        if self._revision is None:
+        known_revision = self._revision
+        if known_revision is None:
             # A later list must not be older than the history that the store keeps, which has just
             # become shorter.
             may_be_old = self._may_begin_old and self.synchronized_at == float("inf")
@@ -93,19 +100,24 @@
                     "records_listed_again", kind=self.kind, revision=format_revision(batch.revision)
                 )
             self.synchronized_at = min(self.synchronized_at, self._clock.boottime())
-            self._replace_all(self._note_era(batch))
         else:
             batch = await self._source.watch(
-                self.kind, after_revision=self._revision, wait_s=self._wait_s
+                self.kind, after_revision=known_revision, wait_s=self._wait_s
             )
-            apply = self._replace_all if batch.is_complete else self._apply_changes
-            apply(self._note_era(batch))
-        self._revision = max(batch.revision, self._revision or 0)
-        self.confirmed_at = max(self.confirmed_at, batch.confirmed_at)
+        if self._revision != known_revision:
+            # A refresh has read newer records than some of these. The next watch begins after it.
+            return
+        is_complete = known_revision is None or batch.is_complete
+        self._apply(batch, self._replace_all if is_complete else self._apply_changes)
         if batch.records and self._batch_delay_s:
             # Registrations come in groups. Waiting for the rest of a group saves watch calls.
             await asyncio.sleep(self._batch_delay_s)
 
+    def _apply(self, batch: Records, apply: Callable[[Records], None]) -> None:
+        apply(self._note_era(batch))
+        self._revision = max(batch.revision, self._revision or 0)
+        self.confirmed_at = max(self.confirmed_at, batch.confirmed_at)
+
     def _note_era(self, batch: Records) -> Records:
         """Mark the first batch after the store returned from an older copy."""
         era, known_era = find_era(batch.revision), self._era
--- a/lentilring/catalog/service.py
+++ b/lentilring/catalog/service.py
@@ -216,6 +216,13 @@
         since = max(self._registrations.synchronized_at, self._restored_at)
         return self._clock.boottime() - since >= REMOVAL_DELAY_S
 
+    async def refresh_servers(self) -> None:
+        """Read the registrations from the store itself; raise StoreUnavailable.
+
+        The watch of them may be silent, so that the known ones are of any age.
+        """
+        await self._registrations.refresh()
+
     def note_restoration(self, era: int) -> None:
         """Record that the store returned from an older copy, if this era is the newest."""
         if era <= self.store_era:
@@ -309,6 +316,8 @@
         timer = self._removal_timers.pop(entry.id, None)
         if timer is not None:
             timer.cancel()
+        if self.servers.entries.get(entry.id) == entry:
+            return
         known = self.servers.entries.get(entry.id) or self._departed.find(entry.id)
         if known is not None and entry.is_set_back_from(known):
             log.info(
--- a/lentilring/standin/prepared/store.py
+++ b/lentilring/standin/prepared/store.py
@@ -20,7 +20,8 @@
     """Hold the fault switches; `lose_answers` counts changes that take effect unanswered.
 
     `ignored_promotions` counts promotions that are neither executed nor answered in time.
-    Lists that need not be newest name `old_revision` as theirs.
+    Lists that need not be newest name `old_revision` as theirs. Watches of `silent_kinds` get no
+    answer, also those that wait already.
     """
 
     down: bool = False
@@ -28,6 +29,7 @@
     ignored_promotions: int = 0
     refused_hosts: set[str] = field(default_factory=set)
     old_revision: int | None = None
+    silent_kinds: set[str] = field(default_factory=set)
 
 
 @dataclass(kw_only=True)
@@ -198,6 +200,9 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + wait_s
         while True:
+            if kind in self.faults.silent_kinds:
+                await asyncio.sleep(IGNORED_CALL_S)
+                return web.Response(status=503)
             if since < self._first_event or since > self._revision:
                 return web.json_response({}, status=410)
             if self.faults.down:
--- a/lentilring/takeover/service.py
+++ b/lentilring/takeover/service.py
@@ -1,7 +1,7 @@
 """The service `takeover`: supervises primaries and replaces those that cannot go on."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 from itertools import islice
 
@@ -226,27 +226,22 @@
         control = ReplicaControl(
             connector=self._connector, account=accounts[0].name, clock=self._clock
         )
-        paused_primary = takeover.old_primary if takeover.reason in PLANNED else None
+        paused_primary: ServerEntry | None = None
         done = False
         intent: PromotionIntent | None = None
         try:
-            if paused_primary is not None:
-                self._gateways.pause_primary_work(paused_primary.id)
-                await self._clock.sleep(PRIMARY_DRAIN_S)
             intent = await self._authority.read(takeover.service)
-            if not self._catalog.knows_all_servers():
-                log.info("takeover_postponed", service=takeover.service, detail=RESTORED_DETAIL)
-                done = True
-            elif self._is_promoted_elsewhere(takeover.service, intent):
-                log.info(
-                    "takeover_left",
-                    service=takeover.service,
-                    detail=f"{intent.vm} is promoting a server",
-                )
-                done = True
-            else:
+            await self._catalog.refresh_servers()
+            if self._may_begin(takeover, intent):
+                if takeover.old_primary is not None and takeover.reason in PLANNED:
+                    paused_primary = takeover.old_primary
+                    self._gateways.pause_primary_work(paused_primary.id)
+                    await self._clock.sleep(PRIMARY_DRAIN_S)
+                takeover = self._update_replicas(takeover)
                 takeover = await self._add_unregistered(takeover, control)
                 done = await self._replace_primary(takeover, control, intent)
+            else:
+                done = True
         except StoreUnavailable as error:
             log.warning("takeover_postponed", service=takeover.service, detail=error.detail)
         finally:
@@ -262,6 +257,31 @@
             if paused_primary is not None:
                 self._gateways.resume_primary_work(paused_primary.id)
 
+    def _may_begin(self, takeover: _Takeover, intent: PromotionIntent) -> bool:
+        """Tell whether the record and the registrations, as read now, leave a reason to go on."""
+        service = takeover.service
+        if not self._catalog.knows_all_servers():
+            log.info("takeover_postponed", service=service, detail=RESTORED_DETAIL)
+            return False
+        primary = self._catalog.find_primary(service)
+        if primary is not None and not _is_same_server(primary, takeover.old_primary):
+            detail = f"{primary.id} is registered as the primary"
+            log.info("takeover_left", service=service, detail=detail)
+            return False
+        if self._is_promoted_elsewhere(service, intent):
+            detail = f"{intent.vm} is promoting a server"
+            log.info("takeover_left", service=service, detail=detail)
+            return False
+        return True
+
+    def _update_replicas(self, takeover: _Takeover) -> _Takeover:
+        """Return a takeover with the replicas that are registered now."""
+        replicas = self._find_replicas(takeover.service, takeover.old_primary)
+        if replicas != takeover.replicas:
+            names = ",".join(entry.id for entry in replicas)
+            log.info("takeover_replicas", service=takeover.service, replicas=names)
+        return replace(takeover, replicas=replicas)
+
     async def _add_unregistered(self, takeover: _Takeover, control: ReplicaControl) -> _Takeover:
         """Add replicas whose registrations lapsed if they answer; they may have acknowledged."""
         lapsed = self._catalog.list_lapsed_servers(takeover.service)
@@ -410,10 +430,14 @@
         """Tell whether no replica has received anything since the choice.
 
         Another supervisor that gave up may have let the replicas receive again. A replica that has
-        registered since may have the newest acknowledged commit.
+        registered since may have the newest acknowledged commit, and one that has started again may
+        have been empty when it was asked. Raise StoreUnavailable without a current list.
         """
+        await self._catalog.refresh_servers()
+        if not self._catalog.knows_all_servers():
+            return False
         registered = self._find_replicas(takeover.service, takeover.old_primary)
-        if {entry.id for entry in registered} - {entry.id for entry in takeover.replicas}:
+        if _list_starts(registered) - _list_starts(takeover.replicas):
             return False
         statuses = await control.read_all(takeover.replicas)
         return len(statuses) == len(takeover.replicas) and all(
@@ -502,5 +526,13 @@
         return Candidate(server=current, received=status.received, is_eligible=eligible)
 
 
+def _is_same_server(server: ServerEntry, other: ServerEntry | None) -> bool:
+    return other is not None and server.id == other.id
+
+
+def _list_starts(entries: Iterable[ServerEntry]) -> set[tuple[str, int]]:
+    return {(entry.id, entry.started_ms) for entry in entries}
+
+
 def _is_primary(status: ReplicationStatus) -> bool:
     return status.role is ServerRole.PRIMARY
--- a/lentilring/takeover/upkeep.py
+++ b/lentilring/takeover/upkeep.py
@@ -91,6 +91,10 @@
         is_recorded = not self._is_outdated(intent, primary) and service not in self._unanswered
         if not accounts or is_recorded:
             return
+        # A list from before the last change of the record would take copies for departed.
+        await self._catalog.refresh_servers()
+        if not self._catalog.knows_all_servers():
+            return
         if intent.is_open and intent.server != primary.id:
             # The promotion may still take effect.
             return
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -35,6 +35,88 @@
         raise NotImplementedError
 
 
+class OverlappingSource:
+    """Answer lists at once and a watch only when `answer` is set."""
+
+    def __init__(self) -> None:
+        self.listed = Records(records=(), revision=10, is_complete=True)
+        self.answer: asyncio.Future[Records] = asyncio.get_running_loop().create_future()
+        self.watched_after: list[int] = []
+
+    async def list(self, kind: RecordKind, *, may_be_old: bool = False) -> Records:
+        return self.listed
+
+    async def watch(self, kind: RecordKind, *, after_revision: int, wait_s: float) -> Records:
+        self.watched_after.append(after_revision)
+        return await asyncio.shield(self.answer)
+
+    async def register(self, entry: ProxyEntry, *, revision: int | None) -> int:
+        raise NotImplementedError
+
+    async def deregister(self, vm: str, *, revision: int) -> None:
+        raise NotImplementedError
+
+
+class RefreshTest(TestCase):
+    """Refreshes while a watch is under way."""
+
+    async def follow(self, source: OverlappingSource) -> None:
+        self.taken: list[tuple[str, int]] = []
+        self.follower = Follower(
+            kind=RecordKind.SERVERS,
+            source=source,
+            clock=SuspensibleClock(),
+            random=Random(1),
+            telemetry=Telemetry(),
+            replace_all=lambda batch: self.taken.append(("all", batch.revision)),
+            apply_changes=lambda batch: self.taken.append(("changes", batch.revision)),
+        )
+        self.following = asyncio.ensure_future(self.follower.run())
+        await asyncio.sleep(0.1)
+
+    def test_refresh_takes_all_records_while_the_watch_is_silent(self) -> None:
+        """Guards against a refresh that waits for the watch."""
+
+        async def scenario() -> None:
+            source = OverlappingSource()
+            await self.follow(source)
+            source.listed = Records(records=(), revision=20, is_complete=True)
+            await self.follower.refresh()
+            self.assertEqual([("all", 10), ("all", 20)], self.taken)
+
+        run_virtual(scenario())
+
+    def test_watch_that_began_before_a_refresh_does_not_set_records_back(self) -> None:
+        """Guards against records from before the refresh that are taken for newer ones."""
+
+        async def scenario() -> None:
+            source = OverlappingSource()
+            await self.follow(source)
+            source.listed = Records(records=(), revision=20, is_complete=True)
+            await self.follower.refresh()
+            answer, source.answer = source.answer, asyncio.get_running_loop().create_future()
+            answer.set_result(Records(records=(), revision=25))
+            await asyncio.sleep(0.1)
+            self.assertEqual([("all", 10), ("all", 20)], self.taken)
+            self.assertEqual([10, 20], source.watched_after)
+
+        run_virtual(scenario())
+
+    def test_list_that_is_older_than_the_known_records_is_ignored(self) -> None:
+        """Guards against a slow list that arrives after a watch's newer records."""
+
+        async def scenario() -> None:
+            source = OverlappingSource()
+            await self.follow(source)
+            answer, source.answer = source.answer, asyncio.get_running_loop().create_future()
+            answer.set_result(Records(records=(), revision=15))
+            await asyncio.sleep(0.1)
+            await self.follower.refresh()
+            self.assertEqual([("all", 10), ("changes", 15)], self.taken)
+
+        run_virtual(scenario())
+
+
 class FollowerTest(TestCase):
     def test_records_stay_known_while_they_cannot_be_listed_again(self) -> None:
         """Guards against a proxy that is not ready while the store is lost after lost history."""
