Write the stacks of a process at SIGUSR1

A process whose event loop stands still can log nothing. SIGUSR1 writes the stack of each thread to standard output, by faulthandler, without ending the process.

--- a/lentilring/cli/proxy.py
+++ b/lentilring/cli/proxy.py
@@ -8,6 +8,7 @@
 from ..process import run_proxy
 from ..settings import ProxySettings
 from ..telemetry.log import write_logs
+from ..telemetry.stacks import write_stacks_on_signal
 from .options import VERSION_OPTION, ExitCode, add_settings
 
 application = typer.Typer(add_completion=True, pretty_exceptions_enable=False)
@@ -26,6 +27,7 @@
     if check:
         typer.echo("settings are valid")
         raise typer.Exit(ExitCode.OK)
+    write_stacks_on_signal()
     with write_logs(level=settings.log_level):
         asyncio.run(run_proxy(settings))
 
--- a/lentilring/cli/session_serving.py
+++ b/lentilring/cli/session_serving.py
@@ -11,12 +11,14 @@
 from ..setting_types import LogLevel
 from ..telemetry.log import write_logs
 from ..telemetry.output import BoundedStream
+from ..telemetry.stacks import write_stacks_on_signal
 
 LEVEL_VARIABLE = "LENTILRING_LOG_LEVEL"
 
 
 def serve(settings: SessionProxySettings, log_level: LogLevel) -> None:
     """Serve until a signal stops the process."""
+    write_stacks_on_signal()
     stream = BoundedStream(descriptor=sys.stdout.fileno())
     with write_logs(level=log_level, stream=stream):
         asyncio.run(run_session_proxy(settings))
