Share only calls that still run

Cause: LeaseRenewal.ensure_lease awaited the running renewal until the lease satisfied the caller. A renewal is a task in a dictionary that its done callback takes out, in the pass of the event loop after the one in which it ends. A write that came in between got the ended task. Awaiting that does not give control back, so the callback never ran; if the proof had begun before the write's connection was opened, the loop had no end.

Seen by callers: writes from many sessions at the same moment made the gateway of their primary hang for ever.

Change: SharedCalls holds the calls that concurrent callers share and never hands out one that has ended. All seven places that shared tasks use it. ensure_lease waits for two renewals at most: the first may have begun before the time that a caller asks about, the second has not. The other loops of the product with an await were read for the same fault.

--- a/lentilring/gateways/probing.py
+++ b/lentilring/gateways/probing.py
@@ -14,7 +14,7 @@
     PeerUnreachable,
     Sender,
 )
-from ..tasks import start_task
+from ..tasks import SharedCalls, run_until_done
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .messages import Ping, Pong
@@ -42,7 +42,7 @@
     ) -> None:
         self._fleet, self._transport, self._clock = fleet, transport, clock
         self._telemetry = telemetry
-        self._probes: dict[str, asyncio.Task[None]] = {}
+        self._probes = SharedCalls[str, None]()
         fleet.on_suspected = self._start_probe
 
     async def start(self) -> None:
@@ -51,8 +51,7 @@
 
     async def stop(self) -> None:
         """End probing."""
-        for task in self._probes.values():
-            task.cancel()
+        self._probes.cancel()
 
     async def call(self, peer: ProxyEntry, request: object, *, timeout_s: float) -> object:
         """Call a peer, but give up early if it does not answer a ping either.
@@ -76,11 +75,9 @@
                 call.cancel()
 
     def _start_probe(self, peer: ProxyEntry) -> None:
-        if peer.vm not in self._probes:
-            probe = partial(self._probe_until_answer, peer)
-            task = start_task("probe", probe, telemetry=self._telemetry)
-            self._probes[peer.vm] = task
-            task.add_done_callback(lambda _: self._probes.pop(peer.vm, None))
+        probe = partial(self._probe_until_answer, peer)
+        run = partial(run_until_done, "probe", probe, telemetry=self._telemetry)
+        self._probes.start(peer.vm, run)
 
     async def _probe_until_answer(self, peer: ProxyEntry) -> None:
         """Ping a suspected peer until it answers or its registration changes."""
--- a/lentilring/gateways/renewal.py
+++ b/lentilring/gateways/renewal.py
@@ -10,6 +10,7 @@
 from ..catalog.service import CatalogService
 from ..clock import SuspensionClock
 from ..statements.model import Failure
+from ..tasks import SharedCalls
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .lease import ANY_TIME, STATUS_TIMEOUT_S, LeadershipLease, is_following
@@ -27,6 +28,8 @@
 MAX_IDLE_S = 1.5
 # How often a proxy that may need a lease later looks after its connections.
 PREPARATION_INTERVAL_S = 0.5
+# The first one that a caller waits for may have begun too early; a second one has not.
+RENEWALS_PER_CALLER = 2
 
 log = Log(source="leases")
 
@@ -67,14 +70,14 @@
         self._catalog, self._connector, self._is_counted = catalog, connector, is_counted
         self._clock, self._telemetry = clock, telemetry
         self._links: dict[str, _Link] = {}
-        self._openings: dict[str, asyncio.Task[_Link]] = {}
-        self._preparations: dict[str, asyncio.Task[None]] = {}
+        self._openings = SharedCalls[str, _Link]()
+        self._preparations = SharedCalls[str, None]()
         self._prepared_at: dict[str, float] = {}
         self._servers_being_asked: set[str] = set()
         self._used_at: dict[str, float] = {}
         self._preferred_replicas: dict[str, str] = {}
         self._leases: dict[str, LeadershipLease] = {}
-        self._renewals: dict[str, asyncio.Task[bool]] = {}
+        self._renewals = SharedCalls[str, bool]()
 
     def get_lease(self, server: str) -> LeadershipLease:
         """Return the lease of a server, a new one if it has none."""
@@ -82,9 +85,9 @@
 
     def close(self) -> None:
         """Cancel all renewals and close all connections."""
-        tasks = (self._renewals, self._preparations, self._openings)
-        for task in (task for running in tasks for task in running.values()):
-            task.cancel()
+        self._renewals.cancel()
+        self._preparations.cancel()
+        self._openings.cancel()
         for link in self._links.values():
             link.session.close()
 
@@ -100,13 +103,7 @@
         self._prepared_at[server.id] = now
         for replica in self._list_replicas(server):
             self._used_at[replica.id] = now
-            if replica.id not in self._preparations:
-                task = asyncio.ensure_future(self._prepare_link(server, replica))
-                self._preparations[replica.id] = task
-                task.add_done_callback(partial(self._forget_preparation, replica.id))
-
-    def _forget_preparation(self, replica: str, _: "asyncio.Task[None]") -> None:
-        self._preparations.pop(replica, None)
+            self._preparations.start(replica.id, partial(self._prepare_link, server, replica))
 
     async def _prepare_link(self, server: ServerEntry, replica: ServerEntry) -> None:
         with suppress(ServerLost, ServerUnreachable, ServerRefused):
@@ -122,11 +119,12 @@
 
         Renew its lease if it has ended or is older.
         """
-        while not self.has_lease(server, since=since):
-            # A renewal that was running already may have begun before `since`.
-            if not await asyncio.shield(self._start_renewal(server)):
+        for _ in range(RENEWALS_PER_CALLER):
+            if self.has_lease(server, since=since):
+                return True
+            if not await self._renewals.join(server.id, partial(self._renew, server)):
                 return False
-        return True
+        return self.has_lease(server, since=since)
 
     def has_lease(self, server: ServerEntry, *, since: float = ANY_TIME) -> bool:
         """Tell whether a server is certainly the primary now, without waiting.
@@ -135,17 +133,9 @@
         """
         lease, now = self.get_lease(server.id), self._clock.boottime()
         if lease.needs_renewal(now):
-            self._start_renewal(server)
+            self._renewals.start(server.id, partial(self._renew, server))
         return lease.is_valid(now, since=since)
 
-    def _start_renewal(self, server: ServerEntry) -> "asyncio.Task[bool]":
-        task = self._renewals.get(server.id)
-        if task is None:
-            task = asyncio.ensure_future(self._renew(server))
-            self._renewals[server.id] = task
-            task.add_done_callback(lambda _: self._renewals.pop(server.id, None))
-        return task
-
     async def _renew(self, server: ServerEntry) -> bool:
         replicas = self._list_replicas(server)
         if await self._renew_by_one(server, replicas):
@@ -246,11 +236,7 @@
         link = self._links.get(server.id)
         if link is not None and not link.session.is_closed:
             return link
-        opening = self._openings.get(server.id)
-        if opening is None:
-            opening = self._openings[server.id] = asyncio.ensure_future(self._connect(server))
-            opening.add_done_callback(lambda _: self._openings.pop(server.id, None))
-        return await asyncio.shield(opening)
+        return await self._openings.join(server.id, partial(self._connect, server))
 
     async def _connect(self, server: ServerEntry) -> _Link:
         accounts = self._catalog.list_accounts()
--- a/lentilring/gateways/sampling.py
+++ b/lentilring/gateways/sampling.py
@@ -1,12 +1,13 @@
 """Keeps the proven positions of primaries recent while replicas serve reads."""
 
 import asyncio
+from functools import partial
 
 from ..catalog.service import CatalogService
 from ..clock import SuspensionClock
 from ..kernel import Service
 from ..statements.model import Position
-from ..tasks import start_task
+from ..tasks import SharedCalls, start_task
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .dispatch import StatementDispatcher
@@ -41,7 +42,7 @@
         self._requested_at: dict[str, float] = {}
         self._supervised_at: dict[str, float] = {}
         self._sampled_at: dict[str, float] = {}
-        self._running: dict[str, asyncio.Task[None]] = {}
+        self._running = SharedCalls[str, None]()
         self._commit_silence_s: dict[str, float] = {}
         self._task: asyncio.Task[None] | None = None
         gateways.refresh_positions = self.refresh
@@ -53,8 +54,9 @@
 
     async def stop(self) -> None:
         """End sampling."""
-        for task in [*self._running.values(), *([self._task] if self._task else [])]:
-            task.cancel()
+        self._running.cancel()
+        if self._task is not None:
+            self._task.cancel()
 
     def request_sampling(self, service: str) -> None:
         """Sample a service for the next seconds, because its reads need positions."""
@@ -71,14 +73,14 @@
     async def refresh(self, service: str) -> None:
         """Take one sample of a service now; concurrent calls share it."""
         self.request_sampling(service)
-        await asyncio.shield(self._start_sample(service))
+        await self._running.join(service, partial(self._sample, service))
 
     async def _run(self) -> None:
         while True:
             await self._clock.sleep(SUPERVISION_INTERVAL_S)
             for service in {*self._requested_at, *self._supervised_at}:
                 if self._is_due(service):
-                    self._start_sample(service)
+                    self._running.start(service, partial(self._sample, service))
 
     def _is_due(self, service: str) -> bool:
         now, never = self._clock.monotonic(), float("-inf")
@@ -89,17 +91,8 @@
         waited_s = now - self._sampled_at.get(service, never) + SUPERVISION_INTERVAL_S / 2
         return is_requested and waited_s >= SAMPLE_INTERVAL_S
 
-    def _start_sample(self, service: str) -> asyncio.Task[None]:
-        """Return the running sample of a service, or begin one."""
-        task = self._running.get(service)
-        if task is None:
-            self._sampled_at[service] = self._clock.monotonic()
-            task = asyncio.ensure_future(self._sample(service))
-            self._running[service] = task
-            task.add_done_callback(lambda _: self._running.pop(service, None))
-        return task
-
     async def _sample(self, service: str) -> None:
+        self._sampled_at[service] = self._clock.monotonic()
         primary = self._catalog.find_primary(service)
         if primary is None:
             return
--- a/lentilring/gateways/service.py
+++ b/lentilring/gateways/service.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from functools import partial
 from random import Random
 
 from ..catalog.fleet import FleetService
@@ -14,7 +15,7 @@
 from ..kernel import Service
 from ..peers.transport import PeerTransport, Sender
 from ..statements.model import Done, Failed, Failure, Position, StatementOutcome
-from ..tasks import start_task
+from ..tasks import SharedCalls, start_task
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .attempt import Attempt, RunResult
@@ -80,7 +81,7 @@
         self._closing: set[ServerGateway] = set()
         self._histories: dict[str, ProvenPositionHistory] = {}
         self._transaction_gateways: dict[str, ServerGateway] = {}
-        self._running_proofs: dict[str, asyncio.Task[bool]] = {}
+        self._running_proofs = SharedCalls[str, bool]()
         self._transaction_numbers = itertools.count(1)
         self._transaction_prefix = f"{vm}.{incarnation}."
         self._trim_task: asyncio.Task[None] | None = None
@@ -196,7 +197,7 @@
         history = self.get_history(server.service)
         newest = history.find_newest()
         if newest is None or self._clock.boottime() - newest.taken_at > PROOF_REFRESH_AGE_S:
-            await self._prove_once(server)
+            await self._running_proofs.join(server.id, partial(self.prove_leadership, server))
             newest = history.find_newest()
         if newest is None:
             return ProvenPosition()
@@ -289,15 +290,6 @@
         shares = {server: judge.bad_share for server, judge in self._judges.items()}
         return {server: share for server, share in shares.items() if share is not None}
 
-    async def _prove_once(self, server: ServerEntry) -> None:
-        """Prove a primary's position; concurrent calls share the proof."""
-        task = self._running_proofs.get(server.id)
-        if task is None:
-            task = asyncio.ensure_future(self.prove_leadership(server))
-            self._running_proofs[server.id] = task
-            task.add_done_callback(lambda _: self._running_proofs.pop(server.id, None))
-        await asyncio.shield(task)
-
     def _record_proof(self, server: ServerEntry, position: Position | None) -> None:
         if position is None:
             self._telemetry.count("position_proofs", result="failed")
--- a/lentilring/limits/regional.py
+++ b/lentilring/limits/regional.py
@@ -4,6 +4,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 
 from ..catalog.fleet import FleetService
@@ -19,7 +20,7 @@
     PeerUnreachable,
     Sender,
 )
-from ..tasks import start_task
+from ..tasks import SharedCalls, start_task
 from ..telemetry.log import Log
 from ..telemetry.metrics import Telemetry
 from .allowance import LocalAllowance
@@ -95,7 +96,7 @@
         self._allowance = LocalAllowance(clock=clock, count_proxies=fleet.count_registered)
         self._stocks: dict[str, _Stock] = {}
         self._dry_until: dict[str, float] = {}
-        self._borrowing: dict[str, asyncio.Task[None]] = {}
+        self._borrowing = SharedCalls[str, None]()
         self._returning: dict[str, int] = {}
         self._return_timer: asyncio.TimerHandle | None = None
         self._is_holder = False
@@ -113,8 +114,9 @@
 
     async def stop(self) -> None:
         """End reporting."""
-        for task in [*self._borrowing.values(), *([self._task] if self._task else [])]:
-            task.cancel()
+        self._borrowing.cancel()
+        if self._task is not None:
+            self._task.cancel()
         if self._return_timer is not None:
             self._return_timer.cancel()
 
@@ -226,12 +228,7 @@
 
     async def _borrow(self, account: ClientAccount) -> None:
         """Ask the pools of other regions once; calls at one time share the loan."""
-        task = self._borrowing.get(account.name)
-        if task is None:
-            task = asyncio.ensure_future(self._borrow_now(account))
-            self._borrowing[account.name] = task
-            task.add_done_callback(lambda _: self._borrowing.pop(account.name, None))
-        await asyncio.shield(task)
+        await self._borrowing.join(account.name, partial(self._borrow_now, account))
 
     async def _borrow_now(self, account: ClientAccount) -> None:
         others = self._list_other_regions()
--- a/lentilring/pool/sampling.py
+++ b/lentilring/pool/sampling.py
@@ -7,12 +7,14 @@
 import asyncio
 import contextlib
 import random
+from functools import partial
 from typing import TYPE_CHECKING
 
 from ..clock import Clock
 from ..failover.record import GroupState
 from ..peers.transport import PeerAnswerLost, PeerRejected, PeerTransport, PeerUnreachable
 from ..routing.topology import find_database, find_server
+from ..tasks import SharedCalls
 from .coverage import PositionSample, find_entry_term
 from .messages import PrimarySample, SamplePrimary
 from .server import GatewayServer
@@ -42,8 +44,8 @@
         self._clock = clock
         self._random = random_source
         self._task: asyncio.Task[None] | None = None
-        self._refresh_tasks: dict[tuple[str, str], asyncio.Task[None]] = {}
-        self._measurement_tasks: dict[str, asyncio.Task[PrimarySample]] = {}
+        self._refreshes = SharedCalls[tuple[str, str], None]()
+        self._measurements = SharedCalls[str, PrimarySample]()
         self._last_samples: dict[str, tuple[float, PrimarySample]] = {}
 
     def start(self) -> None:
@@ -52,22 +54,19 @@
 
     async def stop(self) -> None:
         """Cancel the background tasks."""
-        tasks = [self._task, *self._refresh_tasks.values(), *self._measurement_tasks.values()]
-        for task in tasks:
-            if task is not None:
-                task.cancel()
-                with contextlib.suppress(asyncio.CancelledError, Exception):
-                    await task
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError, Exception):
+                await self._task
+        await self._refreshes.stop()
+        await self._measurements.stop()
 
     async def refresh_server(self, server: GatewayServer, *, timeout_s: float) -> None:
         """Refresh a server's status and its primary's sample; concurrent calls share one task."""
         key = (server.group, server.name)
-        task = self._refresh_tasks.get(key)
-        if task is None or task.done():
-            task = asyncio.ensure_future(self._refresh_server(server))
-            self._refresh_tasks[key] = task
+        refresh = self._refreshes.start(key, partial(self._refresh_server, server))
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(asyncio.shield(task), max(0.0, timeout_s))
+            await asyncio.wait_for(asyncio.shield(refresh), max(0.0, timeout_s))
 
     async def sample_primary(self, group: str) -> PrimarySample:
         """Return a confirmed sample of a group's primary; this proxy is the primary's gateway."""
@@ -75,11 +74,7 @@
         now = self._clock.monotonic()
         if timed_sample is not None and now - timed_sample[0] <= SHARED_SAMPLE_AGE_S:
             return self._build_sample(timed_sample)
-        task = self._measurement_tasks.get(group)
-        if task is None or task.done():
-            task = asyncio.ensure_future(self._measure(group))
-            self._measurement_tasks[group] = task
-        await asyncio.shield(task)
+        await self._measurements.join(group, partial(self._measure, group))
         timed_sample = self._last_samples.get(group)
         return self._build_sample(timed_sample) if timed_sample is not None else UNKNOWN_SAMPLE
 
--- a/lentilring/pool/server.py
+++ b/lentilring/pool/server.py
@@ -12,6 +12,7 @@
     ConnectionRefused,
 )
 from ..database.messages import ServerStatus, StatementReply
+from ..tasks import SharedCalls
 from .connections import ServerPool
 from .coverage import PositionHistory
 
@@ -48,7 +49,7 @@
         self._connector = connector
         self._clock = clock
         self._control: BackendControl | None = None
-        self._refresh_task: asyncio.Task[ServerStatus | None] | None = None
+        self._refreshes = SharedCalls[str, ServerStatus | None]()
 
     @property
     def in_demand(self) -> bool:
@@ -62,10 +63,9 @@
 
     async def refresh_status(self, *, timeout_s: float = CONTROL_TIMEOUT_S) -> ServerStatus | None:
         """Ask the server for its status; concurrent callers share one request."""
-        if self._refresh_task is None or self._refresh_task.done():
-            self._refresh_task = asyncio.ensure_future(self._fetch_status())
+        refresh = self._refreshes.start(self.name, self._fetch_status)
         try:
-            return await asyncio.wait_for(asyncio.shield(self._refresh_task), timeout_s)
+            return await asyncio.wait_for(asyncio.shield(refresh), timeout_s)
         except TimeoutError:
             return None
 
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -13,7 +13,7 @@
 from lentilring.limits.regional import RegionalLimiter
 from lentilring.shared_secret import SharedSecret
 from lentilring.takeover.service import TakeoverService
-from lentilring.tasks import RESTART_DELAY_S, start_task
+from lentilring.tasks import RESTART_DELAY_S, SharedCalls, start_task
 from lentilring.telemetry.metrics import Telemetry
 
 from .prepared import Proxy, build_manifest, run, run_prepared_platform, wait_until
@@ -47,6 +47,77 @@
         run_virtual(scenario())
 
 
+class SharedCallsTest(TestCase):
+    def test_concurrent_callers_share_a_call(self) -> None:
+        """Guards against a call for each caller."""
+
+        async def scenario() -> None:
+            calls, began = SharedCalls[str, float](), []
+
+            async def measure() -> float:
+                began.append(asyncio.get_running_loop().time())
+                await asyncio.sleep(1)
+                return began[-1]
+
+            both = await asyncio.gather(calls.join("a", measure), calls.join("a", measure))
+            self.assertEqual([0.0, 0.0], both)
+            self.assertEqual(1.0, await calls.join("a", measure))
+            self.assertEqual([0.0, 1.0], began)
+
+        run_virtual(scenario())
+
+    def test_call_that_has_just_ended_is_not_shared(self) -> None:
+        """Guards against a result from before a caller asked (review/15)."""
+
+        async def scenario() -> None:
+            calls, results = SharedCalls[str, int](), iter(range(10))
+            event = asyncio.Event()
+
+            async def wait() -> int:
+                await event.wait()
+                return next(results)
+
+            first = calls.start("a", wait)
+            await asyncio.sleep(0)
+            # The callbacks of a task run in the pass after the one in which it ends.
+            event.set()
+            await asyncio.sleep(0)
+            self.assertTrue(first.done())
+            second = calls.start("a", wait)
+            self.assertIsNot(first, second)
+            await asyncio.sleep(0)
+            self.assertEqual((0, 1), (await first, await second))
+
+        run_virtual(scenario())
+
+    def test_end_of_a_call_leaves_its_successor_shared(self) -> None:
+        """Guards against a late callback that forgets another call."""
+
+        async def scenario() -> None:
+            calls = SharedCalls[str, None]()
+            first = calls.start("a", lambda: asyncio.sleep(0))
+            while not first.done():
+                await asyncio.sleep(0)
+            second = calls.start("a", lambda: asyncio.sleep(1))
+            await asyncio.sleep(0.5)
+            self.assertIs(second, calls.start("a", lambda: asyncio.sleep(1)))
+
+        run_virtual(scenario())
+
+    def test_caller_that_gives_up_does_not_end_the_call(self) -> None:
+        """Guards against a caller that takes the call away from the others."""
+
+        async def scenario() -> None:
+            calls = SharedCalls[str, str]()
+            first = asyncio.ensure_future(calls.join("a", lambda: asyncio.sleep(1, "done")))
+            second = asyncio.ensure_future(calls.join("a", lambda: asyncio.sleep(1, "done")))
+            await asyncio.sleep(0.5)
+            first.cancel()
+            self.assertEqual("done", await second)
+
+        run_virtual(scenario())
+
+
 class FailingOnce:
     """Replace a method: the first call raises, later ones reach the method."""
 
