Name the refreshed revisions and leave a takeover early

Readability only: the follower names the revision of a refresh that came between, and a takeover without a reason to go on returns at once.

Measured: tests of takeovers, copies, followers and restorations pass.

--- a/lentilring/catalog/follower.py
+++ b/lentilring/catalog/follower.py
@@ -49,8 +49,8 @@
         self._wait_s, self._batch_delay_s = wait_s, batch_delay_s
         self._may_begin_old = may_begin_old
         self._revision: int | None = None
-        # Revisions of all records at the last refresh.
-        self._refreshed: dict[str, int] = {}
+        # Of all records, at the last refresh.
+        self._refreshed_revisions: dict[str, int] = {}
         self._era: int | None = None
         self._retry_s = RETRY_S
 
@@ -88,7 +88,7 @@
         """Read all records from the store now, as watches may be silent; raise StoreUnavailable."""
         batch = await self._source.list(self.kind)
         if batch.revision > (self._revision or 0):
-            self._refreshed = {record.name: record.revision for record in batch.records}
+            self._refreshed_revisions = {record.name: record.revision for record in batch.records}
             self._apply(batch, self._replace_all)
 
     async def _step(self) -> None:
@@ -108,26 +108,26 @@
                 self.kind, after_revision=known_revision, wait_s=self._wait_s
             )
         is_complete = known_revision is None or batch.is_complete
-        if self._revision is not None and self._revision != known_revision:
-            # A refresh has read records meanwhile.
-            if batch.revision <= self._revision:
-                return
-            batch = batch if is_complete else self._leave_out_refreshed(batch, self._revision)
+        refreshed_to = self._revision if self._revision != known_revision else None
+        if refreshed_to is not None and batch.revision <= refreshed_to:
+            return
+        if refreshed_to is not None and not is_complete:
+            batch = self._leave_out_refreshed(batch, refreshed_to)
         self._apply(batch, self._replace_all if is_complete else self._apply_changes)
         if batch.records and self._batch_delay_s:
             # Registrations come in groups. Waiting for the rest of a group saves watch calls.
             await asyncio.sleep(self._batch_delay_s)
 
-    def _leave_out_refreshed(self, batch: Records, revision: int) -> Records:
-        """Return a batch without the changes from before a refresh that was complete to `revision`.
+    def _leave_out_refreshed(self, batch: Records, refreshed_to: int) -> Records:
+        """Return a batch without the changes from before a refresh, which would set records back.
 
         A deletion may name the revision of the last change before it.
         """
         records = [
             record
             for record in batch.records
-            if record.revision > revision
-            or (record.is_deleted and self._refreshed.get(record.name) == record.revision)
+            if record.revision > refreshed_to
+            or (record.is_deleted and self._refreshed_revisions.get(record.name) == record.revision)
         ]
         return replace(batch, records=tuple(records))
 
--- a/lentilring/takeover/service.py
+++ b/lentilring/takeover/service.py
@@ -232,16 +232,16 @@
         try:
             intent = await self._authority.read(takeover.service)
             await self._catalog.refresh_servers()
-            if self._may_begin(takeover, intent):
-                if takeover.old_primary is not None and takeover.reason in PLANNED:
-                    paused_primary = takeover.old_primary
-                    self._gateways.pause_primary_work(paused_primary.id)
-                    await self._clock.sleep(PRIMARY_DRAIN_S)
-                takeover = self._update_replicas(takeover)
-                takeover = await self._add_unregistered(takeover, control)
-                done = await self._replace_primary(takeover, control, intent)
-            else:
+            if not self._may_begin(takeover, intent):
                 done = True
+                return
+            if takeover.old_primary is not None and takeover.reason in PLANNED:
+                paused_primary = takeover.old_primary
+                self._gateways.pause_primary_work(paused_primary.id)
+                await self._clock.sleep(PRIMARY_DRAIN_S)
+            takeover = self._update_replicas(takeover)
+            takeover = await self._add_unregistered(takeover, control)
+            done = await self._replace_primary(takeover, control, intent)
         except StoreUnavailable as error:
             log.warning("takeover_postponed", service=takeover.service, detail=error.detail)
         finally:
