Pass no end of a silent connection on in the soak

The soak's relay closed a silenced connection when the other side did, so that a proxy noticed the silence. A connection that goes silent for good shows nothing at all; only time-outs of the proxy's own end it.

--- a/lentilring/soak/relay.py
+++ b/lentilring/soak/relay.py
@@ -21,7 +21,7 @@
 
 @dataclass(kw_only=True, eq=False)
 class _Link:
-    """Hold one relayed connection; once silenced, it drops all bytes until it closes."""
+    """Hold one relayed connection; once silenced, it passes on neither bytes nor its end."""
 
     writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter]
     silenced: bool = False
@@ -50,7 +50,7 @@
         self._target = target
 
     def begin(self, fault: LinkFault, *, delay_s: float = 0.0) -> None:
-        """Start a fault; SILENCE_OPEN affects only the connections that are open now."""
+        """Start a fault; SILENCE_OPEN affects only the connections that are open now, for good."""
         self.fault, self.delay_s = fault, delay_s
         if fault is LinkFault.SILENCE_OPEN:
             for link in self._links:
@@ -93,7 +93,8 @@
                 self._pump(link, far_reader, writer, LinkFault.CUT_ANSWERS),
             )
         finally:
-            self._links.discard(link)
+            if not link.silenced:
+                self._links.discard(link)
 
     async def _pump(
         self,
@@ -113,4 +114,5 @@
         except OSError:
             pass
         finally:
-            writer.transport.abort()
+            if not link.silenced:
+                writer.transport.abort()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -197,6 +197,35 @@
         run(scenario())
 
 
+class SilentLinkTest(TestCase):
+    def test_end_of_a_silent_connection_is_not_passed_on(self) -> None:
+        """Guards against a relay that shows a proxy that its connection was silent (review/11)."""
+
+        async def scenario() -> None:
+            accepted: list[asyncio.StreamWriter] = []
+
+            async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                accepted.append(writer)
+                await reader.read()
+
+            server = await asyncio.start_server(accept, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            relay = Relay(host="127.0.0.1")
+            await relay.start(f"{host}:{port}")
+            host, _, port = relay.address.rpartition(":")
+            reader, _ = await asyncio.open_connection(host, int(port))
+            while not accepted:
+                await asyncio.sleep(0.01)
+            relay.begin(LinkFault.SILENCE_OPEN)
+            accepted[0].close()
+            done, _ = await asyncio.wait({asyncio.ensure_future(reader.read())}, timeout=0.3)
+            self.assertEqual(set(), done)
+            await relay.stop()
+            server.close()
+
+        run(scenario())
+
+
 @pytest.mark.process
 class SoakTest(TestCase):
     def test_short_run_breaks_no_promise(self) -> None:
