--- a/tests/test_silent_watch.py
+++ b/tests/test_silent_watch.py
@@ -105,7 +105,7 @@
         run(scenario())
 
     def test_replica_that_started_again_empty_does_not_count_with_its_old_start(self) -> None:
-        """Guards against a copy that counts as heard although it lost its log (review/6)."""
+        """Guards against a copy that counts as heard although it lost its log."""
 
         async def scenario() -> None:
             async with run_behind_silent_watch() as platform:
