--- a/tests/takeover_faults.py
+++ b/tests/takeover_faults.py
@@ -173,15 +173,20 @@
         self._darken(self._random.choice(self.proxies).vm, after_s=(0.2, 3.0))
 
     def _darken(self, party: str, *, after_s: tuple[float, float]) -> None:
-        world = self.world
-        world.note(f"dark {party}")
-        world.dark.add(party)
+        self._keep_in(self.world.dark, party, fault="dark", after_s=after_s)
 
-        def lighten() -> None:
-            world.note(f"light {party}")
-            world.dark.discard(party)
+    def _keep_in(
+        self, group: set[str], party: str, *, fault: str, after_s: tuple[float, float]
+    ) -> None:
+        """Let a fault hold for one party, until a random time."""
+        self.world.note(f"{fault} {party}")
+        group.add(party)
+
+        def end() -> None:
+            self.world.note(f"end of {fault} {party}")
+            group.discard(party)
 
-        self._later(lighten, after_s=after_s)
+        self._later(end, after_s=after_s)
 
     def _deafen_replica(self) -> None:
         if server := self._choose(primary=False):
@@ -208,25 +213,11 @@
         return [*self.world.servers, *(proxy.vm for proxy in self.proxies)]
 
     def _cut_off_store(self, party: str) -> None:
-        self.world.note(f"no store {party}")
-        self.world.without_store.add(party)
-
-        def restore() -> None:
-            self.world.note(f"store {party}")
-            self.world.without_store.discard(party)
-
-        self._later(restore, after_s=(0.5, 9.0))
+        self._keep_in(self.world.without_store, party, fault="no store", after_s=(0.5, 9.0))
 
     def _silence_watch(self) -> None:
         vm = self._random.choice(self.proxies).vm
-        self.world.note(f"silent watches {vm}")
-        self.world.silent_watches.add(vm)
-
-        def end_silence() -> None:
-            self.world.note(f"watches {vm}")
-            self.world.silent_watches.discard(vm)
-
-        self._later(end_silence, after_s=(1.0, 9.0))
+        self._keep_in(self.world.silent_watches, vm, fault="silent watches", after_s=(1.0, 9.0))
 
     def _drain_primary(self) -> None:
         if server := self._choose(primary=True):
--- a/tests/takeover_world.py
+++ b/tests/takeover_world.py
@@ -26,7 +26,7 @@
 DOMAINS = ("casa-a", "mrk-a", "fes-a")
 NO_COMMITS = Position(term=0, number=0)
 MAX_STEP_S = 0.02
-# The platform's pages: a connection whose far end is dark is dropped after 3 s.
+# The platform drops a connection whose far end is dark for this long.
 DROP_S = 3.0
 LINK_POLL_S = 0.02
 REPLICATION_S = 0.02
@@ -225,8 +225,8 @@
         """Execute a call for the promotion of the process that ran when the call was sent."""
         target = self.servers[server]
         if not target.is_up or target.started_ms != started_ms:
-            # What the pages leave open, and proxies cannot prevent: that a call which was sent
-            # before the server started again is executed after that.
+            # A proxy could not prevent that a call which was sent before its server started again
+            # is executed after that.
             return PromotionResult.REFUSED
         if token < self._fence or server in self.dark:
             return PromotionResult.REFUSED
