Accept few callers in one pass of the event loop

Cause: asyncio accepts as many connections in one pass of the event loop as its backlog, 1024 here. Callers over the limit of sessions are closed some passes later and hold their descriptors until then.

Seen by callers: nothing while descriptors suffice; a burst of more than the 600 that are kept for other uses would leave none for the store, servers and peers.

Change: the listener lets asyncio accept 8 connections in one pass; the kernel keeps its backlog of 1024.

--- a/lentilring/sessions/listener.py
+++ b/lentilring/sessions/listener.py
@@ -50,6 +50,8 @@
 # Callers that were asked to leave close their connection within a round trip.
 LEAVE_TIMEOUT_S = 0.5
 BACKLOG = 1024
+# Limits the descriptors of connections that are about to be refused.
+ACCEPTS_PER_PASS = 8
 # How often connections are checked for messages and sessions that take too long.
 CHECK_INTERVAL_S = 0.5
 # While a statement runs, its bytes are in the request to the gateway, in the frame around it and in
@@ -121,9 +123,13 @@
     async def start(self) -> None:
         """Start to listen."""
         host, _, port = self._address.rpartition(":")
+        # asyncio accepts up to its backlog in one pass.
         self._server = await asyncio.get_running_loop().create_server(
-            self._make_protocol, host, int(port), backlog=BACKLOG
+            self._make_protocol, host, int(port), backlog=ACCEPTS_PER_PASS
         )
+        for listening in self._server.sockets:
+            with listening.dup() as duplicate:
+                duplicate.listen(BACKLOG)
         self._telemetry.observe("sessions", "1", lambda: len(self._connections))
         self._telemetry.observe("connection_bytes", "By", lambda: self._budget.total_bytes)
         self._check_later()
--- a/tests/test_closed_clients.py
+++ b/tests/test_closed_clients.py
@@ -1,7 +1,9 @@
 """What the proxy does, counts and logs when a caller of the statement protocol meets a limit."""
 
 import asyncio
-from contextlib import suppress
+import os
+import socket
+from contextlib import ExitStack, suppress
 from typing import Any
 
 import logbook
@@ -21,6 +23,9 @@
 )
 
 LEAST_CONNECTION_BYTES = 4 * 1024 * 1024
+BURST_SIZE = 200
+# As in tests/test_hostile_clients.py.
+OTHER_DESCRIPTORS = 60
 
 
 async def add_proxy(platform: PreparedPlatform, **settings: Any) -> Proxy:
@@ -29,6 +34,19 @@
     return proxy
 
 
+def count_descriptors() -> int:
+    return len(os.listdir("/proc/self/fd"))
+
+
+def connect_now(address: str) -> socket.socket:
+    """Begin a connection without a turn of the event loop."""
+    host, _, port = address.rpartition(":")
+    client = socket.socket()
+    client.setblocking(False)
+    client.connect_ex((host, int(port)))
+    return client
+
+
 def count_closed(proxy: Proxy, limit: ClientLimit) -> int:
     return proxy.telemetry.read("connections_closed", limit=limit)
 
@@ -105,6 +123,27 @@
 
         run(scenario())
 
+    def test_many_callers_at_once_take_few_descriptors(self) -> None:
+        """Guards against a burst of connections that are all accepted before one is refused."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=0) as platform:
+                proxy = await add_proxy(platform, max_sessions=2)
+                before = count_descriptors()
+                with ExitStack() as clients:
+                    for _ in range(BURST_SIZE):
+                        clients.enter_context(connect_now(proxy.settings.session_address))
+                    peak = 0
+                    while (
+                        proxy.telemetry.read("sessions_rejected", reason="too_many")
+                        < BURST_SIZE - 2
+                    ):
+                        await asyncio.sleep(0)
+                        peak = max(peak, count_descriptors())
+                self.assertLess(peak - before - BURST_SIZE, OTHER_DESCRIPTORS)
+
+        run(scenario())
+
     def test_new_caller_gets_the_place_of_a_silent_connection(self) -> None:
         """Guards against silent connections that keep callers out, and against closing sessions."""
 
