Repeat a promotion only while its server has kept its log

Cause: RepeatedPromotion sends the call for a promotion again after half a second without an answer, by time alone. A replica that starts again after the takeover's last check is empty and no longer paused, and the repeated call makes it the primary.

Seen by callers: every acknowledged write of the service is lost.

Change: before each repeated call the supervisor reads the server's status over the takeover's connection. It calls only if the server leads or is still paused at the position for which it was chosen; else it looks again half a second later, until the time of all calls is over.

--- a/lentilring/takeover/asking.py
+++ b/lentilring/takeover/asking.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 from ..clock import Clock
 from .authority import PromotionResult, PromotionService
@@ -24,11 +24,26 @@
     def __init__(self, *, promotion: PromotionService, clock: Clock) -> None:
         self._promotion, self._clock = promotion, clock
 
-    async def ask(self, *, service: str, server: str, holder: str, token: int) -> PromotionResult:
-        """Return the answer; a refusal counts only if no other call can still be executed."""
+    async def ask(
+        self,
+        *,
+        service: str,
+        server: str,
+        holder: str,
+        token: int,
+        is_unchanged: Callable[[], Awaitable[bool]],
+    ) -> PromotionResult:
+        """Return the answer; a refusal counts only if no other call can still be executed.
+
+        Calls are repeated while `is_unchanged` tells that the server has not started again.
+        """
         calls: list[asyncio.Task[PromotionResult]] = []
+        end = self._clock.monotonic() + MAX_ASKING_S
         try:
-            while len(calls) < PROMOTION_CALLS:
+            while len(calls) < PROMOTION_CALLS and self._clock.monotonic() < end:
+                if calls and not await is_unchanged():
+                    await self._clock.sleep(PROMOTION_ANSWER_S)
+                    continue
                 call = self._promotion.promote(
                     service=service, server=server, holder=holder, token=token
                 )
--- a/lentilring/takeover/service.py
+++ b/lentilring/takeover/service.py
@@ -395,7 +395,7 @@
         if not await self._is_still_paused(takeover, control, choice, term):
             log.warning("takeover_superseded", service=takeover.service)
             return False
-        return await self._promote(takeover, choice, claimed)
+        return await self._promote(takeover, control, choice, claimed, term)
 
     def _find_unheard(
         self,
@@ -459,7 +459,12 @@
         return deposed
 
     async def _promote(
-        self, takeover: _Takeover, choice: Successor, claimed: PromotionIntent
+        self,
+        takeover: _Takeover,
+        control: ReplicaControl,
+        choice: Successor,
+        claimed: PromotionIntent,
+        term: int,
     ) -> bool:
         log.warning(
             "promotion_asked",
@@ -476,6 +481,7 @@
                 server=choice.server.id,
                 holder=self._fleet.local.vm,
                 token=claimed.version,
+                is_unchanged=lambda: self._has_kept_log(control, choice, term),
             )
         )
         try:
@@ -500,6 +506,14 @@
             self._gateways.announce_leader(takeover.service)
         return True
 
+    async def _has_kept_log(self, control: ReplicaControl, choice: Successor, term: int) -> bool:
+        """Tell whether the chosen server answers and has not started again since it was paused."""
+        status = (await control.read_all([choice.server])).get(choice.server.id)
+        if status is None:
+            return False
+        is_paused = status.paused_below_term >= term and status.received == choice.received
+        return is_paused or _is_primary(status)
+
     async def _complete_open_intent(
         self, service: str, intent: PromotionIntent, leading: str
     ) -> None:
--- a/tests/takeover_faults.py
+++ b/tests/takeover_faults.py
@@ -58,12 +58,9 @@
         *,
         seed: int,
         registers_late: bool = False,
-        restarts_promoted: bool = False,
         adds_servers: bool = False,
     ) -> None:
         self.world = World(seed=seed, registers_late=registers_late)
-        # Whether a server may start again while its promotion is recorded.
-        self._restarts_promoted = restarts_promoted
         self._random = self.world.random
         self._network = PeerNetwork(world=self.world)
         self.proxies: list[ModelProxy] = []
@@ -149,15 +146,9 @@
         return self._random.choice(servers) if servers else None
 
     def _crash_replica(self) -> None:
-        if server := self._choose_crashing():
+        if server := self._choose(primary=False):
             self.world.crash(server, for_s=self._random.uniform(*REPLICA_DOWN_S))
 
-    def _choose_crashing(self) -> ModelServer | None:
-        server = self._choose(primary=False)
-        if server is None or self._restarts_promoted:
-            return server
-        return None if self.world.is_being_promoted(server.id) else server
-
     def _crash_primary(self) -> None:
         if server := self._choose(primary=True):
             self.world.crash(server, for_s=self._random.uniform(0.1, 7.0))
@@ -205,7 +196,7 @@
 
     def _restart_behind_cut(self) -> None:
         """Let a replica that cannot register start again, so that its entry is an old one."""
-        if server := self._choose_crashing():
+        if server := self._choose(primary=False):
             self._cut_off_store(server.id)
             self.world.crash(server, for_s=self._random.uniform(*REPLICA_DOWN_S))
 
--- a/tests/takeover_guards.py
+++ b/tests/takeover_guards.py
@@ -91,6 +91,9 @@
     "last check": Guard(
         owner=TakeoverService, function="_is_still_paused", substitute=_return_true, first_seed=83
     ),
+    "repeated calls": Guard(
+        owner=TakeoverService, function="_has_kept_log", substitute=_return_true, first_seed=11
+    ),
     "registrations from the store": Guard(
         owner=CatalogService, function="refresh_servers", substitute=_do_nothing, first_seed=296
     ),
--- a/tests/takeover_links.py
+++ b/tests/takeover_links.py
@@ -99,9 +99,7 @@
             return await world.promote(server, token, started_ms=started_ms)
 
         # A call goes on after its caller has ended.
-        world.calls.update([server])
         executed = world.keep_running(execute())
-        executed.add_done_callback(lambda _: world.calls.subtract([server]))
         done, _ = await asyncio.wait({executed}, timeout=2 * STORE_TIMEOUT_S)
         await world.take_step(self._vm, f"answer to promote {server}")
         if not done or loses_answer or not world.reaches(STORE, self._vm):
--- a/tests/takeover_search.py
+++ b/tests/takeover_search.py
@@ -5,7 +5,7 @@
 
 from .takeover_guards import GUARDS, find_loss, play
 
-FAULTS = ("registers_late", "restarts_promoted", "adds_servers")
+FAULTS = ("registers_late", "adds_servers")
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
--- a/tests/takeover_world.py
+++ b/tests/takeover_world.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-from collections import Counter
 from collections.abc import Callable, Coroutine
 from contextvars import Context
 from dataclasses import dataclass, field, replace
@@ -17,7 +16,7 @@
 from lentilring.catalog.model import ServerEntry, ServerRole
 from lentilring.catalog.source import Record, RecordKind, Records
 from lentilring.gateways.server import ReplicationStatus
-from lentilring.platform.store import Kind, StoredObject, VersionConflict
+from lentilring.platform.store import StoredObject, VersionConflict
 from lentilring.statements.model import Position
 from lentilring.takeover.authority import PromotionResult
 
@@ -105,8 +104,6 @@
         self.on_step: Callable[[str, str], None] = lambda party, step: None
         self.store = ModelStore(world=self)
         self._fence = 0
-        # Calls for a promotion that may still be executed, by their server.
-        self.calls: Counter[str] = Counter()
         self._committed = asyncio.Condition()
 
     @property
@@ -215,12 +212,6 @@
             self.note(f"LOST {len(lost)}: {','.join(sorted(lost))}")
         self.lost |= lost
 
-    def is_being_promoted(self, server: str) -> bool:
-        """Tell whether a promotion of a server is recorded that may still take effect."""
-        record = self.store.get(Kind.PROMOTION, SERVICE)
-        value = {} if record is None else record.value or {}
-        return self.calls[server] > 0 or bool(value.get("open") and value["server"] == server)
-
     async def promote(self, server: str, token: int, *, started_ms: int) -> PromotionResult:
         """Execute a call for the promotion of the process that ran when the call was sent."""
         target = self.servers[server]
--- a/tests/test_promotion_calls.py
+++ b/tests/test_promotion_calls.py
@@ -1,6 +1,7 @@
 """Repeated calls for one promotion: which answer counts."""
 
 import asyncio
+from collections.abc import Sequence
 
 from testtools import TestCase
 
@@ -26,10 +27,19 @@
         return answer or PromotionResult.UNKNOWN
 
 
-def ask(*answers: PromotionResult | None) -> tuple[PromotionResult, int]:
-    platform = FakePlatform(*answers)
+def ask(
+    *answers: PromotionResult | None, checks: Sequence[bool] = ()
+) -> tuple[PromotionResult, int]:
+    """Ask with these answers of the platform; the server is unchanged after all `checks`."""
+    platform, remaining = FakePlatform(*answers), iter(checks)
+
+    async def is_unchanged() -> bool:
+        return next(remaining, True)
+
     promotion = RepeatedPromotion(promotion=platform, clock=LoopClock())
-    result = run_virtual(promotion.ask(service="s", server="i", holder="vm", token=7))
+    result = run_virtual(
+        promotion.ask(service="s", server="i", holder="vm", token=7, is_unchanged=is_unchanged)
+    )
     assert set(platform.tokens) == {7}
     return result, len(platform.tokens)
 
@@ -48,3 +58,13 @@
         """Guards against resuming replicas while an earlier call may still be executed."""
         answers = (None, PromotionResult.BUSY, PromotionResult.REFUSED)
         self.assertEqual((PromotionResult.UNKNOWN, 3), ask(*answers))
+
+    def test_server_that_has_started_again_is_not_asked_for_again(self) -> None:
+        """Guards against a repeated call that makes an empty server the primary."""
+        answers = (None, PromotionResult.ACCEPTED)
+        self.assertEqual((PromotionResult.UNKNOWN, 1), ask(*answers, checks=[False] * 10))
+
+    def test_server_without_an_answer_is_looked_at_again(self) -> None:
+        """Guards against one lost status that ends the calls."""
+        answers = (None, PromotionResult.ACCEPTED)
+        self.assertEqual((PromotionResult.ACCEPTED, 2), ask(*answers, checks=[False]))
--- a/tests/test_takeover_steps.py
+++ b/tests/test_takeover_steps.py
@@ -38,7 +38,7 @@
 
 def test_promoted_server_that_has_started_again_is_not_asked_for_again() -> None:
     """Guards against a repeated call that promotes a server which has lost its log."""
-    assert not [seed for seed in RESTARTED_SERVERS if play(seed, restarts_promoted=True).lost]
+    assert not [seed for seed in RESTARTED_SERVERS if play(seed).lost]
 
 
 def test_copy_that_is_not_recorded_confirms_nothing() -> None:
