Begin no planned takeover while its proxy records the copies

Cause: one check of a service may begin both a takeover and an update of the record of copies. The update changes the record between the takeover's reading and its claim, so the claim fails and the takeover begins again half a second later.

Seen by callers: a leaving or evacuated primary is replaced half a second later than possible. It serves meanwhile.

Change: a planned takeover begins once no update of the same proxy runs.

--- a/lentilring/takeover/service.py
+++ b/lentilring/takeover/service.py
@@ -175,6 +175,9 @@
             return
         if not self._catalog.knows_all_servers():
             return
+        if reason in PLANNED and self._upkeep.is_updating(service):
+            # The update changes the record, so that the takeover could not claim it.
+            return
         replicas = self._find_replicas(service, primary)
         if not replicas:
             return
--- a/lentilring/takeover/upkeep.py
+++ b/lentilring/takeover/upkeep.py
@@ -66,6 +66,10 @@
         self._updates[service] = task
         task.add_done_callback(lambda done: self._finish(service, done))
 
+    def is_updating(self, service: str) -> bool:
+        """Tell whether an update of a service's record is under way."""
+        return service in self._updates
+
     def stop(self) -> None:
         """Cancel all updates."""
         for task in self._updates.values():
--- a/tests/takeover_faults.py
+++ b/tests/takeover_faults.py
@@ -64,6 +64,7 @@
         self._random = self.world.random
         self._network = PeerNetwork(world=self.world)
         self.proxies: list[ModelProxy] = []
+        self._running: asyncio.Task[None] | None = None
         self._incarnations = 0
         self._faults = 0
         self._fault_share = self._random.choice(FAULT_SHARES)
@@ -89,11 +90,7 @@
 
     async def play(self) -> None:
         """Play for PLAY_S after the first failure of the primary."""
-        track_tasks(asyncio.get_running_loop())
-        self.world.store.put_record(RecordKind.MANIFEST, "manifest", MANIFEST)
-        running = asyncio.ensure_future(self.world.run())
-        for number in range(len(DOMAINS)):
-            self.proxies.append(self._start_proxy(number))
+        self.start()
         await asyncio.sleep(SETTLED_S)
         if self._random.random() < DEAF_SHARE:
             self._deafen_replica()
@@ -106,9 +103,22 @@
             self._later(self._random.choice(self._kinds), after_s=(0.0, TAKEOVER_S))
         self._later(self._fail_primary, after_s=(MIN_RECOVERY_S, PLAY_S))
         await asyncio.sleep(PLAY_S)
+        self.stop()
+
+    def start(self) -> None:
+        """Start the servers and proxies."""
+        track_tasks(asyncio.get_running_loop())
+        self.world.store.put_record(RecordKind.MANIFEST, "manifest", MANIFEST)
+        self._running = asyncio.ensure_future(self.world.run())
+        for number in range(len(DOMAINS)):
+            self.proxies.append(self._start_proxy(number))
+
+    def stop(self) -> None:
+        """End the proxies and the servers."""
         for proxy in self.proxies:
             proxy.kill()
-        running.cancel()
+        if self._running is not None:
+            self._running.cancel()
 
     def _fail_primary(self) -> None:
         self._random.choice([self._crash_primary, self._darken_primary, self._partition])()
