Count the silence of a primary from when it leads

Cause: a supervisor counts for how long a service has had no proof of its primary, and for how long commits have gone unconfirmed. Both went on when another server became the primary, so that it was due for replacement at the moment at which it was known.

Seen by callers: a second takeover right after the first one stops the replicas of the new primary until it gives up. A commit meanwhile is answered "the commit may be lost", and writes wait. No commit is lost.

Change: PrimaryWatch remembers since when each service has had its present primary; neither time is taken for longer than that. The first primary that a process knows counts as an old one, so that a start forgives nothing.

--- a/lentilring/takeover/reasons.py
+++ b/lentilring/takeover/reasons.py
@@ -1,5 +1,6 @@
 """Reasons to replace a service's primary, and when to act on them."""
 
+import math
 from dataclasses import dataclass
 from enum import StrEnum, unique
 
@@ -91,6 +92,25 @@
         return now - self._since >= patience_s
 
 
+class PrimaryWatch:
+    """Track since when each service has had its present primary."""
+
+    def __init__(self) -> None:
+        self._primaries: dict[str, tuple[str, float]] = {}
+
+    def update(self, service: str, primary: str, now: float) -> None:
+        """Record the primary of a service; the first one that is known counts as an old one."""
+        if service not in self._primaries:
+            self._primaries[service] = primary, -math.inf
+        elif self._primaries[service][0] != primary:
+            self._primaries[service] = primary, now
+
+    def find_age_s(self, service: str, now: float) -> float:
+        """Return for how long the primary of a service has been known to lead."""
+        _, since = self._primaries.get(service, ("", -math.inf))
+        return now - since
+
+
 class PromotionWatch:
     """Track for how long the promotion that another proxy recorded has been open."""
 
--- a/lentilring/takeover/service.py
+++ b/lentilring/takeover/service.py
@@ -25,6 +25,7 @@
     PLANNED,
     RANK_DELAY_S,
     PrimaryObservation,
+    PrimaryWatch,
     PromotionWatch,
     ReplacementReason,
     ReplacementWatch,
@@ -91,6 +92,7 @@
             clock=clock,
         )
         self._watches: dict[str, ReplacementWatch] = {}
+        self._primaries = PrimaryWatch()
         self._promotions = PromotionWatch(local_vm=fleet.local.vm)
         self._takeovers: dict[str, asyncio.Task[None]] = {}
         # Services whose newest promotion by this proxy may still take effect.
@@ -137,6 +139,8 @@
                 continue
             manifest = self._catalog.manifest
             for service in manifest.services if manifest is not None else ():
+                if (primary := self._catalog.find_primary(service)) is not None:
+                    self._primaries.update(service, primary.id, self._clock.boottime())
                 rank = self._find_rank(service)
                 if rank is None:
                     self._watches.pop(service, None)
@@ -191,8 +195,10 @@
         return tuple(entry for entry in entries if primary is None or entry.id != primary.id)
 
     def _observe(self, service: str, primary: ServerEntry | None) -> PrimaryObservation:
-        newest = self._gateways.get_history(service).find_newest()
-        proof_age_s = None if newest is None else self._clock.boottime() - newest.taken_at
+        newest, now = self._gateways.get_history(service).find_newest(), self._clock.boottime()
+        # What was missing before a new primary led says nothing of it.
+        lead_age_s = self._primaries.find_age_s(service, now)
+        proof_age_s = None if newest is None else min(now - newest.taken_at, lead_age_s)
         if primary is None:
             return PrimaryObservation(
                 is_registered=False,
@@ -206,7 +212,7 @@
             is_draining=primary.is_draining,
             is_evacuated=self._catalog.is_evacuated(primary),
             proof_age_s=proof_age_s,
-            commit_silence_s=self._sampler.commit_silence_s(service),
+            commit_silence_s=min(self._sampler.commit_silence_s(service), lead_age_s),
         )
 
     def _finish(self, service: str, task: asyncio.Task[None]) -> None:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -21,6 +21,7 @@
     MIN_PERSISTENCE_S,
     RANK_DELAY_S,
     PrimaryObservation,
+    PrimaryWatch,
     PromotionWatch,
     ReplacementReason,
     ReplacementWatch,
@@ -219,6 +220,15 @@
         watch.update(ReplacementReason.SILENT, 10.7)
         self.assertFalse(watch.is_due(rank=0, was_proved=True, now=10.8))
 
+    def test_age_of_a_lead_counts_from_a_change_of_the_primary(self) -> None:
+        """Guards against blaming a new primary, and against forgiving one at each start."""
+        watch = PrimaryWatch()
+        watch.update("rental", "a", 10.0)
+        self.assertGreater(watch.find_age_s("rental", 10.0), 1000)
+        watch.update("rental", "b", 20.0)
+        watch.update("rental", "b", 21.0)
+        self.assertEqual(1.5, watch.find_age_s("rental", 21.5))
+
 
 class LeadershipTest(TestCase):
     def test_denied_primary_is_not_believed_until_it_registers_again(self) -> None:
