Count a statement as unanswered as soon as it was read

Cause: a statement counted as unanswered from the moment at which it was served. Its bytes are counted before that, which may close its own connection.

Seen by callers: nothing but the connection that is closed. Operators do not see the statement in the log or in statements_unanswered.

Evidence: of two connections that hold the same, the one that arrived first is closed.

Change: the statement is noted before its bytes are counted.

--- a/lentilring/sessions/listener.py
+++ b/lentilring/sessions/listener.py
@@ -483,7 +483,6 @@
         if message is None or isinstance(message, CloseSession):
             return False
         if isinstance(message, Query):
-            self._unanswered = message
             self._expects_statement_until = 0.0
             if self._end_announced_at is not None:
                 await self._finish_announced_answer(session, message)
@@ -561,6 +560,8 @@
             return None
         message = self._codec.decode(line)
         if isinstance(message, Query):
+            # Set first, as counting the bytes may close this connection.
+            self._unanswered = message
             # The copies that decoding makes in between are those of one message at a time.
             self._running_bytes = sys.getsizeof(message.text) + RUNNING_COPIES * len(line)
             self._account(self)
--- a/tests/test_closed_clients.py
+++ b/tests/test_closed_clients.py
@@ -123,6 +123,33 @@
 
         run(scenario())
 
+    def test_statement_that_closes_its_own_client_is_counted(self) -> None:
+        """Guards against a statement that was read and is neither answered nor logged."""
+
+        async def scenario() -> None:
+            async with run_prepared_platform(proxies=0) as platform:
+                proxy = await add_proxy(platform, connection_bytes=LEAST_CONNECTION_BYTES)
+                for server in platform.group.servers:
+                    server.faults.silent = True
+                late, running = [await proxy.open("booking") for _ in range(2)]
+                message = f"QUERY q WRITE a {'x' * 600_000}\r\n".encode()
+                listener = proxy.kernel.find("sessions", SessionListener)
+                # Of two that hold the same, the one that arrived first is closed.
+                late._writer.write(message[:300_000])
+                await wait_until(lambda: listener._budget.total_bytes >= 300_000, within_s=2.0)
+                running._writer.write(message)
+                await wait_until(lambda: listener._budget.total_bytes >= 2_700_000, within_s=2.0)
+                late._writer.write(message[300_000:])
+                await wait_until(
+                    lambda: count_closed(proxy, ClientLimit.CONNECTION_BYTES) == 1, within_s=2.0
+                )
+                await wait_until(lambda: len(listener._tasks) == 1, within_s=2.0)
+                self.assertEqual(1, proxy.telemetry.read("statements_unanswered", stopping="false"))
+                for client in (late, running):
+                    client.close()
+
+        run(scenario())
+
     def test_many_callers_at_once_take_few_descriptors(self) -> None:
         """Guards against a burst of connections that are all accepted before one is refused."""
 
