Hear replicas only over connections as old as their registrations

Cause: a takeover took the start time of a replica that answers from its registration, as STATUS tells none. Behind a cut from the store, or before the first heartbeat of the new process, the registration is that of the process before, so a replica that had started again empty counted as heard.

Change: a registration is removed three heartbeats after the last sign of its process, so an open connection that is older than that when the registration is confirmed is to the registered process. Supervisors keep such connections open; after the pause a takeover asks each replica over its own and waits for those whose connection is too young.

--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -201,6 +201,7 @@
         connector=PlatformServerConnector(),
         authority=authority,
         promotion=promotion,
+        registration_lapse_s=settings.registration_lapse_s,
         clock=clock,
         telemetry=telemetry,
     )
