--- a/lentilring/catalog/departures.py
+++ b/lentilring/catalog/departures.py
@@ -12,7 +12,6 @@
 @dataclass(frozen=True, kw_only=True)
 class _Departure:
     entry: ServerEntry
-    registered_until: float
     removed_at: float
 
 
@@ -23,16 +22,14 @@
         self._clock = clock
         self._departures: dict[str, _Departure] = {}
 
-    def add(self, entry: ServerEntry, *, registered_until: float) -> None:
-        """Remember a server that is removed now, and when its entry was last confirmed."""
+    def add(self, entry: ServerEntry) -> None:
+        """Remember a server that is removed now."""
         self._departures = {
             server: departure
             for server, departure in self._departures.items()
             if self._is_recent(departure)
         }
-        self._departures[entry.id] = _Departure(
-            entry=entry, registered_until=registered_until, removed_at=self._clock.boottime()
-        )
+        self._departures[entry.id] = _Departure(entry=entry, removed_at=self._clock.boottime())
 
     def discard(self, server: str) -> None:
         """Forget a server, because it is registered again."""
@@ -43,11 +40,6 @@
         departure = self._departures.get(server)
         return departure.entry if departure is not None and self._is_recent(departure) else None
 
-    def find_registered_until(self, server: str) -> float | None:
-        """Return when the entry of a server that was removed lately was last confirmed."""
-        departure = self._departures.get(server)
-        return None if departure is None else departure.registered_until
-
     def list_lapsed(self, service: str) -> tuple[ServerEntry, ...]:
         """Return the servers of a service that were removed without leaving."""
         return tuple(
--- a/lentilring/catalog/follower.py
+++ b/lentilring/catalog/follower.py
@@ -90,8 +90,6 @@
         if batch.revision > (self._revision or 0):
             self._refreshed_revisions = {record.name: record.revision for record in batch.records}
             self._apply(batch, self._replace_all)
-        elif batch.revision == self._revision:
-            self.confirmed_at = max(self.confirmed_at, batch.confirmed_at)
 
     async def _step(self) -> None:
         known_revision = self._revision
--- a/lentilring/catalog/service.py
+++ b/lentilring/catalog/service.py
@@ -67,8 +67,6 @@
         self._evacuation_timer: asyncio.TimerHandle | None = None
         self._departed = DepartedServers(clock=clock)
         self._removal_timers: dict[str, asyncio.TimerHandle] = {}
-        # Of servers whose registrations are missing, on the boot clock.
-        self._registered_until: dict[str, float] = {}
         self._waiters: list[asyncio.Future[None]] = []
         self._callbacks: list[Callable[[], None]] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -244,13 +242,6 @@
         """Return the servers whose registrations are missing, but may only have lapsed."""
         return frozenset(self._removal_timers)
 
-    def find_registered_until(self, server: str) -> float:
-        """Return a time of the boot clock at which the known entry of a server was registered."""
-        if server in self._registered_until:
-            return self._registered_until[server]
-        departed_until = self._departed.find_registered_until(server)
-        return self._registrations.confirmed_at if departed_until is None else departed_until
-
     def is_evacuated(self, server: ServerEntry) -> bool:
         """Tell whether a server's failure domain is evacuated and accepts no new work."""
         return server.failure_domain in self.evacuated
@@ -325,7 +316,6 @@
         timer = self._removal_timers.pop(entry.id, None)
         if timer is not None:
             timer.cancel()
-        self._registered_until.pop(entry.id, None)
         if self.servers.entries.get(entry.id) == entry:
             return
         known = self.servers.entries.get(entry.id) or self._departed.find(entry.id)
@@ -362,8 +352,6 @@
 
     def _schedule_removal(self, server: str) -> None:
         """Remove a server; later if it was not draining, as its registration may have lapsed."""
-        # The confirmation before the one that lacks the server.
-        self._registered_until.setdefault(server, self._registrations.confirmed_at)
         if self.servers.entries[server].is_draining:
             self._remove(server)
         elif server not in self._removal_timers:
@@ -374,10 +362,8 @@
     def _remove(self, server: str) -> None:
         self._removal_timers.pop(server, None)
         self._draining_since.pop(server, None)
-        registered_until = self._registered_until.pop(server, float("-inf"))
         if server in self.servers.entries:
-            entry = self.servers.entries[server]
-            self._departed.add(entry, registered_until=registered_until)
+            self._departed.add(self.servers.entries[server])
             self.servers = self.servers.remove(server)
             log.info("server_removed", server=server)
             self._notify_subscribers()
--- a/lentilring/gateways/renewal.py
+++ b/lentilring/gateways/renewal.py
@@ -28,7 +28,6 @@
 MAX_IDLE_S = 1.5
 # How often a proxy that may need a lease later looks after its connections.
 PREPARATION_INTERVAL_S = 0.5
-ASKING_POLL_S = 0.02
 # The first one that a caller waits for may have begun too early; a second one has not.
 RENEWALS_PER_CALLER = 2
 
@@ -73,7 +72,6 @@
         self._links: dict[str, _Link] = {}
         self._openings = SharedCalls[str, _Link]()
         self._preparations = SharedCalls[str, None]()
-        self._reopenings = SharedCalls[str, None]()
         self._prepared_at: dict[str, float] = {}
         self._servers_being_asked: set[str] = set()
         self._used_at: dict[str, float] = {}
@@ -89,7 +87,6 @@
         """Cancel all renewals and close all connections."""
         self._renewals.cancel()
         self._preparations.cancel()
-        self._reopenings.cancel()
         self._openings.cancel()
         for link in self._links.values():
             link.session.close()
@@ -113,29 +110,6 @@
             link = await self._open(replica)
             await self._is_counted(replica, server.id, link.opened_at)
 
-    def keep_open(self, servers: Iterable[ServerEntry]) -> None:
-        """Keep connections to servers open, whose ages show since when the servers have run."""
-        now = self._clock.monotonic()
-        for server in servers:
-            self._used_at[server.id] = now
-            link = self._links.get(server.id)
-            if link is None or link.session.is_closed:
-                self._reopenings.start(server.id, partial(self._reopen, server))
-
-    async def _reopen(self, server: ServerEntry) -> None:
-        with suppress(ServerUnreachable, ServerRefused):
-            await self._open(server)
-            return
-        await self._clock.sleep(PREPARATION_INTERVAL_S)
-
-    async def find_running_since(self, server: ServerEntry) -> float | None:
-        """Return a time since which a server that answers now has run, None without an answer."""
-        end = self._clock.monotonic() + STATUS_TIMEOUT_S
-        while server.id in self._servers_being_asked and self._clock.monotonic() < end:
-            await self._clock.sleep(ASKING_POLL_S)
-        answered = await self._ask_link(server)
-        return None if answered is None else answered[0].opened_at
-
     def _list_replicas(self, server: ServerEntry) -> list[ServerEntry]:
         entries = self._catalog.servers.by_service.get(server.service, ())
         return [entry for entry in entries if entry.id != server.id]
@@ -211,18 +185,6 @@
         return [answer for answer, counts in zip(following, counted, strict=True) if counts]
 
     async def _ask(self, server: ServerEntry) -> _Answer | None:
-        answered = await self._ask_link(server)
-        if answered is None:
-            return None
-        link, status = answered
-        if isinstance(status, Failure):
-            return None
-        return _Answer(server=server, status=status, link_opened_at=link.opened_at)
-
-    async def _ask_link(
-        self, server: ServerEntry
-    ) -> tuple[_Link, ReplicationStatus | Failure] | None:
-        """Return what a server answers and the connection over which it does."""
         if server.id in self._servers_being_asked:
             return None
         self._servers_being_asked.add(server.id)
@@ -234,7 +196,9 @@
             return None
         finally:
             self._servers_being_asked.discard(server.id)
-        return link, status
+        if isinstance(status, Failure):
+            return None
+        return _Answer(server=server, status=status, link_opened_at=link.opened_at)
 
     async def _renew_by_one(self, server: ServerEntry, replicas: list[ServerEntry]) -> bool:
         """Renew a lease by asking one replica, since status calls are billed."""
--- a/lentilring/gateways/service.py
+++ b/lentilring/gateways/service.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import time
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from functools import partial
 from random import Random
@@ -231,14 +231,6 @@
         """Get ready to be the gateway of a primary, for which the store may be away then."""
         self._renewal.prepare(server)
 
-    def keep_connected(self, servers: Iterable[ServerEntry]) -> None:
-        """Keep connections to servers open, which show whether the servers start again."""
-        self._renewal.keep_open(servers)
-
-    async def find_running_since(self, server: ServerEntry) -> float | None:
-        """Return a time since which a server that answers now has run, None without an answer."""
-        return await self._renewal.find_running_since(server)
-
     def announce_leader(self, service: str) -> None:
         """Tell all proxies which server is the primary, as some may not reach the store."""
         leader = self._catalog.leadership.find_known_leader(service)
--- a/lentilring/platform/boot.py
+++ b/lentilring/platform/boot.py
@@ -26,10 +26,6 @@
 DRAIN_MARGIN_S = 1.0
 # Time for the announcement to reach this proxy and for the last statements to reach the server.
 WITHDRAWAL_MARGIN_S = 1.5
-# A registration is removed after this many intervals without a heartbeat.
-HEARTBEATS_TO_LAPSE = 3
-# A heartbeat may be on its way for this long.
-LAPSE_MARGIN_S = 0.4
 USAGE_DUTY = "usage_report"
 
 # Entry of `invariants` that asks for servers to be judged and paced by their answers.
@@ -89,7 +85,6 @@
     platform: _Endpoint
     cloud_api: _CloudApi
     limits: _Limits = msgspec.field(default_factory=_Limits)
-    heartbeat_ms: float = 1200
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     # What the platform checks, by name.
     invariants: tuple[str, ...] = ()
@@ -127,7 +122,6 @@
         "limit_slack": bounds.quota_slack,
         "leaving_grace_s": max(0.0, bounds.drain_ms / 1000 - WITHDRAWAL_MARGIN_S),
         "evacuation_grace_s": max(0.0, bounds.evacuate_ms / 1000 - WITHDRAWAL_MARGIN_S),
-        "registration_lapse_s": HEARTBEATS_TO_LAPSE * boot.heartbeat_ms / 1000 + LAPSE_MARGIN_S,
         "drain_timeout_s": max(0.5, bounds.grace_s - DRAIN_MARGIN_S),
         "transaction_end_time_s": bounds.grace_s / 2,
         "judges_servers": HEALTH_INVARIANT in boot.invariants,
--- a/lentilring/session_process.py
+++ b/lentilring/session_process.py
@@ -201,7 +201,6 @@
         connector=PlatformServerConnector(),
         authority=authority,
         promotion=promotion,
-        registration_lapse_s=settings.registration_lapse_s,
         clock=clock,
         telemetry=telemetry,
     )
--- a/lentilring/session_settings.py
+++ b/lentilring/session_settings.py
@@ -104,15 +104,6 @@
             ge=0, le=3600, description="time that an evacuated primary still gets work, in seconds"
         ),
     ] = 3.0
-    registration_lapse_s: Annotated[
-        float,
-        Meta(
-            ge=0,
-            le=3600,
-            description="time after which the registration of a silent server is gone, in seconds;"
-            " 0: registrations show each restart at once",
-        ),
-    ] = 4.0
     drain_timeout_s: Annotated[
         float,
         Meta(ge=0, le=300, description="time from SIGTERM to the end of draining, in seconds"),
--- a/lentilring/takeover/service.py
+++ b/lentilring/takeover/service.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
-from functools import partial
 from itertools import islice
 
 from ..catalog.fleet import FleetService
@@ -77,7 +76,6 @@
         connector: ServerConnector,
         authority: PromotionAuthority,
         promotion: PromotionService,
-        registration_lapse_s: float,
         clock: SuspensionClock,
         telemetry: Telemetry,
     ) -> None:
@@ -85,7 +83,6 @@
         self._sampler, self._connector = sampler, connector
         self._authority = authority
         self._promotion = RepeatedPromotion(promotion=promotion, clock=clock)
-        self._registration_lapse_s = registration_lapse_s
         self._clock, self._telemetry = clock, telemetry
         self._upkeep = CopyUpkeep(
             catalog=catalog,
@@ -167,14 +164,11 @@
         watch = self._watches.setdefault(service, ReplacementWatch())
         primary = self._catalog.find_primary(service)
         reason = find_replacement_reason(self._observe(service, primary))
-        replicas = self._find_replicas(service, primary)
-        # A proxy that has just started may not know yet who else supervises.
-        if self._registration_lapse_s and self._catalog.knows_all_servers():
-            self._gateways.keep_connected(replicas)
         watch.update(reason, now)
         # A primary without a proof may lack a recorded replica, so the record is kept then too.
         may_serve = reason is None or reason in PLANNED or reason is ReplacementReason.SILENT
         if primary is not None and may_serve and service not in self._takeovers:
+            # A proxy that has just started may not know yet who else supervises.
             if self._catalog.knows_all_servers():
                 self._gateways.prepare_lease(primary)
             self._upkeep.check(primary, delay_s=rank * RANK_DELAY_S)
@@ -188,6 +182,7 @@
         if reason in PLANNED and self._upkeep.is_updating(service):
             # The update changes the record, so that the takeover could not claim it.
             return
+        replicas = self._find_replicas(service, primary)
         if not replicas:
             return
         takeover = _Takeover(service=service, reason=reason, old_primary=primary, replicas=replicas)
@@ -357,6 +352,7 @@
             log.info("takeover_not_needed", service=takeover.service, leading="the old primary")
             return False
         statuses = await control.read_all(takeover.replicas)
+        unheard = self._find_unheard(takeover, statuses, intent)
         leading = [server for server, status in statuses.items() if _is_primary(status)]
         if leading:
             log.info("takeover_not_needed", service=takeover.service, leading=leading[0])
@@ -365,7 +361,6 @@
                 takeover.service, leading[0], statuses[leading[0]].term
             )
             return True
-        unheard = await self._find_unheard(takeover, control, statuses, intent)
         if unheard:
             # Nothing is paused: the primary may serve, though this proxy does not reach it.
             self._log_undecided(takeover, f"waiting for {','.join(unheard)}", intent)
@@ -387,7 +382,7 @@
             ),
             min_position=intent.received,
             intended=intent.server if intent.is_open else "",
-            unheard=await self._find_unheard(takeover, control, paused, intent),
+            unheard=self._find_unheard(takeover, paused, intent),
         )
         if isinstance(choice, NoSafeSuccessor):
             self._log_undecided(takeover, choice.reason, intent)
@@ -411,65 +406,21 @@
             return False
         return await self._promote(takeover, control, choice, claimed, term)
 
-    async def _find_unheard(
+    def _find_unheard(
         self,
         takeover: _Takeover,
-        control: ReplicaControl,
         heard: Mapping[str, ReplicationStatus],
         intent: PromotionIntent,
     ) -> tuple[str, ...]:
         """Return the recorded copies that have not answered, as they were recorded."""
         current = self._catalog.servers.entries
-        entries = [entry for entry in takeover.replicas if entry.id in heard]
-        started_ms = {entry.id: current.get(entry.id, entry).started_ms for entry in entries}
-        find_unheard = partial(
-            intent.copies.find_unheard, intended=intent.server if intent.is_open else ""
-        )
-        unheard = find_unheard(started_ms)
-        if unheard or not self._registration_lapse_s or not find_unheard({}):
-            return unheard
-        are_recorded = await asyncio.gather(*(self._is_registered_one(entry) for entry in entries))
-        unproved = {
-            entry.id
-            for entry, is_recorded in zip(entries, are_recorded, strict=True)
-            if not is_recorded
+        started_ms = {
+            entry.id: current.get(entry.id, entry).started_ms
+            for entry in takeover.replicas
+            if entry.id in heard
         }
-        proved = {server: start for server, start in started_ms.items() if server not in unproved}
-        unheard = find_unheard(proved)
-        may_lead = takeover.reason in PLANNED and not intent.is_open
-        if unheard and may_lead and await self._hold_all_commits(takeover, control, heard):
-            return ()
-        if unheard:
-            log.info(
-                "replicas_unproved", service=takeover.service, servers=",".join(sorted(unproved))
-            )
-        return unheard
-
-    async def _is_registered_one(self, entry: ServerEntry) -> bool:
-        """Tell whether the process that answers is certainly the one that is registered.
-
-        A registration lapses some time after the last sign of its process. A connection that was
-        opened before that time is to the same process.
-        """
-        since = await self._gateways.find_running_since(entry)
-        registered_until = self._catalog.find_registered_until(entry.id)
-        return since is not None and since + self._registration_lapse_s <= registered_until
-
-    async def _hold_all_commits(
-        self,
-        takeover: _Takeover,
-        control: ReplicaControl,
-        heard: Mapping[str, ReplicationStatus],
-    ) -> bool:
-        """Tell whether the old primary still leads and one of the replicas has all of its log."""
-        primary = takeover.old_primary
-        if primary is None:
-            return False
-        lead = (await control.read_all([primary])).get(primary.id)
-        if lead is None or not _is_primary(lead):
-            return False
-        return lead.term >= max(status.term for status in heard.values()) and any(
-            status.received >= lead.received for status in heard.values()
+        return intent.copies.find_unheard(
+            started_ms, intended=intent.server if intent.is_open else ""
         )
 
     def _log_undecided(self, takeover: _Takeover, reason: str, intent: PromotionIntent) -> None:
--- a/tests/takeover_world.py
+++ b/tests/takeover_world.py
@@ -81,8 +81,7 @@
 
     def __init__(self, *, seed: int, registers_late: bool) -> None:
         self.random = Random(seed)
-        # Whether a server that has started serves before its registration has changed. If not, a
-        # registration shows each restart, and proxies need no other sign of it.
+        # Whether a server that has started serves before its registration has changed.
         self.registers_late = registers_late
         self.servers = {
             f"i-{number}": ModelServer(id=f"i-{number}", failure_domain=domain)
